--- /dev/null
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/account/package-info.java
@@ -0,0 +1,2 @@
+/** Client accounts, templates, keys and routes. */
+package org.cranberrybend.core.account;
--- /dev/null
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** Configuration state, its acceptance rules and its validation. */
+package org.cranberrybend.core.configuration;
--- /dev/null
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/error/package-info.java
@@ -0,0 +1,2 @@
+/** Error codes and run states. */
+package org.cranberrybend.core.error;
--- /dev/null
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/event/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered events and the hybrid logical clock. */
+package org.cranberrybend.core.event;
--- /dev/null
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Membership of the project's processes. */
+package org.cranberrybend.core.membership;
--- /dev/null
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/time/package-info.java
@@ -0,0 +1,2 @@
+/** Injected clocks. */
+package org.cranberrybend.core.time;
--- /dev/null
+++ b/cranberrybend-runtime/src/main/java/org/cranberrybend/runtime/admin/package-info.java
@@ -0,0 +1,2 @@
+/** The administrative port: health, readiness, metrics and events. */
+package org.cranberrybend.runtime.admin;
--- /dev/null
+++ b/cranberrybend-runtime/src/main/java/org/cranberrybend/runtime/event/package-info.java
@@ -0,0 +1,2 @@
+/** The event log of a process. */
+package org.cranberrybend.runtime.event;
--- /dev/null
+++ b/cranberrybend-runtime/src/main/java/org/cranberrybend/runtime/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Clients of the platform's interfaces. */
+package org.cranberrybend.runtime.platform;
--- /dev/null
+++ b/cranberrybend-runtime/src/main/java/org/cranberrybend/runtime/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Loading and checking of JSON settings. */
+package org.cranberrybend.runtime.settings;
--- /dev/null
+++ b/cranberrybend-wire/src/main/java/org/cranberrybend/wire/transport/package-info.java
@@ -0,0 +1,2 @@
+/** Sending and receiving of peer messages. */
+package org.cranberrybend.wire.transport;
