Add cranberrybendctl, the time line and the event catalogue page

Cause: operators need one program that reads and changes the fleet, and proofs of the invariants need a causally ordered time line over all processes.

The commands name the revision that was read with every write. A write moves on to the next controller only if the connection was refused, because a write without a response may have taken effect. Ruled out: a retry of writes on any failure, which could apply a change twice under two revisions.

Before: no operators' program; docs/events.md did not exist. Against a running controller it has not been run yet.

--- /dev/null
+++ b/cranberrybend-core/src/test/java/org/cranberrybend/core/event/EventCatalogueTest.java
@@ -0,0 +1,40 @@
+package org.cranberrybend.core.event;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import org.junit.jupiter.api.Test;
+
+class EventCatalogueTest {
+    // Guards against an event that operators cannot look up, and against a page that describes another build.
+    @Test
+    void pageListsEveryEventOnceInOrder() throws IOException {
+        Path page = Path.of(System.getProperty("cranberrybend.root"), "docs", "events.md");
+        List<String> rows = Files.readAllLines(page).stream()
+                .filter(line -> line.matches("\\| \\d+ .*"))
+                .toList();
+
+        List<String> expected = Arrays.stream(EventCode.values())
+                .map(code -> String.format(
+                        Locale.ROOT,
+                        "| %d | `%s` | %s | %s |",
+                        code.number(),
+                        code.name(),
+                        code.severity(),
+                        code.description()))
+                .toList();
+        assertThat(rows).containsExactlyElementsIn(expected).inOrder();
+    }
+
+    // Guards against two events that cannot be told apart in the logs.
+    @Test
+    void numbersAreUnique() {
+        assertThat(Arrays.stream(EventCode.values()).map(EventCode::number).toList())
+                .containsNoDuplicates();
+    }
+}
--- /dev/null
+++ b/cranberrybend-ctl/src/main/java/org/cranberrybend/ctl/client/package-info.java
@@ -0,0 +1,2 @@
+/** Calls to controllers and administrative ports. */
+package org.cranberrybend.ctl.client;
--- /dev/null
+++ b/cranberrybend-ctl/src/main/java/org/cranberrybend/ctl/command/TimelineCommand.java
@@ -0,0 +1,82 @@
+package org.cranberrybend.ctl.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.format.DateTimeParseException;
+import java.util.ArrayList;
+import java.util.List;
+import org.cranberrybend.core.configuration.CanonicalJson;
+import org.cranberrybend.core.event.TimelineEntry;
+import org.cranberrybend.core.event.TimelineFilter;
+import org.cranberrybend.core.event.TimelineMerger;
+import org.cranberrybend.ctl.client.CommandException;
+import org.cranberrybend.ctl.client.FleetMembers;
+import org.cranberrybend.ctl.render.OutputFormat;
+import org.cranberrybend.ctl.render.TimelineHtml;
+import org.cranberrybend.ctl.render.TimelineText;
+import org.cranberrybend.runtime.lifecycle.ExitCode;
+
+/** Reads the events of all reachable processes and prints them in causal order; says which were not reached. */
+final class TimelineCommand {
+    private TimelineCommand() {}
+
+    static void run(CommandContext context) throws CommandException {
+        TimelineFilter filter = filter(context);
+        List<TimelineEntry> entries = new ArrayList<>();
+        List<String> unreachable = new ArrayList<>();
+        for (JsonNode member : FleetMembers.fetch(context.client())) {
+            readEvents(context, member, entries, unreachable);
+        }
+        List<TimelineEntry> merged = TimelineMerger.merge(entries, filter);
+        if (context.line().hasOption("html")) {
+            context.out().print(TimelineHtml.write(merged));
+        } else if (context.format() == OutputFormat.JSON) {
+            context.out().println(CanonicalJson.write(merged));
+        } else {
+            context.out().print(TimelineText.write(merged));
+        }
+        unreachable.forEach(memberId -> System.err.println("not reached: " + memberId));
+        TimelineMerger.gaps(entries)
+                .forEach(
+                        gap -> System.err.println("events no longer kept: " + gap.missing() + " of " + gap.memberId()));
+    }
+
+    private static void readEvents(
+            CommandContext context, JsonNode member, List<TimelineEntry> entries, List<String> unreachable) {
+        String memberId = member.path("id").asText();
+        try {
+            JsonNode events = context.client()
+                    .getAdmin(member.path("admin_address").asText(), "/admin/events")
+                    .json();
+            events.forEach(event -> entries.add(TimelineEntry.fromJson(event)));
+        } catch (IOException e) {
+            unreachable.add(memberId);
+        }
+    }
+
+    private static TimelineFilter filter(CommandContext context) throws CommandException {
+        return new TimelineFilter(
+                context.option("subject", ""),
+                context.option("account", ""),
+                context.option("zone", ""),
+                context.option("member", ""),
+                sinceMs(context.option("since", "")),
+                context.option("severity", ""));
+    }
+
+    private static long sinceMs(String since) throws CommandException {
+        if (since.isEmpty()) {
+            return 0;
+        }
+        try {
+            return since.startsWith("P")
+                    ? Instant.now().minus(Duration.parse(since)).toEpochMilli()
+                    : Instant.parse(since).toEpochMilli();
+        } catch (DateTimeParseException e) {
+            throw new CommandException(
+                    ExitCode.USAGE, "--since must be a time such as 2026-12-04T08:00:00Z or a duration such as PT5M");
+        }
+    }
+}
--- /dev/null
+++ b/cranberrybend-ctl/src/main/java/org/cranberrybend/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+package org.cranberrybend.ctl;
--- /dev/null
+++ b/cranberrybend-ctl/src/main/java/org/cranberrybend/ctl/render/package-info.java
@@ -0,0 +1,2 @@
+/** Output as table, JSON or HTML. */
+package org.cranberrybend.ctl.render;
--- /dev/null
+++ b/cranberrybend-ctl/src/test/java/org/cranberrybend/ctl/CtlMainTest.java
@@ -0,0 +1,126 @@
+package org.cranberrybend.ctl;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.cranberrybend.runtime.http.HttpService;
+import org.cranberrybend.runtime.http.JsonRequest;
+import org.cranberrybend.runtime.http.JsonResponse;
+import org.cranberrybend.runtime.http.JsonRouter;
+import org.cranberrybend.runtime.lifecycle.ExitCode;
+import org.cranberrybend.runtime.lifecycle.ServiceException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class CtlMainTest {
+    private static final String CONFIGURATION = "{\"revision\":7,\"entities\":["
+            + "{\"kind\":\"model\",\"name\":\"stub\",\"value\":{\"max_output_tokens\":10,\"context_tokens\":20}}]}";
+
+    @TempDir
+    Path directory;
+
+    private final List<JsonRequest> received = new ArrayList<>();
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+    private HttpService controller;
+    private int changeStatus = 200;
+
+    @BeforeEach
+    void startController() throws ServiceException, IOException {
+        JsonRouter router = new JsonRouter()
+                .on("GET", "/v1/configuration", request -> raw(200, CONFIGURATION))
+                .on("POST", "/v1/changes", this::change)
+                .on("GET", "/v1/status", request -> raw(503, "{\"error\":{\"message\":\"starting\"}}"));
+        controller = new HttpService("127.0.0.1", 0, router);
+        controller.start();
+        // The first address refuses connections: reads and writes must move on to the second.
+        Files.writeString(
+                directory.resolve("profile.json"),
+                "{\"controllers\":[\"http://127.0.0.1:1\",\"http://127.0.0.1:" + controller.port()
+                        + "\"],\"operator_token\":\"t\"}");
+    }
+
+    @AfterEach
+    void stopController() {
+        controller.stop();
+    }
+
+    private JsonResponse change(JsonRequest request) {
+        received.add(request);
+        return raw(
+                changeStatus,
+                changeStatus == 200 ? "{\"revision\":8}" : "{\"error\":{\"message\":\"changed by ben\"}}");
+    }
+
+    private static JsonResponse raw(int status, String json) {
+        return JsonResponse.bytes(status, "application/json", json.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private ExitCode run(String... arguments) {
+        List<String> all = new ArrayList<>(
+                List.of("--profile", directory.resolve("profile.json").toString()));
+        all.addAll(List.of(arguments));
+        return CtlMain.run(
+                all.toArray(new String[0]),
+                Map.of("USER", "ana"),
+                new PrintStream(out, true, StandardCharsets.UTF_8),
+                new PrintStream(err, true, StandardCharsets.UTF_8));
+    }
+
+    // Guards against exit codes that scripts cannot rely on.
+    @ParameterizedTest
+    @CsvSource({
+        "get model stub, SUCCESS",
+        "get model other, NOT_FOUND",
+        "get nonsense stub, USAGE",
+        "get model, USAGE",
+        "nonsense, USAGE",
+        "--output xml status, USAGE",
+        "status, UNREACHABLE",
+        "key nonsense acme, USAGE",
+        "completion, SUCCESS",
+    })
+    void exitCodes(String words, ExitCode expected) {
+        assertThat(run(words.split(" "))).isEqualTo(expected);
+    }
+
+    // Guards against a write that overwrites a change which the operator has not seen.
+    @Test
+    void applySendsOnlyDifferencesWithTheRevisionSeen() throws Exception {
+        Path file = directory.resolve("wanted.json");
+        Files.writeString(
+                file,
+                "{\"entities\":[{\"kind\":\"model\",\"name\":\"stub\",\"value\":{\"context_tokens\":20,"
+                        + "\"max_output_tokens\":10}},{\"kind\":\"setting\",\"name\":\"x\",\"value\":1}]}");
+
+        assertThat(run("apply", file.toString())).isEqualTo(ExitCode.SUCCESS);
+
+        JsonNode body = received.get(0).json();
+        assertThat(body.path("seen_revision").asLong()).isEqualTo(7);
+        assertThat(body.path("author").asText()).isEqualTo("ana");
+        assertThat(body.path("changes").size()).isEqualTo(1);
+        assertThat(body.path("changes").get(0).path("name").asText()).isEqualTo("x");
+    }
+
+    // Guards against a lost conflict: the operator must see it and scripts must stop.
+    @Test
+    void conflictIsShown() {
+        changeStatus = 409;
+
+        assertThat(run("delete", "model", "stub")).isEqualTo(ExitCode.CONFLICT);
+        assertThat(err.toString(StandardCharsets.UTF_8)).contains("changed by ben");
+    }
+}
