Add the stand-in platform and the stand-in engine

Ruled out: the HTTP server of the runtime module. It hides the connection, and a handler must be able to close it without a response, stall it, and notice that the caller is gone. HttpCore ends a chunked response properly even when its entity throws, so the socket is closed first. Ruled out: per-key revision counters, because a key that is deleted and written again would repeat a revision.

Before: an empty module.

Conclusion: the router and the controller can be tested against both.

--- /dev/null
+++ b/cranberrybend-standins/src/main/java/org/cranberrybend/standins/engine/EngineCounters.java
@@ -0,0 +1,56 @@
+package org.cranberrybend.standins.engine;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Counters of an engine. {@code tokens_wasted} counts the tokens of responses that the caller ended by a disconnection
+ * or a cancellation; {@code tokens_interrupted} those of responses that a fault of the engine ended, which may have
+ * been resumed elsewhere.
+ */
+final class EngineCounters {
+    private final MetricRegistry registry = new MetricRegistry();
+    private final Counter requests = registry.counter("requests");
+    private final Counter completed = registry.counter("requests_completed");
+    private final Counter refused = registry.counter("requests_refused");
+    private final Counter prefilled = registry.counter("tokens_prefilled");
+    private final Counter generated = registry.counter("tokens_generated");
+    private final Counter wasted = registry.counter("tokens_wasted");
+    private final Counter interrupted = registry.counter("tokens_interrupted");
+
+    void requestReceived() {
+        requests.inc();
+    }
+
+    void requestRefused() {
+        refused.inc();
+    }
+
+    void requestCompleted() {
+        completed.inc();
+    }
+
+    void tokensPrefilled(int count) {
+        prefilled.inc(count);
+    }
+
+    void tokenGenerated() {
+        generated.inc();
+    }
+
+    void endedByCaller(int tokens) {
+        wasted.inc(tokens);
+    }
+
+    void endedByFault(int tokens) {
+        interrupted.inc(tokens);
+    }
+
+    Map<String, Object> values() {
+        Map<String, Object> values = new TreeMap<>();
+        registry.getCounters().forEach((name, counter) -> values.put(name, counter.getCount()));
+        return values;
+    }
+}
--- /dev/null
+++ b/cranberrybend-standins/src/main/java/org/cranberrybend/standins/engine/FencedOrders.java
@@ -0,0 +1,41 @@
+package org.cranberrybend.standins.engine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Orders to this engine, with or without a check of their fencing numbers. */
+final class FencedOrders {
+    private final boolean checksFencing;
+    private final List<Received> received = new ArrayList<>();
+    private long highest;
+
+    /**
+     * An order as received.
+     *
+     * @param order body of the order
+     * @param accepted whether the order was accepted
+     */
+    record Received(JsonNode order, boolean accepted) {}
+
+    FencedOrders(boolean checksFencing) {
+        this.checksFencing = checksFencing;
+    }
+
+    /** Records an order and returns whether it is accepted. */
+    synchronized boolean receive(JsonNode order) {
+        long fencingNumber = order.path("fencing_number").asLong();
+        boolean accepted = !checksFencing || fencingNumber >= highest;
+        highest = Math.max(highest, fencingNumber);
+        received.add(new Received(order, accepted));
+        return accepted;
+    }
+
+    synchronized long highest() {
+        return highest;
+    }
+
+    synchronized List<Received> received() {
+        return List.copyOf(received);
+    }
+}
--- /dev/null
+++ b/cranberrybend-standins/src/main/java/org/cranberrybend/standins/engine/Protocol.java
@@ -0,0 +1,74 @@
+package org.cranberrybend.standins.engine;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.cranberrybend.core.configuration.CanonicalJson;
+
+/** Writes the response bodies of the standard completion protocol. */
+final class Protocol {
+    private static final String DONE = "data: [DONE]\n\n";
+
+    private Protocol() {}
+
+    /** Returns the event of one token. */
+    static String tokenEvent(CompletionRequest request, String token) {
+        ObjectNode body = head(request, true);
+        ObjectNode choice = body.putArray("choices").addObject().put("index", 0);
+        if (request.chat()) {
+            choice.putObject("delta").put("content", token);
+        } else {
+            choice.put("text", token);
+        }
+        return "data: " + CanonicalJson.write(body) + "\n\n";
+    }
+
+    /** Returns the last event, with the usage of the whole response, and the end mark. */
+    static String finalEvents(CompletionRequest request) {
+        ObjectNode body = head(request, true);
+        ObjectNode choice = body.putArray("choices").addObject().put("index", 0);
+        if (request.chat()) {
+            choice.putObject("delta");
+        } else {
+            choice.put("text", "");
+        }
+        choice.put("finish_reason", finishReason(request));
+        addUsage(body, request);
+        return "data: " + CanonicalJson.write(body) + "\n\n" + DONE;
+    }
+
+    /** Returns the body of a response that is not streamed. */
+    static String wholeBody(CompletionRequest request) {
+        ObjectNode body = head(request, false);
+        ObjectNode choice = body.putArray("choices").addObject().put("index", 0);
+        String text = request.text().text(request.resumeFrom(), request.outputTokens());
+        if (request.chat()) {
+            choice.putObject("message").put("role", "assistant").put("content", text);
+        } else {
+            choice.put("text", text);
+        }
+        choice.put("finish_reason", finishReason(request));
+        addUsage(body, request);
+        return CanonicalJson.write(body);
+    }
+
+    private static ObjectNode head(CompletionRequest request, boolean chunk) {
+        String kind = request.chat() ? (chunk ? "chat.completion.chunk" : "chat.completion") : "text_completion";
+        return CanonicalJson.mapper()
+                .createObjectNode()
+                .put("id", "cmpl-" + request.requestId())
+                .put("object", kind)
+                .put("model", request.model());
+    }
+
+    private static String finishReason(CompletionRequest request) {
+        return request.bounded() ? "length" : "stop";
+    }
+
+    /** The count of completion tokens includes those before {@code resume_from}, so that it describes the whole text. */
+    private static void addUsage(ObjectNode body, CompletionRequest request) {
+        int promptTokens = request.text().promptTokens();
+        body.putObject("usage")
+                .put("prompt_tokens", promptTokens)
+                .put("completion_tokens", request.outputTokens())
+                .put("total_tokens", promptTokens + request.outputTokens());
+    }
+}
--- /dev/null
+++ b/cranberrybend-standins/src/main/java/org/cranberrybend/standins/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in for a model engine with continuous batching. */
+package org.cranberrybend.standins.engine;
--- /dev/null
+++ b/cranberrybend-standins/src/main/java/org/cranberrybend/standins/server/ReceivedRequest.java
@@ -0,0 +1,88 @@
+package org.cranberrybend.standins.server;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.hash.Hashing;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpEntity;
+import org.cranberrybend.core.configuration.CanonicalJson;
+
+/**
+ * A request as a stand-in received it, with nothing left out.
+ *
+ * @param method HTTP method
+ * @param target request target with its query
+ * @param headers header fields in order of arrival, repeated ones included
+ * @param trailers trailer fields in order of arrival
+ * @param body body bytes
+ */
+public record ReceivedRequest(String method, String target, List<Field> headers, List<Field> trailers, byte[] body) {
+    /**
+     * A header or trailer field.
+     *
+     * @param name name as received
+     * @param value value as received
+     */
+    public record Field(String name, String value) {}
+
+    /** Reads the body and the trailers of a request. */
+    public static ReceivedRequest read(ClassicHttpRequest request) throws IOException {
+        byte[] body = new byte[0];
+        List<Field> trailers = List.of();
+        HttpEntity entity = request.getEntity();
+        if (entity != null) {
+            body = entity.getContent().readAllBytes();
+            if (entity.getTrailers() != null && entity.getTrailers().get() != null) {
+                trailers = fields(entity.getTrailers().get());
+            }
+        }
+        return new ReceivedRequest(
+                request.getMethod(), request.getRequestUri(), fields(List.of(request.getHeaders())), trailers, body);
+    }
+
+    private static List<Field> fields(List<? extends Header> headers) {
+        List<Field> fields = new ArrayList<>();
+        headers.forEach(each -> fields.add(new Field(each.getName(), each.getValue())));
+        return List.copyOf(fields);
+    }
+
+    /** Returns the path of the target without its query. */
+    public String path() {
+        int query = target.indexOf('?');
+        return query < 0 ? target : target.substring(0, query);
+    }
+
+    /** Returns the first value of a header; names are compared without case. */
+    public Optional<String> header(String name) {
+        return headers.stream()
+                .filter(each -> each.name().equalsIgnoreCase(name))
+                .map(Field::value)
+                .findFirst();
+    }
+
+    /** Returns the body as text. */
+    public String bodyText() {
+        return new String(body, StandardCharsets.UTF_8);
+    }
+
+    /** Returns the SHA-256 digest of the body in hexadecimal digits. */
+    public String bodyDigestHex() {
+        return Hashing.sha256().hashBytes(body).toString();
+    }
+
+    /** Returns the body as a JSON object, or empty if it is not one. */
+    public Optional<JsonNode> bodyObject() {
+        try {
+            JsonNode node = CanonicalJson.mapper().readTree(bodyText());
+            return node.isObject() ? Optional.of(node) : Optional.empty();
+        } catch (JsonProcessingException e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/cranberrybend-standins/src/main/java/org/cranberrybend/standins/server/UpstreamControls.java
@@ -0,0 +1,130 @@
+package org.cranberrybend.standins.server;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.io.entity.StringEntity;
+import org.cranberrybend.core.configuration.CanonicalJson;
+import org.cranberrybend.runtime.http.HttpStatusException;
+import org.cranberrybend.runtime.http.JsonRequest;
+import org.cranberrybend.runtime.http.JsonResponse;
+import org.cranberrybend.runtime.http.JsonRouter;
+
+/** What the stand-ins of upstreams share: the fault in force, the log of requests and their control endpoints. */
+public final class UpstreamControls {
+    // Long enough for the response to POST /fault to leave before the process ends.
+    private static final long CRASH_DELAY_MS = 50;
+
+    private final RequestLog requests;
+    private final Runnable crashAction;
+    private final Runnable stallAction;
+    private StandinFault fault = StandinFault.NONE;
+
+    /**
+     * Creates the controls.
+     *
+     * @param requestsMax count of requests kept in the log
+     * @param crashAction ends the process, or in tests the server
+     * @param stallAction stalls the open connections
+     */
+    public UpstreamControls(int requestsMax, Runnable crashAction, Runnable stallAction) {
+        this.requests = new RequestLog(requestsMax);
+        this.crashAction = crashAction;
+        this.stallAction = stallAction;
+    }
+
+    /** Adds the control endpoints. */
+    public void addTo(JsonRouter router) {
+        router.on("GET", "/healthz", r -> JsonResponse.text(200, "ok\n"))
+                .on("GET", "/readyz", r -> JsonResponse.text(200, "ready\n"))
+                .on("GET", "/requests", r -> JsonResponse.json(200, requests.toJson()))
+                .on("POST", "/fault", this::setFault);
+    }
+
+    /** Returns whether a path belongs to the controls; such requests are not logged and have no faults. */
+    public static boolean isControl(String path) {
+        return switch (path) {
+            case "/healthz", "/readyz", "/requests", "/fault", "/counters" -> true;
+            default -> false;
+        };
+    }
+
+    /** Returns the log of requests. */
+    public RequestLog requests() {
+        return requests;
+    }
+
+    private JsonResponse setFault(JsonRequest request) throws HttpStatusException {
+        JsonNode body = request.json();
+        StandinFault wanted =
+                StandinFault.of(body.path("mode").asText(), body.path("value").asLong(-1));
+        synchronized (this) {
+            fault = wanted;
+        }
+        if (wanted.mode() == StandinFault.Mode.STALL) {
+            stallAction.run();
+        } else if (wanted.mode() == StandinFault.Mode.CRASH) {
+            Thread crash = new Thread(this::crash, "crash");
+            crash.setDaemon(true);
+            crash.start();
+        }
+        return JsonResponse.json(200, Map.of());
+    }
+
+    private void crash() {
+        try {
+            TimeUnit.MILLISECONDS.sleep(CRASH_DELAY_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        crashAction.run();
+    }
+
+    /** Returns the fault in force without counting a request. */
+    public synchronized StandinFault fault() {
+        return fault;
+    }
+
+    /** Returns the fault that applies to a new request, and counts the request. */
+    public synchronized StandinFault takeFault() {
+        StandinFault taken = fault;
+        if (taken.countsRequests() && taken.value() == 0) {
+            fault = StandinFault.NONE;
+            return fault;
+        }
+        if (taken.countsRequests() && taken.value() > 0) {
+            fault = new StandinFault(taken.mode(), taken.value() - 1);
+        }
+        return taken;
+    }
+
+    /** Fills a response that says that the request did not run; returns false if the fault is another one. */
+    public static boolean refuse(StandinFault fault, ClassicHttpResponse response) {
+        boolean leaving = fault.mode() == StandinFault.Mode.LEAVING;
+        if (!leaving && fault.mode() != StandinFault.Mode.REFUSE) {
+            return false;
+        }
+        response.setHeader("X-Not-Run", "true");
+        if (leaving) {
+            response.setHeader("X-Leaving", "true");
+        }
+        fillError(response, 503, leaving ? "the upstream is leaving" : "the upstream refuses requests");
+        return true;
+    }
+
+    /** Fills a response with an error. */
+    public static void fillError(ClassicHttpResponse response, int status, String message) {
+        response.setCode(status);
+        Map<String, Object> body = Map.of("error", Map.of("message", message, "code", status));
+        response.setEntity(new StringEntity(CanonicalJson.write(body), ContentType.APPLICATION_JSON));
+    }
+
+    /** Closes the connection without ending its response. */
+    public static IOException abort(CallerConnection connection, String reason) {
+        connection.abort();
+        return new IOException(reason);
+    }
+}
