Add the dispatch queue of a pool shard with its engine selector

Ruled out: one token counter per client account over all tiers, because an account whose low-tier work waits for long would hold the minimum down for every other account; the counters are kept per tier. Ruled out: credit of a class only while it waits, because a class whose requests are all refused on arrival would never wait and would starve; an idle class keeps one token of credit, which makes its first request hold the guaranteed slot.

Before: records only.

--- /dev/null
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/admission/DispatchQueue.java
@@ -0,0 +1,397 @@
+package org.cranberrybend.core.admission;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.ToLongFunction;
+import java.util.stream.LongStream;
+import org.cranberrybend.core.account.RequestClass;
+import org.cranberrybend.core.admission.WaitingRequests.Waiting;
+import org.cranberrybend.core.error.ErrorCode;
+import org.cranberrybend.core.routing.EngineLoad;
+import org.cranberrybend.core.routing.EngineSelector;
+import org.cranberrybend.core.routing.Upstream;
+
+/**
+ * The only queue of a pool shard: admits, orders, sheds and dispatches requests to the shard's upstreams.
+ *
+ * <p>It exists to keep two invariants: no request of a higher tier is shed for a lower one (tiers alone decide who is
+ * shed), and no class starves (guaranteed shares decide first who is served).
+ *
+ * <p>Edge cases:
+ *
+ * <ul>
+ *   <li>Until {@link #setUpstreams} is called for the first time, requests wait and nothing is granted, so that a new
+ *       owner can restore the slots in use first. Later, a request that no upstream may serve is refused.
+ *   <li>An offer of a waiting request is ignored. An offer of a request that has a slot repeats the grant, because the
+ *       first one may have been lost, unless the request now excludes that upstream; then the old slot is given up.
+ *   <li>A request that excludes an upstream has been sent before. It is not refused for its first-token target, because
+ *       the work done for it would be wasted.
+ *   <li>A release of an unknown slot is ignored: releases may be repeated.
+ *   <li>A slot whose release was lost is taken back some time after the request's deadline.
+ * </ul>
+ *
+ * <p>Not safe for use by several threads. Times are milliseconds on the owner's monotonic clock.
+ */
+public final class DispatchQueue {
+    private static final long RETRY_AFTER_MIN_MS = 250;
+    private static final long RETRY_AFTER_MAX_MS = 60_000;
+
+    private final DispatchSettings settings;
+    private final String ownerMemberId;
+    private final String slotIdPrefix;
+    private final EngineSelector selector = new EngineSelector();
+    private final ClassShares shares = new ClassShares();
+    private final WaitingRequests waiting = new WaitingRequests(shares);
+    private final ShedRule shedRule = new ShedRule(waiting);
+    private final OutputLengthEstimator lengths;
+    private final FirstTokenForecast forecast;
+    /** Slots in use by identifier; each granted or restored slot is here until released or taken back. */
+    private final Map<String, Slot> slots = new LinkedHashMap<>();
+    /** Slots in use by request; same content as {@code slots}. */
+    private final Map<String, Slot> slotsByRequest = new LinkedHashMap<>();
+
+    private boolean upstreamsKnown;
+    private long nextSlot = 1;
+
+    /**
+     * Creates an empty queue.
+     *
+     * @param settings bounds and rules
+     * @param ownerMemberId member that owns the shard
+     * @param slotIdPrefix prefix of slot identifiers, unique per owner incarnation and shard
+     */
+    public DispatchQueue(DispatchSettings settings, String ownerMemberId, String slotIdPrefix) {
+        this.settings = settings;
+        this.ownerMemberId = ownerMemberId;
+        this.slotIdPrefix = slotIdPrefix;
+        this.lengths = new OutputLengthEstimator(settings.outputPercentile());
+        this.forecast = new FirstTokenForecast(waiting, shares, selector, lengths);
+    }
+
+    /** Offers a request; returns its decision, if it was made at once, and those of other requests that it caused. */
+    public List<AdmissionDecision> offer(QueuedRequest request, long nowMs) {
+        List<AdmissionDecision> decisions = new ArrayList<>();
+        if (waiting.contains(request.requestId()) || repeatsGrant(request, decisions)) {
+            return decisions;
+        }
+        dropOverdue(nowMs, decisions);
+        if (request.deadlineMs() <= nowMs) {
+            decisions.add(new AdmissionDecision.Expired(request.requestId()));
+        } else if (upstreamsKnown && !selector.hasUsable(request.excludedUpstreams())) {
+            decisions.add(
+                    new AdmissionDecision.Refused(request.requestId(), ErrorCode.NO_UPSTREAM, RETRY_AFTER_MIN_MS));
+        } else if (!refusedEarly(request, nowMs, decisions) && makesRoom(request, nowMs, decisions)) {
+            waiting.add(request);
+        }
+        grantAll(nowMs, decisions);
+        return decisions;
+    }
+
+    /** Withdraws a waiting request; a request that already has a slot is ended by its release instead. */
+    public List<AdmissionDecision> cancel(String requestId) {
+        return waiting.remove(requestId)
+                .<List<AdmissionDecision>>map(request -> List.of(new AdmissionDecision.Cancelled(requestId)))
+                .orElse(List.of());
+    }
+
+    /** Releases a slot and learns from its outcome; returns the decisions that the free slot allows. */
+    public List<AdmissionDecision> release(String slotId, SlotOutcome outcome, long nowMs) {
+        Slot slot = slots.get(slotId);
+        if (slot == null) {
+            return List.of();
+        }
+        forget(slot);
+        selector.load(slot.inUse().upstreamId()).ifPresent(load -> learn(load, slot, outcome, nowMs));
+        if (slot.request() != null) {
+            correctCharge(slot, outcome);
+        }
+        return dispatch(nowMs);
+    }
+
+    /** Replaces the upstreams of the shard; waiting requests that none of them may serve are refused. */
+    public List<AdmissionDecision> setUpstreams(Collection<Upstream> upstreams, long nowMs) {
+        selector.setUpstreams(upstreams, this::slotsInUse);
+        upstreamsKnown = true;
+        return dispatch(nowMs);
+    }
+
+    /** Takes over slots in use from entry routers' reports; slots already known are ignored. */
+    public void restoreSlotsInUse(Collection<SlotInUse> inUse, long nowMs) {
+        for (SlotInUse each : inUse) {
+            if (slots.containsKey(each.slotId()) || slotsByRequest.containsKey(each.requestId())) {
+                continue;
+            }
+            remember(new Slot(null, each, null, false, 0, Double.NaN, nowMs, 0, nowMs + settings.restoredSlotMs()));
+            selector.load(each.upstreamId()).ifPresent(load -> load.occupy(0, nowMs));
+        }
+    }
+
+    /** Drops what is overdue and grants free slots; to be called at the latest at {@link #nextActionMs}. */
+    public List<AdmissionDecision> dispatch(long nowMs) {
+        List<AdmissionDecision> decisions = new ArrayList<>();
+        dropOverdue(nowMs, decisions);
+        refuseUnservable(decisions);
+        grantAll(nowMs, decisions);
+        return decisions;
+    }
+
+    /** Returns when {@link #dispatch} must be called if nothing else happens after now, in milliseconds. */
+    public OptionalLong nextActionMs(long nowMs) {
+        LongStream times = slots.values().stream().mapToLong(Slot::reclaimMs);
+        if (waiting.size() > 0) {
+            times = LongStream.concat(times, selector.nextFreeSlotMs(nowMs).stream());
+            times = LongStream.concat(times, requestTimes(QueuedRequest::deadlineMs));
+            if (settings.refuseOverdue()) {
+                times = LongStream.concat(times, requestTimes(QueuedRequest::firstTokenDueMs));
+            }
+        }
+        return times.filter(atMs -> atMs > nowMs).min();
+    }
+
+    private LongStream requestTimes(ToLongFunction<QueuedRequest> time) {
+        return waiting.all().stream().mapToLong(each -> time.applyAsLong(each.request()));
+    }
+
+    /** Returns the number of waiting requests. */
+    public int waitingCount() {
+        return waiting.size();
+    }
+
+    /** Returns the number of slots in use, granted or restored. */
+    public int slotsInUse() {
+        return slots.size();
+    }
+
+    /** Returns the number of slots in use on one upstream. */
+    public int slotsInUse(String upstreamId) {
+        int count = 0;
+        for (Slot slot : slots.values()) {
+            if (slot.inUse().upstreamId().equals(upstreamId)) {
+                count++;
+            }
+        }
+        return count;
+    }
+
+    /** Returns the loads of the shard's upstreams, for status reports. */
+    public Collection<EngineLoad> loads() {
+        return selector.loads();
+    }
+
+    /** Returns whether a waiting request holds its class's guaranteed slot. */
+    public boolean holdsGuaranteedSlot(String requestId) {
+        for (Waiting each : waiting.all()) {
+            if (each.request().requestId().equals(requestId)) {
+                return waiting.holdsGuaranteedSlot(each);
+            }
+        }
+        return false;
+    }
+
+    /** Removes and returns all waiting requests, in order of arrival, for the hand-over of the shard to another owner. */
+    public List<QueuedRequest> handOver() {
+        List<QueuedRequest> handedOver = new ArrayList<>();
+        waiting.all().forEach(each -> handedOver.add(each.request()));
+        handedOver.forEach(request -> waiting.remove(request.requestId()));
+        return handedOver;
+    }
+
+    private boolean repeatsGrant(QueuedRequest request, List<AdmissionDecision> decisions) {
+        Slot slot = slotsByRequest.get(request.requestId());
+        if (slot == null) {
+            return false;
+        }
+        if (slot.grant() == null
+                || request.excludedUpstreams().contains(slot.inUse().upstreamId())) {
+            forget(slot);
+            selector.load(slot.inUse().upstreamId()).ifPresent(EngineLoad::vacate);
+            return false;
+        }
+        decisions.add(new AdmissionDecision.Granted(slot.grant()));
+        return true;
+    }
+
+    private boolean refusedEarly(QueuedRequest request, long nowMs, List<AdmissionDecision> decisions) {
+        if (!settings.refuseEarly() || !upstreamsKnown || wasSentBefore(request)) {
+            return false;
+        }
+        double lateMs = nowMs + forecast.firstTokenMs(request, slots.values(), nowMs) - request.firstTokenDueMs();
+        if (lateMs <= 0) {
+            return false;
+        }
+        decisions.add(new AdmissionDecision.Refused(
+                request.requestId(), ErrorCode.TARGET_UNREACHABLE, retryAfterMs((long) lateMs)));
+        return true;
+    }
+
+    /** Returns whether the request may wait, after shedding others if the bound is reached. */
+    private boolean makesRoom(QueuedRequest request, long nowMs, List<AdmissionDecision> decisions) {
+        RequestClass requestClass = request.requestClass();
+        boolean takesGuaranteedSlot = shares.isBehind(requestClass)
+                && waiting.ofClass(ClassKey.of(requestClass)).isEmpty();
+        if (takesGuaranteedSlot || waiting.size() - waiting.guaranteedHolders() < settings.maxWaiting()) {
+            return true;
+        }
+        Optional<Waiting> victim = shedRule.victimFor(request);
+        String shedId = victim.map(each -> each.request().requestId()).orElse(request.requestId());
+        victim.ifPresent(each -> waiting.remove(shedId));
+        double waitMs = forecast.firstTokenMs(request, slots.values(), nowMs);
+        decisions.add(new AdmissionDecision.Refused(shedId, ErrorCode.SHED, retryAfterMs((long) waitMs)));
+        return victim.isPresent();
+    }
+
+    private static boolean wasSentBefore(QueuedRequest request) {
+        return !request.excludedUpstreams().isEmpty();
+    }
+
+    private static long retryAfterMs(long predictedMs) {
+        return Math.min(RETRY_AFTER_MAX_MS, Math.max(RETRY_AFTER_MIN_MS, predictedMs));
+    }
+
+    private void dropOverdue(long nowMs, List<AdmissionDecision> decisions) {
+        for (Slot slot : List.copyOf(slots.values())) {
+            if (slot.reclaimMs() <= nowMs) {
+                forget(slot);
+                selector.load(slot.inUse().upstreamId()).ifPresent(EngineLoad::vacate);
+            }
+        }
+        Optional<QueuedRequest> first = waiting.firstDeadline();
+        while (first.isPresent() && first.get().deadlineMs() <= nowMs) {
+            waiting.remove(first.get().requestId());
+            decisions.add(new AdmissionDecision.Expired(first.get().requestId()));
+            first = waiting.firstDeadline();
+        }
+        if (settings.refuseOverdue() && upstreamsKnown) {
+            refuseOverdue(nowMs, decisions);
+        }
+    }
+
+    private void refuseOverdue(long nowMs, List<AdmissionDecision> decisions) {
+        List<QueuedRequest> overdue = new ArrayList<>();
+        for (Waiting each : waiting.allByDue()) {
+            if (each.request().firstTokenDueMs() > nowMs) {
+                break;
+            }
+            if (!wasSentBefore(each.request())) {
+                overdue.add(each.request());
+            }
+        }
+        for (QueuedRequest request : overdue) {
+            waiting.remove(request.requestId());
+            decisions.add(new AdmissionDecision.Refused(
+                    request.requestId(), ErrorCode.TARGET_UNREACHABLE, RETRY_AFTER_MIN_MS));
+        }
+    }
+
+    private void refuseUnservable(List<AdmissionDecision> decisions) {
+        if (!upstreamsKnown) {
+            return;
+        }
+        List<QueuedRequest> unservable = new ArrayList<>();
+        for (Waiting each : waiting.all()) {
+            if (!selector.hasUsable(each.request().excludedUpstreams())) {
+                unservable.add(each.request());
+            }
+        }
+        for (QueuedRequest request : unservable) {
+            waiting.remove(request.requestId());
+            decisions.add(
+                    new AdmissionDecision.Refused(request.requestId(), ErrorCode.NO_UPSTREAM, RETRY_AFTER_MIN_MS));
+        }
+    }
+
+    private void grantAll(long nowMs, List<AdmissionDecision> decisions) {
+        if (!upstreamsKnown) {
+            return;
+        }
+        Optional<Waiting> next = nextPlaceable(nowMs);
+        while (next.isPresent()) {
+            decisions.add(grant(next.get(), nowMs));
+            next = nextPlaceable(nowMs);
+        }
+    }
+
+    private Optional<Waiting> nextPlaceable(long nowMs) {
+        return waiting.next(request -> selector.hasFreeSlot(request.excludedUpstreams(), nowMs));
+    }
+
+    private AdmissionDecision grant(Waiting next, long nowMs) {
+        QueuedRequest request = next.request();
+        boolean guaranteed = waiting.holdsGuaranteedSlot(next);
+        long outputTokens = lengths.estimate(request);
+        long chargedTokens = Math.max(1, request.promptTokens() + outputTokens);
+        // The message for a slot carries no prefix digest; an account's requests of one class share most of theirs.
+        String affinityKey =
+                request.clientAccount() + "/" + request.requestClass().name();
+        EngineLoad load = selector.select(
+                        request.promptTokens(), outputTokens, request.excludedUpstreams(), affinityKey, nowMs)
+                .orElseThrow();
+        waiting.fairness(next.tier()).charge(request.clientAccount(), request.weightRatio(), chargedTokens);
+        shares.charge(request.requestClass(), chargedTokens, guaranteed);
+        waiting.remove(request.requestId());
+
+        double serviceMs = load.serviceMs(request.promptTokens(), outputTokens);
+        double firstTokenMs = load.firstTokenMs(request.promptTokens(), nowMs);
+        load.occupy(request.promptTokens(), nowMs);
+        SlotGrant grant = new SlotGrant(slotIdPrefix + nextSlot++, request.requestId(), load.upstream(), ownerMemberId);
+        remember(new Slot(
+                grant,
+                new SlotInUse(grant.slotId(), grant.requestId(), load.upstream().id()),
+                request,
+                guaranteed,
+                chargedTokens,
+                firstTokenMs,
+                nowMs,
+                Double.isNaN(serviceMs) ? 0 : serviceMs,
+                request.deadlineMs() + settings.slotGraceMs()));
+        return new AdmissionDecision.Granted(grant);
+    }
+
+    private void learn(EngineLoad load, Slot slot, SlotOutcome outcome, long nowMs) {
+        load.vacate();
+        if (outcome.result().isLeaving()) {
+            load.markLeaving();
+        } else if (outcome.result().isFailure()) {
+            load.recordFailure(nowMs);
+        } else if (outcome.result() == SlotResult.COMPLETED) {
+            double targetMs = slot.request() == null
+                    ? Double.POSITIVE_INFINITY
+                    : slot.request().requestClass().interTokenTargetMs();
+            load.recordSuccess(
+                    outcome.promptTokens(),
+                    outcome.outputTokens(),
+                    outcome.firstTokenMs(),
+                    outcome.totalMs(),
+                    slot.predictedFirstTokenMs(),
+                    targetMs,
+                    nowMs);
+            if (slot.request() != null && outcome.outputTokens() > 0) {
+                lengths.record(slot.request().requestClass(), outcome.outputTokens());
+            }
+        }
+    }
+
+    private void correctCharge(Slot slot, SlotOutcome outcome) {
+        QueuedRequest request = slot.request();
+        double servedTokens = Math.max(1, outcome.promptTokens() + outcome.outputTokens());
+        double correction = servedTokens - slot.chargedTokens();
+        waiting.fairness(request.requestClass().tier())
+                .charge(request.clientAccount(), request.weightRatio(), correction);
+        shares.charge(request.requestClass(), correction, slot.guaranteed());
+    }
+
+    private void remember(Slot slot) {
+        slots.put(slot.inUse().slotId(), slot);
+        slotsByRequest.put(slot.inUse().requestId(), slot);
+    }
+
+    private void forget(Slot slot) {
+        slots.remove(slot.inUse().slotId());
+        slotsByRequest.remove(slot.inUse().requestId());
+    }
+}
