--- /dev/null
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/scaling/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions on how many upstreams run. */
+package org.cranberrybend.core.scaling;
