Add architecture tests

Cause: the decision code must run unchanged in daemons, fuzzing and experiments, which fails silently once a class reads the clock, starts a thread or does input and output.

Ruled out: review only, because a single call is easy to overlook.

--- /dev/null
+++ b/cranberrybend-integration/src/test/java/org/cranberrybend/integration/architecture/ArchitectureTest.java
@@ -0,0 +1,83 @@
+package org.cranberrybend.integration.architecture;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.fields;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.domain.JavaModifier;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+import java.time.Clock;
+import java.util.concurrent.ExecutorService;
+import org.cranberrybend.core.time.TimeSource;
+
+@AnalyzeClasses(packages = "org.cranberrybend", importOptions = ImportOption.DoNotIncludeTests.class)
+class ArchitectureTest {
+    // Guards against production code that works only with the stand-ins.
+    @ArchTest
+    static final ArchRule PRODUCTION_DOES_NOT_USE_STAND_INS = noClasses()
+            .that()
+            .resideOutsideOfPackages(
+                    "org.cranberrybend.standins..", "org.cranberrybend.experiment..", "org.cranberrybend.integration..")
+            .should()
+            .dependOnClassesThat()
+            .resideInAnyPackage("org.cranberrybend.standins..", "org.cranberrybend.experiment..");
+
+    // Guards against decisions that cannot be replayed: they must depend on their inputs only.
+    @ArchTest
+    static final ArchRule DECISIONS_HAVE_NO_INPUT_AND_OUTPUT = noClasses()
+            .that()
+            .resideInAPackage("org.cranberrybend.core..")
+            .should()
+            .dependOnClassesThat()
+            .resideInAnyPackage(
+                    "java.io..",
+                    "java.net..",
+                    "java.nio.file..",
+                    "java.nio.channels..",
+                    "io.netty..",
+                    "org.apache.hc..",
+                    "org.cranberrybend.runtime..",
+                    "org.cranberrybend.wire..");
+
+    // Guards against decisions that depend on scheduling or on the clock of the machine.
+    @ArchTest
+    static final ArchRule DECISIONS_HAVE_NO_THREADS_AND_NO_WALL_CLOCK = noClasses()
+            .that()
+            .resideInAPackage("org.cranberrybend.core..")
+            .and()
+            .doNotImplement(TimeSource.class)
+            .should()
+            .dependOnClassesThat()
+            .belongToAnyOf(Thread.class, ExecutorService.class, Clock.class)
+            .orShould()
+            .callMethod(System.class, "currentTimeMillis")
+            .orShould()
+            .callMethod(System.class, "nanoTime");
+
+    // Guards against state shared between two aggregates, which would couple tests and experiments in one process.
+    @ArchTest
+    static final ArchRule NO_STATIC_MUTABLE_FIELDS = fields().that()
+            .areStatic()
+            .and()
+            .areDeclaredInClassesThat()
+            .resideOutsideOfPackage("org.cranberrybend.wire.generated..")
+            .should()
+            .beFinal();
+
+    // Guards against processes that start processes.
+    @ArchTest
+    static final ArchRule NO_PROCESS_STARTS_ANOTHER = noClasses()
+            .that()
+            .resideOutsideOfPackages("org.cranberrybend.integration..")
+            .should()
+            .dependOnClassesThat()
+            .areAssignableTo(ProcessBuilder.class);
+
+    // Guards against programs whose main class does more than parse options and wire parts together.
+    @ArchTest
+    static final ArchRule MAIN_CLASSES_ARE_FINAL =
+            classes().that().haveSimpleNameEndingWith("Main").should().haveModifier(JavaModifier.FINAL);
+}
