Add the peer transport, the membership table and PeerNode

Cause: routers and controllers need one object through which they are members of the fleet and share configuration, revocations and upstreams.

The transport sends length-delimited protobuf frames of at most 16 MiB over one outbound connection per peer address and kind of traffic. A response is accepted only on the connection of its request. When a request times out and its connection received nothing since, the next frame uses a new connection, so that a connection whose state was lost on the path does not make a live member suspect for the 10 s until it is closed.

Ping and Ack carry digests of the revocation set and the upstream table. The configuration digest in each frame is cut to 16 digits, which saves 48 bytes per frame.

A probe on behalf of another member blocks a worker thread, so responses have threads of their own; with shared ones, all threads could wait for responses that no thread was left to handle.

Before: interfaces only.

Conclusion: other modules can build on PeerNode.

--- /dev/null
+++ b/cranberrybend-wire/src/main/java/org/cranberrybend/wire/node/ChangeListeners.java
@@ -0,0 +1,51 @@
+package org.cranberrybend.wire.node;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+/**
+ * Listeners of one kind of change, called one after the other on a worker thread. Changes that arrive before the
+ * listeners were called are reported together.
+ */
+final class ChangeListeners {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final Executor worker;
+    private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
+    private final AtomicBoolean scheduled = new AtomicBoolean();
+
+    ChangeListeners(Executor worker) {
+        this.worker = worker;
+    }
+
+    void add(Runnable listener) {
+        listeners.add(listener);
+    }
+
+    void changed() {
+        if (!scheduled.compareAndSet(false, true)) {
+            return;
+        }
+        try {
+            worker.execute(this::callAll);
+        } catch (RejectedExecutionException e) {
+            // The process is stopping, so that nobody needs to know.
+            scheduled.set(false);
+        }
+    }
+
+    private void callAll() {
+        scheduled.set(false);
+        for (Runnable listener : listeners) {
+            try {
+                listener.run();
+            } catch (RuntimeException e) {
+                LOGGER.atSevere().withCause(e).log("listener failed");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/cranberrybend-wire/src/main/java/org/cranberrybend/wire/node/ConfigurationReplication.java
@@ -0,0 +1,271 @@
+package org.cranberrybend.wire.node;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import org.cranberrybend.core.configuration.Acceptance;
+import org.cranberrybend.core.configuration.CanonicalJson;
+import org.cranberrybend.core.configuration.ChangeSet;
+import org.cranberrybend.core.configuration.ConfigurationReplica;
+import org.cranberrybend.core.configuration.ConfigurationState;
+import org.cranberrybend.core.configuration.ConfigurationView;
+import org.cranberrybend.core.event.EventCode;
+import org.cranberrybend.core.membership.Member;
+import org.cranberrybend.core.time.TimeSource;
+import org.cranberrybend.runtime.event.EventLog;
+import org.cranberrybend.wire.generated.ConfigurationDelta;
+import org.cranberrybend.wire.generated.ConfigurationRequest;
+import org.cranberrybend.wire.generated.ConfigurationSnapshot;
+import org.cranberrybend.wire.generated.Envelope;
+
+/**
+ * The accepted configuration and its exchange with peers.
+ *
+ * <p>A change accepted from the store is pushed to the zone and to one member of every other zone; one accepted from
+ * another zone is pushed on to the own zone. What a push misses is found by the revision in every frame.
+ */
+final class ConfigurationReplication {
+    /** Digits of the chain digest in a frame. */
+    static final int WIRE_DIGEST_LENGTH = 16;
+
+    /** Bound on a request for configuration; a snapshot of 13 MB takes 5 s on the link between regions. */
+    private static final long REQUEST_TIMEOUT_MS = 10_000;
+
+    /** Bound on concurrent requests, so that a silent peer does not keep this process from asking others. */
+    private static final int MAX_CONCURRENT_REQUESTS = 3;
+
+    private static final int MAX_REPORTED_DIVERGENCES = 256;
+
+    /** The configuration lock: the first in lock order. Guards the replica and the history. */
+    private final Object configurationLock = new Object();
+
+    private final ConfigurationReplica replica = new ConfigurationReplica();
+    private final ConfigurationHistory history = new ConfigurationHistory();
+    private final EventLog eventLog;
+    private final PeerGroup peers;
+    private final ChangeListeners listeners;
+    private final StoreConfirmation confirmation;
+    private final Set<String> askedMembers = ConcurrentHashMap.newKeySet();
+    private final Set<String> reportedDivergences = ConcurrentHashMap.newKeySet();
+
+    /** State and view of the same revision; replaced under the lock, read without it. */
+    private volatile Accepted accepted =
+            new Accepted(ConfigurationState.EMPTY, new ConfigurationView(ConfigurationState.EMPTY));
+
+    private record Accepted(ConfigurationState state, ConfigurationView view) {}
+
+    /** Where a configuration came from. */
+    private enum Source {
+        STORE,
+        PEER
+    }
+
+    ConfigurationReplication(EventLog eventLog, TimeSource timeSource, PeerGroup peers, ChangeListeners listeners) {
+        this.eventLog = eventLog;
+        this.peers = peers;
+        this.listeners = listeners;
+        this.confirmation = new StoreConfirmation(timeSource);
+        PeerMessages.onRequest(peers, Envelope.BodyCase.CONFIGURATION_REQUEST, this::answer);
+        PeerMessages.onMessage(peers, Envelope.BodyCase.CONFIGURATION_DELTA, this::receiveDelta);
+    }
+
+    ConfigurationState state() {
+        return accepted.state();
+    }
+
+    ConfigurationView view() {
+        return accepted.view();
+    }
+
+    StoreConfirmation confirmation() {
+        return confirmation;
+    }
+
+    void stamp(Envelope.Builder frame) {
+        ConfigurationState state = accepted.state();
+        frame.setConfigurationRevision(state.revision())
+                .setConfigurationDigest(wireDigest(state))
+                .setStoreConfirmedAgeMs(confirmation.wireAgeMs());
+    }
+
+    private static String wireDigest(ConfigurationState state) {
+        String digest = state.chainDigest();
+        return digest.substring(0, Math.min(digest.length(), WIRE_DIGEST_LENGTH));
+    }
+
+    Acceptance offer(ChangeSet changeSet) {
+        Acceptance acceptance = accept(changeSet, Source.STORE);
+        if (acceptance == Acceptance.ACCEPTED) {
+            peers.sendToOwnZoneAndRelays(delta(List.of(CanonicalJson.write(changeSet))));
+        }
+        return acceptance;
+    }
+
+    Acceptance offerSnapshot(ConfigurationState snapshot) {
+        Acceptance acceptance = acceptSnapshot(snapshot, Source.STORE);
+        if (acceptance == Acceptance.ACCEPTED) {
+            // The revision in the frame makes the receivers ask for what they miss.
+            peers.sendToOwnZoneAndRelays(delta(List.of()));
+        }
+        return acceptance;
+    }
+
+    private Acceptance accept(ChangeSet changeSet, Source source) {
+        Acceptance acceptance;
+        synchronized (configurationLock) {
+            if (source == Source.PEER && history.contains(changeSet)) {
+                return Acceptance.DUPLICATE;
+            }
+            acceptance = replica.offer(changeSet);
+            if (acceptance == Acceptance.ACCEPTED) {
+                history.add(changeSet);
+                publish();
+            }
+        }
+        report(acceptance, changeSet.revision(), changeSet.chainDigest(), changeSet.author(), source);
+        return acceptance;
+    }
+
+    private Acceptance acceptSnapshot(ConfigurationState snapshot, Source source) {
+        Acceptance acceptance;
+        synchronized (configurationLock) {
+            acceptance = replica.offerSnapshot(snapshot);
+            if (acceptance == Acceptance.ACCEPTED) {
+                history.clear();
+                publish();
+            }
+        }
+        report(acceptance, snapshot.revision(), snapshot.chainDigest(), "", source);
+        return acceptance;
+    }
+
+    private void publish() {
+        ConfigurationState state = replica.accepted();
+        accepted = new Accepted(state, new ConfigurationView(state));
+    }
+
+    private void report(Acceptance acceptance, long revision, String digest, String author, Source source) {
+        switch (acceptance) {
+            case ACCEPTED:
+                eventLog.record(
+                        EventCode.CONFIGURATION_ACCEPTED,
+                        Long.toString(revision),
+                        Map.of("source", source.name(), "author", author));
+                listeners.changed();
+                break;
+            case OLDER:
+                // Peers push concurrently, so that an older revision from one of them is ordinary.
+                if (source == Source.STORE) {
+                    eventLog.record(
+                            EventCode.CONFIGURATION_OLDER_REFUSED,
+                            Long.toString(revision),
+                            Map.of("accepted_revision", state().revision()));
+                }
+                break;
+            case DIVERGED:
+                reportDivergence(source.name(), revision, digest);
+                break;
+            default:
+                break;
+        }
+    }
+
+    private void reportDivergence(String source, long revision, String digest) {
+        String wireDigest = digest.substring(0, Math.min(digest.length(), WIRE_DIGEST_LENGTH));
+        boolean first = reportedDivergences.size() < MAX_REPORTED_DIVERGENCES
+                && reportedDivergences.add(source + " " + revision + " " + wireDigest);
+        if (first) {
+            eventLog.record(
+                    EventCode.CONFIGURATION_DIVERGED,
+                    Long.toString(revision),
+                    Map.of("source", source, "digest", wireDigest, "accepted_digest", wireDigest(state())));
+        }
+    }
+
+    private void receiveDelta(Envelope frame) {
+        if (!applyDelta(frame.getConfigurationDelta())) {
+            return;
+        }
+        Optional<Member> sender = peers.find(frame.getSender());
+        if (sender.isPresent() && !peers.isOfOwnZone(sender.get())) {
+            peers.sendToOwnZone(delta(List.copyOf(frame.getConfigurationDelta().getChangeSetsJsonList())));
+        }
+    }
+
+    /** Returns whether at least one change set was accepted. */
+    private boolean applyDelta(ConfigurationDelta delta) {
+        boolean progressed = false;
+        for (String json : delta.getChangeSetsJsonList()) {
+            Acceptance acceptance = accept(WireConversions.changeSet(json), Source.PEER);
+            progressed |= acceptance == Acceptance.ACCEPTED;
+            if (acceptance == Acceptance.GAP || acceptance == Acceptance.DIVERGED) {
+                break;
+            }
+        }
+        return progressed;
+    }
+
+    private Envelope.Builder answer(Envelope frame) {
+        long afterRevision = frame.getConfigurationRequest().getAfterRevision();
+        ConfigurationState state;
+        List<String> delta;
+        synchronized (configurationLock) {
+            state = replica.accepted();
+            delta = history.after(afterRevision);
+        }
+        if (state.revision() <= afterRevision || !delta.isEmpty()) {
+            return delta(delta);
+        }
+        ConfigurationSnapshot snapshot = WireConversions.toWire(state);
+        return Envelope.newBuilder().setConfigurationSnapshot(snapshot);
+    }
+
+    private static Envelope.Builder delta(List<String> changeSets) {
+        return Envelope.newBuilder()
+                .setConfigurationDelta(ConfigurationDelta.newBuilder().addAllChangeSetsJson(changeSets));
+    }
+
+    /** Compares the configuration of a frame's sender with the accepted one and asks for what is missing. */
+    void observe(Envelope frame) {
+        ConfigurationState state = accepted.state();
+        if (frame.getConfigurationRevision() > state.revision()) {
+            boolean carriesChanges = frame.hasConfigurationDelta()
+                    && frame.getConfigurationDelta().getChangeSetsJsonCount() > 0;
+            if (!carriesChanges && !frame.hasConfigurationSnapshot()) {
+                peers.find(frame.getSender()).ifPresent(sender -> ask(sender.id(), sender.peerAddress()));
+            }
+            return;
+        }
+        boolean sameRevision = frame.getConfigurationRevision() == state.revision();
+        if (sameRevision && !frame.getConfigurationDigest().equals(wireDigest(state))) {
+            reportDivergence(frame.getSender(), frame.getConfigurationRevision(), frame.getConfigurationDigest());
+            return;
+        }
+        confirmation.observe(frame);
+    }
+
+    /** Asks one member for newer configuration; completes when its answer was applied, with whether it had any. */
+    CompletableFuture<Boolean> ask(String memberId, String address) {
+        if (askedMembers.size() >= MAX_CONCURRENT_REQUESTS || !askedMembers.add(memberId)) {
+            return CompletableFuture.completedFuture(false);
+        }
+        long revision = state().revision();
+        Envelope.Builder request = Envelope.newBuilder()
+                .setConfigurationRequest(ConfigurationRequest.newBuilder().setAfterRevision(revision));
+        return peers.messenger()
+                .request(address, request, REQUEST_TIMEOUT_MS)
+                .thenApply(this::receiveAnswer)
+                .whenComplete((progressed, failure) -> askedMembers.remove(memberId));
+    }
+
+    private boolean receiveAnswer(Envelope frame) {
+        if (frame.hasConfigurationSnapshot()) {
+            ConfigurationState snapshot = WireConversions.fromWire(frame.getConfigurationSnapshot());
+            return acceptSnapshot(snapshot, Source.PEER) == Acceptance.ACCEPTED;
+        }
+        return applyDelta(frame.getConfigurationDelta());
+    }
+}
--- /dev/null
+++ b/cranberrybend-wire/src/main/java/org/cranberrybend/wire/node/PeerGroup.java
@@ -0,0 +1,78 @@
+package org.cranberrybend.wire.node;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.cranberrybend.core.event.ProcessIdentity;
+import org.cranberrybend.core.membership.Member;
+import org.cranberrybend.wire.generated.Envelope;
+import org.cranberrybend.wire.transport.PeerMessenger;
+
+/** Selects the members that receive a pushed message. */
+final class PeerGroup {
+    private final ProcessIdentity self;
+    private final Supplier<List<Member>> members;
+    private final PeerMessenger messenger;
+
+    PeerGroup(ProcessIdentity self, Supplier<List<Member>> members, PeerMessenger messenger) {
+        this.self = self;
+        this.members = members;
+        this.messenger = messenger;
+    }
+
+    PeerMessenger messenger() {
+        return messenger;
+    }
+
+    Optional<Member> find(String memberId) {
+        return members.get().stream()
+                .filter(member -> member.id().equals(memberId))
+                .findFirst();
+    }
+
+    boolean isOfOwnZone(Member member) {
+        return member.identity().zone().equals(self.zone());
+    }
+
+    /** Sends a message to all other members. */
+    void sendToAll(Envelope.Builder message) {
+        sendTo(others(), message);
+    }
+
+    /** Sends a message to the other members of this process's zone. */
+    void sendToOwnZone(Envelope.Builder message) {
+        sendTo(others().stream().filter(this::isOfOwnZone).toList(), message);
+    }
+
+    /**
+     * Sends a message to the members of this process's zone and to one member of every other zone, which passes it on,
+     * so that the link between regions carries it once per zone.
+     */
+    void sendToOwnZoneAndRelays(Envelope.Builder message) {
+        List<Member> shuffled = new ArrayList<>(others());
+        Collections.shuffle(shuffled);
+        Set<String> reached = new HashSet<>();
+        sendTo(
+                shuffled.stream()
+                        .filter(member -> isOfOwnZone(member)
+                                || reached.add(member.identity().zone()))
+                        .toList(),
+                message);
+    }
+
+    private List<Member> others() {
+        return members.get().stream()
+                .filter(member -> !member.id().equals(self.memberId()))
+                .toList();
+    }
+
+    private void sendTo(List<Member> receivers, Envelope.Builder message) {
+        for (Member receiver : receivers) {
+            messenger.send(receiver.peerAddress(), message.clone());
+        }
+    }
+}
--- /dev/null
+++ b/cranberrybend-wire/src/main/java/org/cranberrybend/wire/node/RevocationReplication.java
@@ -0,0 +1,84 @@
+package org.cranberrybend.wire.node;
+
+import com.google.common.collect.ImmutableSortedSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.cranberrybend.core.configuration.RevocationSet;
+import org.cranberrybend.core.event.EventCode;
+import org.cranberrybend.runtime.event.EventLog;
+import org.cranberrybend.wire.generated.Envelope;
+import org.cranberrybend.wire.generated.RevocationUpdate;
+
+/** The revocation set: new keys are pushed to all members, and the sets are exchanged when their digests differ. */
+final class RevocationReplication {
+    /** Guards the merge; same place in the lock order as the configuration lock, and never held together with it. */
+    private final Object revocationLock = new Object();
+
+    private final EventLog eventLog;
+    private final PeerGroup peers;
+    private final ChangeListeners listeners;
+    private volatile Held held = new Held(RevocationSet.EMPTY, digest(RevocationSet.EMPTY));
+
+    private record Held(RevocationSet keys, long digest) {}
+
+    RevocationReplication(EventLog eventLog, PeerGroup peers, ChangeListeners listeners) {
+        this.eventLog = eventLog;
+        this.peers = peers;
+        this.listeners = listeners;
+        PeerMessages.onMessage(
+                peers,
+                Envelope.BodyCase.REVOCATION_UPDATE,
+                frame -> merge(keys(frame.getRevocationUpdate().getKeyIdsList())));
+    }
+
+    private static RevocationSet keys(Iterable<String> keyIds) {
+        return new RevocationSet(ImmutableSortedSet.copyOf(keyIds));
+    }
+
+    private static long digest(RevocationSet keys) {
+        return WireConversions.digest(keys.keyIds().asList());
+    }
+
+    RevocationSet keys() {
+        return held.keys();
+    }
+
+    long digest() {
+        return held.digest();
+    }
+
+    void revoke(RevocationSet keys) {
+        Set<String> added = merge(keys);
+        if (!added.isEmpty()) {
+            peers.sendToAll(update(added));
+        }
+    }
+
+    private Set<String> merge(RevocationSet keys) {
+        Set<String> added = new TreeSet<>(keys.keyIds());
+        synchronized (revocationLock) {
+            added.removeAll(held.keys().keyIds());
+            RevocationSet merged = held.keys().merge(keys);
+            held = new Held(merged, digest(merged));
+        }
+        added.forEach(keyId -> eventLog.record(EventCode.KEY_REVOKED, keyId, Map.of()));
+        if (!added.isEmpty()) {
+            listeners.changed();
+        }
+        return added;
+    }
+
+    /** Sends the whole set to a member whose digest differs; it does the same, so that both hold the union. */
+    void exchange(String address, long peerDigest) {
+        Held current = held;
+        if (current.digest() != peerDigest && !current.keys().keyIds().isEmpty()) {
+            peers.messenger().send(address, update(current.keys().keyIds()));
+        }
+    }
+
+    private static Envelope.Builder update(Set<String> keyIds) {
+        return Envelope.newBuilder()
+                .setRevocationUpdate(RevocationUpdate.newBuilder().addAllKeyIds(keyIds));
+    }
+}
--- /dev/null
+++ b/cranberrybend-wire/src/main/java/org/cranberrybend/wire/node/UpstreamReplication.java
@@ -0,0 +1,109 @@
+package org.cranberrybend.wire.node;
+
+import java.util.Base64;
+import java.util.Comparator;
+import java.util.List;
+import org.cranberrybend.core.routing.Upstream;
+import org.cranberrybend.wire.generated.Envelope;
+import org.cranberrybend.wire.generated.ReplicaDigests;
+import org.cranberrybend.wire.generated.UpstreamInfo;
+import org.cranberrybend.wire.generated.UpstreamTable;
+
+/**
+ * The upstream table: the latest read of the platform's list by any controller.
+ *
+ * <p>A changed table is pushed to the zone. An unchanged one is not sent again; members only exchange the time of its
+ * latest read. Members that hold an older table receive the newer one when they probe or are probed.
+ */
+final class UpstreamReplication {
+    /** Guards the replacement of the table; the place of the upstream directory in the lock order. */
+    private final Object upstreamLock = new Object();
+
+    private final PeerGroup peers;
+    private final ChangeListeners listeners;
+    private volatile Table table = new Table(List.of(), 0, 0);
+
+    private record Table(List<Upstream> upstreams, long readAtMs, long digest) {}
+
+    /** Result of offering a table. */
+    private enum Offer {
+        IGNORED,
+        CONFIRMED,
+        CHANGED
+    }
+
+    UpstreamReplication(PeerGroup peers, ChangeListeners listeners) {
+        this.peers = peers;
+        this.listeners = listeners;
+        PeerMessages.onMessage(peers, Envelope.BodyCase.UPSTREAM_TABLE, this::receive);
+    }
+
+    List<Upstream> upstreams() {
+        return table.upstreams();
+    }
+
+    void offer(List<Upstream> upstreams, long readAtMs) {
+        if (replace(upstreams, readAtMs) == Offer.CHANGED) {
+            peers.sendToOwnZone(toWire(table));
+        }
+    }
+
+    private void receive(Envelope frame) {
+        UpstreamTable received = frame.getUpstreamTable();
+        replace(
+                received.getUpstreamsList().stream()
+                        .map(WireConversions::fromWire)
+                        .toList(),
+                received.getReadAtMs());
+    }
+
+    private Offer replace(List<Upstream> upstreams, long readAtMs) {
+        List<Upstream> sorted =
+                upstreams.stream().sorted(Comparator.comparing(Upstream::id)).toList();
+        long digest = WireConversions.digest(sorted.stream()
+                .map(upstream -> Base64.getEncoder()
+                        .encodeToString(WireConversions.toWire(upstream).toByteArray()))
+                .toList());
+        Offer offer;
+        synchronized (upstreamLock) {
+            if (readAtMs <= table.readAtMs()) {
+                return Offer.IGNORED;
+            }
+            offer = table.digest() == digest ? Offer.CONFIRMED : Offer.CHANGED;
+            table = new Table(offer == Offer.CONFIRMED ? table.upstreams() : sorted, readAtMs, digest);
+        }
+        if (offer == Offer.CHANGED) {
+            listeners.changed();
+        }
+        return offer;
+    }
+
+    void describe(ReplicaDigests.Builder digests) {
+        Table current = table;
+        digests.setUpstreamsReadAtMs(current.readAtMs()).setUpstreams(current.digest());
+    }
+
+    /** Compares the table of a peer with this one: takes over the time of a later read, or sends a newer table. */
+    void exchange(String address, ReplicaDigests peer) {
+        Table newer = null;
+        synchronized (upstreamLock) {
+            if (peer.getUpstreams() == table.digest()) {
+                long readAtMs = Math.max(table.readAtMs(), peer.getUpstreamsReadAtMs());
+                table = new Table(table.upstreams(), readAtMs, table.digest());
+            } else if (peer.getUpstreamsReadAtMs() < table.readAtMs()) {
+                newer = table;
+            }
+        }
+        if (newer != null) {
+            peers.messenger().send(address, toWire(newer));
+        }
+    }
+
+    private static Envelope.Builder toWire(Table table) {
+        List<UpstreamInfo> upstreams =
+                table.upstreams().stream().map(WireConversions::toWire).toList();
+        return Envelope.newBuilder()
+                .setUpstreamTable(
+                        UpstreamTable.newBuilder().setReadAtMs(table.readAtMs()).addAllUpstreams(upstreams));
+    }
+}
--- /dev/null
+++ b/cranberrybend-wire/src/main/java/org/cranberrybend/wire/transport/PeerChannel.java
@@ -0,0 +1,146 @@
+package org.cranberrybend.wire.transport;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.timeout.IdleState;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.cranberrybend.wire.generated.Envelope;
+
+/** One TCP connection, opened by either side: frames, keep-alive, the bound on silence and on buffered bytes. */
+final class PeerChannel extends SimpleChannelInboundHandler<Envelope> {
+    /** Keep-alives in a row after which a connection that carries nothing else is closed: a minute at 3 s each. */
+    private static final int MAX_KEEP_ALIVES_IN_A_ROW = 20;
+
+    private final PeerTransportSettings settings;
+    private final TransportMetrics metrics;
+    private final Listener listener;
+    private final AtomicLong bufferedBytes = new AtomicLong();
+    private final AtomicLong receivedFrames = new AtomicLong();
+    private volatile Channel channel;
+    private volatile int keepAlivesInARow;
+    private volatile boolean silent;
+
+    /** Receives what happens on a connection, on its event loop. */
+    interface Listener {
+        void onFrame(PeerChannel source, Envelope frame);
+
+        void onClosed(PeerChannel source);
+
+        Envelope keepAlive();
+    }
+
+    PeerChannel(PeerTransportSettings settings, TransportMetrics metrics, Listener listener) {
+        super(Envelope.class);
+        this.settings = settings;
+        this.metrics = metrics;
+        this.listener = listener;
+    }
+
+    void addTo(Channel target) {
+        channel = target;
+        ChannelPipeline pipeline = target.pipeline();
+        int prefix = TransportMetrics.PREFIX_BYTES;
+        pipeline.addLast(
+                new IdleStateHandler(settings.silenceMs(), settings.keepAliveMs(), 0, TimeUnit.MILLISECONDS),
+                new LengthFieldBasedFrameDecoder(settings.maxFrameBytes(), 0, prefix, 0, prefix),
+                new LengthFieldPrepender(prefix),
+                new ProtobufDecoder(Envelope.getDefaultInstance()),
+                new ProtobufEncoder(),
+                this);
+    }
+
+    /** Writes a frame; returns false if it was dropped. Callable from any thread. */
+    boolean write(Envelope frame) {
+        int lengthBytes = frame.getSerializedSize();
+        if (lengthBytes > settings.maxFrameBytes()) {
+            metrics.dropped(DropReason.INVALID);
+            return false;
+        }
+        if (bufferedBytes.addAndGet(lengthBytes) > settings.maxBufferedBytes()) {
+            bufferedBytes.addAndGet(-lengthBytes);
+            metrics.dropped(DropReason.BUFFER_FULL);
+            return false;
+        }
+        if (frame.getBodyCase() != Envelope.BodyCase.BODY_NOT_SET) {
+            keepAlivesInARow = 0;
+        }
+        channel.writeAndFlush(frame).addListener((ChannelFutureListener) written -> {
+            bufferedBytes.addAndGet(-lengthBytes);
+            if (written.isSuccess()) {
+                metrics.sent(frame);
+            } else {
+                metrics.dropped(DropReason.NO_CONNECTION);
+            }
+        });
+        return true;
+    }
+
+    boolean isOpen() {
+        return channel != null && channel.isActive();
+    }
+
+    /** Returns the number of frames received so far, which tells a request whether the connection delivers at all. */
+    long receivedFrames() {
+        return receivedFrames.get();
+    }
+
+    /** Returns whether the connection was closed because it delivered nothing while it was in use. */
+    boolean wasSilentInUse() {
+        return silent && keepAlivesInARow < MAX_KEEP_ALIVES_IN_A_ROW;
+    }
+
+    void close() {
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, Envelope frame) {
+        receivedFrames.incrementAndGet();
+        metrics.received(frame);
+        listener.onFrame(this, frame);
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (!(event instanceof IdleStateEvent)) {
+            context.fireUserEventTriggered(event);
+        } else if (((IdleStateEvent) event).state() == IdleState.READER_IDLE) {
+            silent = true;
+            metrics.connectionClosedAsSilent();
+            context.close();
+        } else if (((IdleStateEvent) event).state() == IdleState.WRITER_IDLE) {
+            if (++keepAlivesInARow > MAX_KEEP_ALIVES_IN_A_ROW) {
+                context.close();
+            } else {
+                write(listener.keepAlive());
+            }
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        listener.onClosed(this);
+        context.fireChannelInactive();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (cause instanceof DecoderException) {
+            metrics.dropped(DropReason.INVALID);
+        }
+        context.close();
+    }
+}
--- /dev/null
+++ b/cranberrybend-wire/src/main/java/org/cranberrybend/wire/transport/PeerConnection.java
@@ -0,0 +1,230 @@
+package org.cranberrybend.wire.transport;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.cranberrybend.wire.generated.Envelope;
+
+/**
+ * The outbound connection to one peer address: opened on demand, reopened when it stops delivering.
+ *
+ * <p>All state is confined to one event loop. A connection that delivers nothing is retired: new frames use a new one,
+ * while responses may still arrive on the old one until its bound on silence has passed.
+ */
+final class PeerConnection {
+    private final String address;
+    private final PeerTransportSettings settings;
+    private final TransportMetrics metrics;
+    private final PendingRequests pending;
+    private final Owner owner;
+    private final EventLoop loop;
+    private final Queue<Envelope> waiting = new ArrayDeque<>();
+    private final AtomicLong waitingBytes = new AtomicLong();
+    private PeerChannel current;
+    private PeerChannel retired;
+    private boolean connecting;
+    private boolean delayed;
+    private boolean stopped;
+
+    /** What a connection needs from the transport. */
+    interface Owner extends PeerChannel.Listener {
+        Envelope greeting();
+    }
+
+    PeerConnection(
+            String address,
+            PeerTransportSettings settings,
+            TransportMetrics metrics,
+            PendingRequests pending,
+            Owner owner,
+            EventLoop loop) {
+        this.address = address;
+        this.settings = settings;
+        this.metrics = metrics;
+        this.pending = pending;
+        this.owner = owner;
+        this.loop = loop;
+    }
+
+    /** Sends a frame, opening the connection if necessary. Callable from any thread; never blocks. */
+    void send(Envelope frame) {
+        int lengthBytes = frame.getSerializedSize();
+        if (waitingBytes.addAndGet(lengthBytes) > settings.maxBufferedBytes()) {
+            waitingBytes.addAndGet(-lengthBytes);
+            discard(frame, DropReason.BUFFER_FULL);
+            return;
+        }
+        try {
+            loop.execute(() -> enqueue(frame));
+        } catch (RejectedExecutionException e) {
+            waitingBytes.addAndGet(-lengthBytes);
+            discard(frame, DropReason.NO_CONNECTION);
+        }
+    }
+
+    private void enqueue(Envelope frame) {
+        if (current != null && current.isOpen()) {
+            waitingBytes.addAndGet(-frame.getSerializedSize());
+            write(current, frame);
+        } else if (stopped || delayed) {
+            waitingBytes.addAndGet(-frame.getSerializedSize());
+            discard(frame, DropReason.NO_CONNECTION);
+        } else {
+            waiting.add(frame);
+            connect();
+        }
+    }
+
+    private void write(PeerChannel channel, Envelope frame) {
+        boolean request = frame.getCorrelationId() != 0 && !frame.getResponse();
+        if (request) {
+            pending.writing(frame.getCorrelationId(), channel);
+        }
+        if (!channel.write(frame) && request) {
+            pending.fail(frame.getCorrelationId(), "the outbound buffer to " + address + " is full");
+        }
+    }
+
+    private void discard(Envelope frame, DropReason reason) {
+        metrics.dropped(reason);
+        if (frame.getCorrelationId() != 0 && !frame.getResponse()) {
+            pending.fail(frame.getCorrelationId(), "peer " + address + " cannot be reached: " + reason.label());
+        }
+    }
+
+    private void connect() {
+        if (connecting || stopped) {
+            return;
+        }
+        connecting = true;
+        PeerChannel channel = new PeerChannel(settings, metrics, new ChannelEvents());
+        int colon = address.lastIndexOf(':');
+        Bootstrap bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectTimeoutMs())
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel target) {
+                        channel.addTo(target);
+                    }
+                });
+        try {
+            bootstrap
+                    .connect(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)))
+                    .addListener(result -> connected(channel, (ChannelFuture) result));
+        } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
+            connectFailed();
+        }
+    }
+
+    private void connected(PeerChannel channel, ChannelFuture result) {
+        if (!result.isSuccess()) {
+            connectFailed();
+            return;
+        }
+        connecting = false;
+        if (stopped) {
+            channel.close();
+            return;
+        }
+        current = channel;
+        channel.write(owner.greeting());
+        Envelope frame;
+        while ((frame = waiting.poll()) != null) {
+            waitingBytes.addAndGet(-frame.getSerializedSize());
+            write(channel, frame);
+        }
+    }
+
+    private void connectFailed() {
+        connecting = false;
+        discardWaiting();
+        if (!stopped) {
+            delayed = true;
+            loop.schedule(() -> delayed = false, settings.reconnectDelayMs(), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void discardWaiting() {
+        Envelope frame;
+        while ((frame = waiting.poll()) != null) {
+            waitingBytes.addAndGet(-frame.getSerializedSize());
+            discard(frame, DropReason.NO_CONNECTION);
+        }
+    }
+
+    /** Uses a new connection from now on, because a request on the given one had no response and no other frame came. */
+    void retire(PeerChannel channel) {
+        try {
+            loop.execute(() -> {
+                if (current != channel) {
+                    return;
+                }
+                if (retired != null) {
+                    retired.close();
+                }
+                retired = current;
+                current = null;
+            });
+        } catch (RejectedExecutionException ignored) {
+            // The transport is stopping; there is nothing to send any more.
+        }
+    }
+
+    /** Closes the connection for good. */
+    void stop() {
+        try {
+            loop.execute(() -> {
+                stopped = true;
+                discardWaiting();
+                closeIfOpen(current);
+                closeIfOpen(retired);
+            });
+        } catch (RejectedExecutionException ignored) {
+            // The event loop has closed all of its channels.
+        }
+    }
+
+    private static void closeIfOpen(PeerChannel channel) {
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    private final class ChannelEvents implements PeerChannel.Listener {
+        @Override
+        public void onFrame(PeerChannel source, Envelope frame) {
+            owner.onFrame(source, frame);
+        }
+
+        @Override
+        public void onClosed(PeerChannel source) {
+            owner.onClosed(source);
+            if (source == retired) {
+                retired = null;
+            }
+            if (source == current) {
+                current = null;
+                if (source.wasSilentInUse()) {
+                    connect();
+                }
+            }
+        }
+
+        @Override
+        public Envelope keepAlive() {
+            return owner.keepAlive();
+        }
+    }
+}
--- /dev/null
+++ b/cranberrybend-wire/src/main/java/org/cranberrybend/wire/transport/PeerContext.java
@@ -0,0 +1,15 @@
+package org.cranberrybend.wire.transport;
+
+import org.cranberrybend.wire.generated.Envelope;
+
+/** What the transport needs to know about this process, and what it reports about the others. */
+public interface PeerContext {
+    /** Fills in the sender, the clock and the configuration of a frame about to be sent. */
+    void stamp(Envelope.Builder frame);
+
+    /** Returns the first frame of a new connection. */
+    Envelope.Builder greeting();
+
+    /** Called on a worker thread for each received frame, before its handler. */
+    void observe(Envelope frame);
+}
--- /dev/null
+++ b/cranberrybend-wire/src/main/java/org/cranberrybend/wire/transport/PeerTransport.java
@@ -0,0 +1,282 @@
+package org.cranberrybend.wire.transport;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import com.google.common.util.concurrent.ThreadFactoryBuilder;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.cranberrybend.runtime.lifecycle.Service;
+import org.cranberrybend.runtime.lifecycle.ServiceException;
+import org.cranberrybend.wire.generated.Envelope;
+
+/**
+ * Peer messages over TCP: length-delimited protobuf frames, one outbound connection per peer address and kind of
+ * traffic, handlers on bounded worker threads.
+ *
+ * <p>A response travels on the connection of its request, and is accepted on no other one. When a request times out
+ * and the connection received nothing since, the next frame uses a new connection, because the network path may have
+ * lost the state of the old one.
+ */
+public final class PeerTransport implements PeerMessenger, Service {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final int IO_THREADS = 2;
+
+    /** Bound on the frames of one lane that wait for a worker thread. */
+    private static final int WORKER_QUEUE_LENGTH = 2_048;
+
+    /** Bound on stopping the network threads, in milliseconds. */
+    private static final long STOP_TIMEOUT_MS = 2_000;
+
+    private final PeerTransportSettings settings;
+    private final PeerContext context;
+    private final TransportMetrics metrics;
+    private final PendingRequests pending = new PendingRequests();
+    private final Map<Envelope.BodyCase, PeerHandler> handlers = new ConcurrentHashMap<>();
+    private final ConcurrentMap<ConnectionKey, PeerConnection> connections = new ConcurrentHashMap<>();
+    private final Set<PeerChannel> accepted = ConcurrentHashMap.newKeySet();
+    private final Map<FrameLane, ThreadPoolExecutor> workers = new EnumMap<>(FrameLane.class);
+    private final EventLoopGroup ioGroup;
+    private final ConnectionEvents connectionEvents = new ConnectionEvents();
+    private volatile Channel server;
+    private volatile boolean stopped;
+
+    private record ConnectionKey(String address, boolean bulk) {}
+
+    /** Creates a transport that is not listening yet. */
+    public PeerTransport(PeerTransportSettings settings, PeerContext context, MetricRegistry registry) {
+        this.settings = settings;
+        this.context = context;
+        this.metrics = new TransportMetrics(registry);
+        this.ioGroup = new MultiThreadIoEventLoopGroup(IO_THREADS, daemonThreads("peer-io"), NioIoHandler.newFactory());
+        for (FrameLane lane : FrameLane.values()) {
+            int threads = lane.threadCount();
+            ThreadPoolExecutor executor = new ThreadPoolExecutor(
+                    threads,
+                    threads,
+                    10,
+                    TimeUnit.SECONDS,
+                    new ArrayBlockingQueue<>(WORKER_QUEUE_LENGTH),
+                    daemonThreads("peer-" + lane.name().toLowerCase(Locale.ROOT)));
+            executor.allowCoreThreadTimeOut(true);
+            workers.put(lane, executor);
+        }
+    }
+
+    private static ThreadFactory daemonThreads(String prefix) {
+        return new ThreadFactoryBuilder()
+                .setNameFormat(prefix + "-%d")
+                .setDaemon(true)
+                .build();
+    }
+
+    @Override
+    public void start() throws ServiceException {
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(ioGroup)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel target) {
+                        PeerChannel channel = new PeerChannel(settings, metrics, connectionEvents);
+                        accepted.add(channel);
+                        channel.addTo(target);
+                    }
+                });
+        ChannelFuture bound = bootstrap.bind(settings.host(), settings.port()).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            stop();
+            throw new ServiceException(
+                    "cannot listen for peers on " + settings.host() + ":" + settings.port(), bound.cause());
+        }
+        server = bound.channel();
+    }
+
+    /** Returns the port in use after {@link #start()}. */
+    public int port() {
+        return ((InetSocketAddress) server.localAddress()).getPort();
+    }
+
+    @Override
+    public void stop() {
+        stopped = true;
+        if (server != null) {
+            server.close().awaitUninterruptibly(STOP_TIMEOUT_MS);
+        }
+        connections.values().forEach(PeerConnection::stop);
+        accepted.forEach(PeerChannel::close);
+        ioGroup.shutdownGracefully(0, STOP_TIMEOUT_MS, TimeUnit.MILLISECONDS).awaitUninterruptibly(2 * STOP_TIMEOUT_MS);
+        pending.failAll("the transport was stopped");
+        workers.values().forEach(ExecutorService::shutdownNow);
+        try {
+            for (ExecutorService executor : workers.values()) {
+                executor.awaitTermination(STOP_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void register(Envelope.BodyCase bodyCase, PeerHandler handler) {
+        if (handlers.putIfAbsent(bodyCase, handler) != null) {
+            throw new IllegalStateException("message type " + bodyCase + " already has a handler");
+        }
+    }
+
+    @Override
+    public void send(String peerAddress, Envelope.Builder message) {
+        connection(peerAddress, message.getBodyCase()).ifPresent(connection -> connection.send(stamped(message)));
+    }
+
+    @Override
+    public CompletableFuture<Envelope> request(String peerAddress, Envelope.Builder message, long timeoutMs) {
+        Optional<PeerConnection> connection = connection(peerAddress, message.getBodyCase());
+        if (connection.isEmpty()) {
+            return CompletableFuture.failedFuture(new IOException("the transport was stopped"));
+        }
+        PendingRequests.Pending request = pending.create();
+        try {
+            ioGroup.schedule(
+                    () -> timeOut(request.id(), connection.get(), peerAddress, timeoutMs),
+                    timeoutMs,
+                    TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException e) {
+            pending.fail(request.id(), "the transport was stopped");
+            return request.response();
+        }
+        connection.get().send(stamped(message.setCorrelationId(request.id())));
+        return request.response();
+    }
+
+    private Optional<PeerConnection> connection(String peerAddress, Envelope.BodyCase bodyCase) {
+        if (stopped) {
+            return Optional.empty();
+        }
+        boolean bulk = FrameLane.of(bodyCase).isBulk();
+        return Optional.of(connections.computeIfAbsent(
+                new ConnectionKey(peerAddress, bulk),
+                key -> new PeerConnection(
+                        key.address(), settings, metrics, pending, connectionEvents, ioGroup.next())));
+    }
+
+    private Envelope stamped(Envelope.Builder message) {
+        context.stamp(message);
+        return message.build();
+    }
+
+    private void timeOut(long requestId, PeerConnection connection, String peerAddress, long timeoutMs) {
+        pending.take(requestId).ifPresent(request -> {
+            request.unansweringChannel().ifPresent(connection::retire);
+            TimeoutException failure =
+                    new TimeoutException("peer " + peerAddress + " did not answer within " + timeoutMs + " ms");
+            if (!execute(FrameLane.RESPONSE, () -> request.response().completeExceptionally(failure))) {
+                request.response().completeExceptionally(failure);
+            }
+        });
+    }
+
+    private boolean execute(FrameLane lane, Runnable task) {
+        try {
+            workers.get(lane).execute(task);
+            return true;
+        } catch (RejectedExecutionException e) {
+            metrics.dropped(DropReason.WORKERS_BUSY);
+            return false;
+        }
+    }
+
+    private void handle(PeerChannel source, Envelope frame) {
+        try {
+            context.observe(frame);
+            if (frame.getBodyCase() == Envelope.BodyCase.BODY_NOT_SET) {
+                return;
+            }
+            PeerHandler handler = handlers.get(frame.getBodyCase());
+            if (handler == null) {
+                metrics.dropped(DropReason.NO_HANDLER);
+                return;
+            }
+            Optional<Envelope.Builder> response = handler.handle(frame);
+            if (response.isPresent() && frame.getCorrelationId() != 0) {
+                source.write(stamped(response.get()
+                        .setCorrelationId(frame.getCorrelationId())
+                        .setResponse(true)));
+            }
+        } catch (RuntimeException e) {
+            metrics.handlerFailed(frame.getBodyCase());
+            LOGGER.atWarning().withCause(e).log("handler of %s from %s failed", frame.getBodyCase(), frame.getSender());
+        }
+    }
+
+    private void complete(PeerChannel source, Envelope frame) {
+        Optional<PendingRequests.Pending> request = pending.take(frame.getCorrelationId(), source);
+        if (request.isEmpty()) {
+            metrics.dropped(DropReason.UNKNOWN_CORRELATION);
+            return;
+        }
+        boolean accepted = execute(FrameLane.RESPONSE, () -> {
+            try {
+                context.observe(frame);
+            } catch (RuntimeException e) {
+                LOGGER.atWarning().withCause(e).log("response from %s cannot be observed", frame.getSender());
+            }
+            request.get().response().complete(frame);
+        });
+        if (!accepted) {
+            request.get().response().completeExceptionally(new IOException("all worker threads are busy"));
+        }
+    }
+
+    private final class ConnectionEvents implements PeerConnection.Owner {
+        @Override
+        public void onFrame(PeerChannel source, Envelope frame) {
+            if (frame.getResponse()) {
+                complete(source, frame);
+            } else {
+                execute(FrameLane.of(frame.getBodyCase()), () -> handle(source, frame));
+            }
+        }
+
+        @Override
+        public void onClosed(PeerChannel source) {
+            accepted.remove(source);
+            pending.failAll(source, "the connection was closed");
+        }
+
+        @Override
+        public Envelope keepAlive() {
+            return stamped(Envelope.newBuilder());
+        }
+
+        @Override
+        public Envelope greeting() {
+            return stamped(context.greeting());
+        }
+    }
+}
--- /dev/null
+++ b/cranberrybend-wire/src/test/java/org/cranberrybend/wire/node/PeerNodeTest.java
@@ -0,0 +1,94 @@
+package org.cranberrybend.wire.node;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableSortedSet;
+import java.util.List;
+import java.util.Set;
+import org.cranberrybend.core.configuration.Acceptance;
+import org.cranberrybend.core.configuration.RevocationSet;
+import org.cranberrybend.core.routing.Market;
+import org.cranberrybend.core.routing.Upstream;
+import org.cranberrybend.core.routing.UpstreamKind;
+import org.cranberrybend.wire.Await;
+import org.junit.jupiter.api.Test;
+
+class PeerNodeTest {
+    private static void awaitMembers(int count, PeerNode... nodes) throws InterruptedException {
+        for (PeerNode node : nodes) {
+            Await.until(
+                    node.self().id() + " sees " + count + " members",
+                    () -> node.members().size() == count);
+        }
+    }
+
+    // Guards against a change that stays in the zone of the process that accepted it.
+    @Test
+    void acceptedStateReachesAllMembers() throws Exception {
+        try (Fleet fleet = new Fleet()) {
+            PeerNode first = fleet.start("entry-1", "szeged-a", List.of());
+            PeerNode second = fleet.startBesides(first, "entry-2", "szeged-a");
+            PeerNode third = fleet.startBesides(first, "entry-3", "gyor-a");
+            awaitMembers(3, first, second, third);
+
+            assertThat(second.offer(Fleet.changeAfter(second.state(), "ana"))).isEqualTo(Acceptance.ACCEPTED);
+            second.confirmStoreRead();
+            second.revoke(new RevocationSet(ImmutableSortedSet.of("k1")));
+            Upstream engine = new Upstream(
+                    "worker-1",
+                    "szeged-a",
+                    "alfold",
+                    "127.0.0.1",
+                    1,
+                    UpstreamKind.ENGINE,
+                    Set.of("stub-writer"),
+                    4,
+                    Market.GUARANTEED,
+                    true,
+                    false);
+            second.offerUpstreams(List.of(engine), 1);
+
+            for (PeerNode node : List.of(first, third)) {
+                Await.until("revision 1", () -> node.state().equals(second.state()));
+                Await.until("revocation", () -> node.revocations().contains("k1"));
+                Await.until("upstreams", () -> node.upstreams().equals(List.of(engine)));
+                Await.until("store read", () -> node.storeConfirmedAgeMs() < Long.MAX_VALUE);
+            }
+        }
+    }
+
+    // Guards against a process that joins while the key-value service is down and never becomes ready.
+    @Test
+    void restartedNodeAsksPeersForConfiguration() throws Exception {
+        try (Fleet fleet = new Fleet()) {
+            PeerNode first = fleet.start("entry-1", "szeged-a", List.of());
+            first.offer(Fleet.changeAfter(first.state(), "ana"));
+            first.offer(Fleet.changeAfter(first.state(), "ana"));
+            PeerNode second = fleet.startBesides(first, "entry-2", "szeged-a");
+            Await.until("configuration", second::hasConfiguration);
+            second.stop();
+
+            PeerNode restarted = fleet.startBesides(first, "entry-2", "szeged-a");
+
+            Await.until("revision 2", () -> restarted.state().equals(first.state()));
+            assertThat(restarted.hasConfiguration()).isTrue();
+        }
+    }
+
+    // Guards against a killed process that keeps its shards because the others still list it.
+    @Test
+    void closedNodeIsDeadForTheOthers() throws Exception {
+        try (Fleet fleet = new Fleet()) {
+            PeerNode first = fleet.start("entry-1", "szeged-a", List.of());
+            PeerNode second = fleet.startBesides(first, "entry-2", "szeged-a");
+            PeerNode third = fleet.startBesides(first, "entry-3", "szeged-a");
+            awaitMembers(3, first, second, third);
+
+            third.stop();
+
+            awaitMembers(2, first, second);
+            assertThat(first.member("entry-3/router")).isEmpty();
+            assertThat(second.member("entry-3/router")).isEmpty();
+        }
+    }
+}
