--- /dev/null
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Retries, idempotency records and positions in streams. */
+package org.cranberrybend.core.retry;
