Pass streamed completions through to engines

Cause: the router had no data path.

Ruled out: HttpCore's server bootstrap for the caller port. It bounds neither connections nor the time to receive a request, and cannot close the idle connections of one key; its server connection is used directly. Reading from an engine with a short socket timeout was ruled out too: an interrupted read can lose a part of a chunk header, so the wait polls for available input and consumes nothing.

Before: an empty module.

--- /dev/null
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/accept/CallerConnection.java
@@ -0,0 +1,177 @@
+package org.cranberrybend.router.accept;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.SocketTimeoutException;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.MessageConstraintException;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
+import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+import org.apache.hc.core5.util.Timeout;
+import org.cranberrybend.core.error.ErrorCode;
+import org.cranberrybend.core.error.RequestFailedException;
+import org.cranberrybend.core.time.TimeSource;
+import org.cranberrybend.router.io.DeadlineSocket;
+
+/** One connection of a caller: receives requests one after the other and has each answered. */
+final class CallerConnection implements Runnable {
+    private static final int MAX_HEADER_COUNT = 100;
+    private static final int LINGER_MS = 1_000;
+    private static final int LINGER_BYTES = 1 << 18;
+
+    private final DeadlineSocket socket;
+    private final AcceptLimits limits;
+    private final TimeSource timeSource;
+    private final RequestHandler handler;
+    private final Supplier<String> requestIds;
+    private final BooleanSupplier draining;
+    private final DefaultBHttpServerConnection connection;
+    private final AtomicReference<State> state = new AtomicReference<>(State.IDLE);
+    private volatile String lastKeyId = "";
+
+    /** A connection is closed from outside only while it is idle, so that no running request is cut. */
+    private enum State {
+        IDLE,
+        BUSY,
+        CLOSED
+    }
+
+    CallerConnection(DeadlineSocket socket, CallerListener listener) throws IOException {
+        this.socket = socket;
+        this.limits = listener.limits();
+        this.timeSource = listener.timeSource();
+        this.handler = listener.handler();
+        this.requestIds = listener.requestIds();
+        this.draining = listener::isDraining;
+        this.connection = new DefaultBHttpServerConnection(
+                "http",
+                Http1Config.custom()
+                        .setMaxHeaderCount(MAX_HEADER_COUNT)
+                        .setMaxLineLength(limits.maxHeaderBytes())
+                        .build());
+        connection.bind(socket);
+    }
+
+    @Override
+    public void run() {
+        try {
+            long firstWaitMs = limits.receiveTimeoutMs();
+            while (serve(firstWaitMs)) {
+                firstWaitMs = limits.idleTimeoutMs();
+            }
+            connection.close();
+        } catch (IOException | HttpException e) {
+            closeNow();
+        } catch (InterruptedException e) {
+            closeNow();
+            Thread.currentThread().interrupt();
+        } finally {
+            state.set(State.CLOSED);
+            closeNow();
+        }
+    }
+
+    private boolean serve(long waitMs) throws IOException, HttpException, InterruptedException {
+        socket.setReadDeadlineMs(DeadlineSocket.UNBOUNDED);
+        connection.setSocketTimeout(Timeout.ofMilliseconds(limits.receiveTimeoutMs()));
+        if (!connection.isDataAvailable(Timeout.ofMilliseconds(waitMs))
+                || !state.compareAndSet(State.IDLE, State.BUSY)) {
+            return false;
+        }
+        socket.setReadDeadlineMs(timeSource.monotonicMs() + limits.receiveTimeoutMs());
+        CallerRequest request = receive();
+        if (request == null) {
+            return false;
+        }
+        CallerResponse response = new CallerResponse(request, connection, draining);
+        lastKeyId = handler.handle(request, response);
+        if (!request.isBodyRead() || response.isClosing() || !request.isPersistent()) {
+            linger();
+            return false;
+        }
+        return state.compareAndSet(State.BUSY, State.IDLE);
+    }
+
+    /** Receives the request line and headers, or answers with an error and returns null. */
+    private CallerRequest receive() throws IOException {
+        socket.setReadableBytes(limits.maxHeaderBytes());
+        RequestFailedException failure;
+        try {
+            ClassicHttpRequest http = connection.receiveRequestHeader();
+            socket.setReadableBytes(DeadlineSocket.UNBOUNDED);
+            if (http == null) {
+                return null;
+            }
+            RequestFraming.check(http, limits.maxHeaderBytes());
+            connection.receiveRequestEntity(http);
+            return new CallerRequest(requestIds.get(), timeSource.monotonicMs(), http, connection, limits);
+        } catch (MessageConstraintException e) {
+            failure = RequestFailedException.notRun(ErrorCode.HEADERS_TOO_LARGE);
+        } catch (SocketTimeoutException e) {
+            failure = RequestFailedException.notRun(ErrorCode.REQUEST_TIMEOUT, limits.receiveTimeoutMs());
+        } catch (HttpException e) {
+            failure = RequestFailedException.notRun(ErrorCode.INVALID_HEADER, "block", "malformed");
+        } catch (RequestFailedException e) {
+            failure = e;
+        }
+        refuse(failure);
+        return null;
+    }
+
+    private void refuse(RequestFailedException failure) throws IOException {
+        socket.setReadableBytes(DeadlineSocket.UNBOUNDED);
+        ClassicHttpRequest unread = new BasicClassicHttpRequest("GET", "/");
+        CallerRequest request =
+                new CallerRequest(requestIds.get(), timeSource.monotonicMs(), unread, connection, limits);
+        new CallerResponse(request, connection, () -> true).sendError(failure);
+        linger();
+    }
+
+    /**
+     * Ends the output and discards what the caller still sends. Closing a socket with unread input resets the
+     * connection, which can destroy the response before the caller reads it.
+     */
+    private void linger() throws IOException {
+        socket.shutdownOutput();
+        socket.setReadDeadlineMs(timeSource.monotonicMs() + LINGER_MS);
+        byte[] discarded = new byte[8192];
+        InputStream in = socket.getInputStream();
+        try {
+            for (int total = 0, count = 0; count >= 0 && total < LINGER_BYTES; total += count) {
+                count = in.read(discarded);
+            }
+        } catch (SocketTimeoutException ignored) {
+            // The caller had its time.
+        }
+    }
+
+    /** Closes the connection if it is idle and its last request carried a key that matches. */
+    void closeIfIdle(Predicate<String> keyIds) {
+        if (keyIds.test(lastKeyId) && state.compareAndSet(State.IDLE, State.CLOSED)) {
+            closeNow();
+        }
+    }
+
+    boolean isBusy() {
+        return state.get() == State.BUSY;
+    }
+
+    boolean isWriteBlockedSince(long monotonicMs) {
+        return socket.isWriteBlockedSince(monotonicMs);
+    }
+
+    /** Closes the connection without waiting for anything. */
+    void closeNow() {
+        try {
+            socket.close();
+        } catch (IOException ignored) {
+            // The socket is closed in any case.
+        }
+    }
+}
--- /dev/null
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/accept/CallerRequest.java
@@ -0,0 +1,166 @@
+package org.cranberrybend.router.accept;
+
+import java.io.IOException;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpVersion;
+import org.apache.hc.core5.http.MalformedChunkCodingException;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
+import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
+import org.cranberrybend.core.error.ErrorCode;
+import org.cranberrybend.core.error.RequestFailedException;
+
+/**
+ * One request of a caller. The body is read when it is first asked for, so that a request that is refused by its
+ * headers never transfers its body. Used by the connection's thread only.
+ */
+public final class CallerRequest {
+    private static final String CONTINUE = "100-continue";
+
+    private final String requestId;
+    private final long arrivalMs;
+    private final ClassicHttpRequest http;
+    private final DefaultBHttpServerConnection connection;
+    private final AcceptLimits limits;
+    private final String path;
+    private final String rawQuery;
+    private byte[] body;
+    private long receivedAtNanos = System.nanoTime();
+
+    CallerRequest(
+            String requestId,
+            long arrivalMs,
+            ClassicHttpRequest http,
+            DefaultBHttpServerConnection connection,
+            AcceptLimits limits) {
+        this.requestId = requestId;
+        this.arrivalMs = arrivalMs;
+        this.http = http;
+        this.connection = connection;
+        this.limits = limits;
+        String target = http.getPath();
+        int question = target.indexOf('?');
+        this.path = question < 0 ? target : target.substring(0, question);
+        this.rawQuery = question < 0 ? "" : target.substring(question + 1);
+    }
+
+    /** Returns the identifier that the router gave to the request. */
+    public String requestId() {
+        return requestId;
+    }
+
+    /** Returns when the headers were received, on the monotonic clock in milliseconds. */
+    public long arrivalMs() {
+        return arrivalMs;
+    }
+
+    /** Returns when the last byte was received, on the clock of {@link System#nanoTime()}; for metrics only. */
+    public long receivedAtNanos() {
+        return receivedAtNanos;
+    }
+
+    /** Returns the HTTP method. */
+    public String method() {
+        return http.getMethod();
+    }
+
+    /** Returns the path as sent, without the query. */
+    public String path() {
+        return path;
+    }
+
+    /** Returns the query as sent, or an empty text. */
+    public String rawQuery() {
+        return rawQuery;
+    }
+
+    /** Returns the value of the first header with the given name; names are compared without case. */
+    public Optional<String> header(String name) {
+        Header header = http.getFirstHeader(name);
+        return header == null || header.getValue() == null ? Optional.empty() : Optional.of(header.getValue());
+    }
+
+    /** Returns all headers in order. */
+    public List<Header> headers() {
+        return new ArrayList<>(List.of(http.getHeaders()));
+    }
+
+    boolean isBodyRead() {
+        return body != null || http.getEntity() == null;
+    }
+
+    boolean isAtLeastHttp11() {
+        return http.getVersion() == null || http.getVersion().greaterEquals(HttpVersion.HTTP_1_1);
+    }
+
+    boolean isPersistent() {
+        String connectionHeader = header(HttpHeaders.CONNECTION).orElse("");
+        return isAtLeastHttp11() && !connectionHeader.toLowerCase(Locale.ROOT).contains("close");
+    }
+
+    /**
+     * Returns the whole body; trailers are discarded.
+     *
+     * @throws RequestFailedException if the body is too large, too slow or malformed
+     * @throws CallerGoneException if the caller disconnected
+     */
+    public byte[] body() throws RequestFailedException, CallerGoneException {
+        if (body != null) {
+            return body;
+        }
+        if (http.getEntity() == null) {
+            body = new byte[0];
+            return body;
+        }
+        int maxBytes = limits.maxBodyBytes();
+        if (http.getEntity().getContentLength() > maxBytes) {
+            throw RequestFailedException.notRun(ErrorCode.BODY_TOO_LARGE, maxBytes);
+        }
+        try {
+            sendContinue();
+            byte[] received = http.getEntity().getContent().readNBytes(maxBytes + 1);
+            if (received.length > maxBytes) {
+                throw RequestFailedException.notRun(ErrorCode.BODY_TOO_LARGE, maxBytes);
+            }
+            body = received;
+            receivedAtNanos = System.nanoTime();
+            return body;
+        } catch (SocketTimeoutException e) {
+            throw RequestFailedException.notRun(ErrorCode.REQUEST_TIMEOUT, limits.receiveTimeoutMs());
+        } catch (MalformedChunkCodingException e) {
+            throw RequestFailedException.notRun(ErrorCode.INVALID_HEADER, "Transfer-Encoding", "malformed chunk");
+        } catch (IOException | HttpException e) {
+            throw new CallerGoneException(e);
+        }
+    }
+
+    private void sendContinue() throws IOException, HttpException {
+        Optional<String> expect = header(HttpHeaders.EXPECT);
+        if (expect.isPresent() && expect.get().equalsIgnoreCase(CONTINUE)) {
+            try (ClassicHttpResponse interim = new BasicClassicHttpResponse(100)) {
+                connection.sendResponseHeader(interim);
+                connection.flush();
+            }
+        }
+    }
+
+    /**
+     * Returns whether the caller closed its side of the connection. Takes up to 1 ms. A caller that only ends its
+     * output counts as gone, because the two cannot be told apart without writing.
+     */
+    public boolean isCallerGone() {
+        try {
+            return connection.isStale();
+        } catch (IOException e) {
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/accept/CallerResponse.java
@@ -0,0 +1,177 @@
+package org.cranberrybend.router.accept;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
+import org.apache.hc.core5.http.io.entity.AbstractHttpEntity;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
+import org.cranberrybend.core.error.RequestFailedException;
+
+/**
+ * The one response to a request. Every response carries {@code X-Request-Id}; a response that leaves a part of the
+ * request unread closes the connection.
+ */
+public final class CallerResponse {
+    private static final String REQUEST_ID = "X-Request-Id";
+
+    private final CallerRequest request;
+    private final DefaultBHttpServerConnection connection;
+    private final BooleanSupplier draining;
+    private boolean started;
+    private boolean closing;
+
+    CallerResponse(CallerRequest request, DefaultBHttpServerConnection connection, BooleanSupplier draining) {
+        this.request = request;
+        this.connection = connection;
+        this.draining = draining;
+    }
+
+    /** Produces the body of a streamed response. */
+    @FunctionalInterface
+    public interface StreamBody {
+        /** Writes the body; returning ends it. */
+        void writeTo(StreamSink sink) throws CallerGoneException, InterruptedException;
+    }
+
+    /** Receives the pieces of a streamed response. */
+    @FunctionalInterface
+    public interface StreamSink {
+        /** Sends bytes to the caller at once. */
+        void write(byte[] bytes) throws CallerGoneException;
+    }
+
+    /** Returns whether a response was begun. */
+    public boolean isStarted() {
+        return started;
+    }
+
+    boolean isClosing() {
+        return closing;
+    }
+
+    /** Sends a whole response. Headers must not describe the body's length or coding. */
+    public void send(int status, List<Header> headers, byte[] body, String contentType) throws CallerGoneException {
+        ClassicHttpResponse response = head(status, headers);
+        boolean bodyAllowed = status >= 200 && status != 204 && status != 304;
+        if (bodyAllowed) {
+            response.setHeader(HttpHeaders.CONTENT_LENGTH, body.length);
+            if (contentType != null) {
+                response.setHeader(HttpHeaders.CONTENT_TYPE, contentType);
+            }
+        }
+        try {
+            connection.sendResponseHeader(response);
+            if (bodyAllowed && !request.method().equals("HEAD")) {
+                response.setEntity(new ByteArrayEntity(body, null));
+                connection.sendResponseEntity(response);
+            }
+            connection.flush();
+        } catch (IOException | HttpException e) {
+            closing = true;
+            throw new CallerGoneException(e);
+        }
+    }
+
+    /** Sends an error body with its status. */
+    public void sendError(RequestFailedException failure) throws CallerGoneException {
+        send(
+                failure.code().httpStatus(),
+                ErrorBody.headers(failure),
+                ErrorBody.json(failure, request.requestId()),
+                ContentType.APPLICATION_JSON.getMimeType());
+    }
+
+    /** Sends a response of server-sent events; each piece is flushed. */
+    public void sendStream(StreamBody body) throws CallerGoneException, InterruptedException {
+        if (!request.isAtLeastHttp11()) {
+            closing = true;
+        }
+        ClassicHttpResponse response = head(200, List.of());
+        response.setHeader(HttpHeaders.CONTENT_TYPE, "text/event-stream");
+        response.setHeader(HttpHeaders.CACHE_CONTROL, "no-cache");
+        if (request.isAtLeastHttp11()) {
+            response.setHeader(HttpHeaders.TRANSFER_ENCODING, "chunked");
+        }
+        StreamEntity entity = new StreamEntity(body);
+        response.setEntity(entity);
+        try {
+            connection.sendResponseHeader(response);
+            connection.sendResponseEntity(response);
+            connection.flush();
+        } catch (IOException | HttpException e) {
+            closing = true;
+            throw e instanceof CallerGoneException ? (CallerGoneException) e : new CallerGoneException(e);
+        }
+        if (entity.interruption != null) {
+            closing = true;
+            throw entity.interruption;
+        }
+    }
+
+    private ClassicHttpResponse head(int status, List<Header> headers) {
+        started = true;
+        closing |= draining.getAsBoolean() || !request.isBodyRead() || !request.isPersistent();
+        ClassicHttpResponse response = new BasicClassicHttpResponse(status);
+        headers.forEach(response::addHeader);
+        response.setHeader(REQUEST_ID, request.requestId());
+        if (closing) {
+            response.setHeader(HttpHeaders.CONNECTION, "close");
+        }
+        return response;
+    }
+
+    private static final class StreamEntity extends AbstractHttpEntity {
+        private final StreamBody body;
+        private InterruptedException interruption;
+
+        StreamEntity(StreamBody body) {
+            super((String) null, null, true);
+            this.body = body;
+        }
+
+        @Override
+        public void writeTo(OutputStream out) throws IOException {
+            try {
+                body.writeTo(bytes -> {
+                    try {
+                        out.write(bytes);
+                        out.flush();
+                    } catch (IOException e) {
+                        throw new CallerGoneException(e);
+                    }
+                });
+            } catch (InterruptedException e) {
+                interruption = e;
+            }
+        }
+
+        @Override
+        public InputStream getContent() {
+            throw new UnsupportedOperationException("the body is written, not read");
+        }
+
+        @Override
+        public boolean isStreaming() {
+            return true;
+        }
+
+        @Override
+        public long getContentLength() {
+            return -1;
+        }
+
+        @Override
+        public void close() {
+            // Holds no resource.
+        }
+    }
+}
--- /dev/null
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/accept/RequestFraming.java
@@ -0,0 +1,53 @@
+package org.cranberrybend.router.accept;
+
+import java.util.Locale;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.cranberrybend.core.error.ErrorCode;
+import org.cranberrybend.core.error.RequestFailedException;
+
+/**
+ * Checks of the headers that say where a request ends. Two hops that read them differently see different requests on
+ * the same connection, so anything ambiguous is refused.
+ */
+final class RequestFraming {
+    private RequestFraming() {}
+
+    static void check(ClassicHttpRequest http, int maxHeaderBytes) throws RequestFailedException {
+        long headerBytes = http.getMethod().length() + http.getPath().length();
+        for (Header header : http.getHeaders()) {
+            headerBytes += header.getName().length()
+                    + (header.getValue() == null ? 0 : header.getValue().length());
+        }
+        if (headerBytes > maxHeaderBytes) {
+            throw RequestFailedException.notRun(ErrorCode.HEADERS_TOO_LARGE);
+        }
+        Header[] lengths = http.getHeaders(HttpHeaders.CONTENT_LENGTH);
+        Header[] codings = http.getHeaders(HttpHeaders.TRANSFER_ENCODING);
+        if (lengths.length > 1) {
+            throw invalid(HttpHeaders.CONTENT_LENGTH, "must be sent once");
+        }
+        if (lengths.length == 1 && codings.length > 0) {
+            throw invalid(HttpHeaders.CONTENT_LENGTH, "must not be sent together with Transfer-Encoding");
+        }
+        if (lengths.length == 1 && !String.valueOf(lengths[0].getValue()).matches("[0-9]{1,18}")) {
+            throw invalid(HttpHeaders.CONTENT_LENGTH, "must be a whole number");
+        }
+        if (codings.length > 1 || (codings.length == 1 && !"chunked".equalsIgnoreCase(codings[0].getValue()))) {
+            throw invalid(HttpHeaders.TRANSFER_ENCODING, "must be \"chunked\"");
+        }
+        Header expect = http.getFirstHeader(HttpHeaders.EXPECT);
+        if (expect != null
+                && !"100-continue".equals(String.valueOf(expect.getValue()).toLowerCase(Locale.ROOT))) {
+            throw invalid(HttpHeaders.EXPECT, "must be \"100-continue\"");
+        }
+        if (!http.getPath().startsWith("/")) {
+            throw RequestFailedException.notRun(ErrorCode.INVALID_FIELD, "path", "must start with '/'");
+        }
+    }
+
+    private static RequestFailedException invalid(String header, String reason) {
+        return RequestFailedException.notRun(ErrorCode.INVALID_HEADER, header, reason);
+    }
+}
--- /dev/null
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/accept/RequestHandler.java
@@ -0,0 +1,13 @@
+package org.cranberrybend.router.accept;
+
+/** Answers the requests of all callers; called by one thread per connection. */
+@FunctionalInterface
+public interface RequestHandler {
+    /**
+     * Answers one request and returns the identifier of the key it carried, or an empty text.
+     *
+     * @throws CallerGoneException if the caller disconnected
+     * @throws InterruptedException if the router is stopped
+     */
+    String handle(CallerRequest request, CallerResponse response) throws CallerGoneException, InterruptedException;
+}
--- /dev/null
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/accept/package-info.java
@@ -0,0 +1,2 @@
+/** Accepting callers' connections and receiving their requests. */
+package org.cranberrybend.router.accept;
--- /dev/null
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/admit/package-info.java
@@ -0,0 +1,2 @@
+/** What a client account may send: bodies, classes and limits. */
+package org.cranberrybend.router.admit;
--- /dev/null
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/dispatch/DispatchResult.java
@@ -0,0 +1,18 @@
+package org.cranberrybend.router.dispatch;
+
+import org.cranberrybend.core.error.ErrorCode;
+
+/**
+ * How a response that was begun ended.
+ *
+ * @param error error that ended a stream early; null if the response is complete
+ */
+public record DispatchResult(ErrorCode error) {
+    /** The response is complete. */
+    public static final DispatchResult COMPLETED = new DispatchResult(null);
+
+    /** Returns whether the response is complete. */
+    public boolean isComplete() {
+        return error == null;
+    }
+}
--- /dev/null
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/dispatch/SlotUse.java
@@ -0,0 +1,55 @@
+package org.cranberrybend.router.dispatch;
+
+import org.cranberrybend.core.admission.SlotGrant;
+import org.cranberrybend.core.admission.SlotOutcome;
+import org.cranberrybend.core.admission.SlotResult;
+import org.cranberrybend.core.routing.Upstream;
+import org.cranberrybend.core.time.TimeSource;
+
+/** A granted slot while it is used. It is released once; closing it without a result counts as cancelled. */
+final class SlotUse implements AutoCloseable {
+    private final SlotBroker broker;
+    private final SlotGrant grant;
+    private final TimeSource timeSource;
+    private final long startMs;
+    private long firstTokenMs = -1;
+    private long promptTokens;
+    private long outputTokens;
+    private boolean released;
+
+    SlotUse(SlotBroker broker, SlotGrant grant, TimeSource timeSource) {
+        this.broker = broker;
+        this.grant = grant;
+        this.timeSource = timeSource;
+        this.startMs = timeSource.monotonicMs();
+    }
+
+    Upstream upstream() {
+        return grant.upstream();
+    }
+
+    void countPrompt(long tokens) {
+        promptTokens = tokens;
+    }
+
+    void countOutput(long tokens) {
+        if (firstTokenMs < 0) {
+            firstTokenMs = timeSource.monotonicMs() - startMs;
+        }
+        outputTokens += tokens;
+    }
+
+    void release(SlotResult result) {
+        if (released) {
+            return;
+        }
+        released = true;
+        long totalMs = timeSource.monotonicMs() - startMs;
+        broker.release(grant, new SlotOutcome(result, promptTokens, outputTokens, firstTokenMs, totalMs));
+    }
+
+    @Override
+    public void close() {
+        release(SlotResult.CANCELLED);
+    }
+}
--- /dev/null
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/dispatch/UpstreamConnection.java
@@ -0,0 +1,146 @@
+package org.cranberrybend.router.dispatch;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.SocketTimeoutException;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
+import org.apache.hc.core5.util.Timeout;
+import org.cranberrybend.core.time.TimeSource;
+import org.cranberrybend.router.io.DeadlineSocket;
+
+/** One connection to an upstream, used by one call at a time. */
+final class UpstreamConnection {
+    // Bounds how late a vanished caller or revoked key is noticed while the upstream is silent.
+    private static final Timeout GUARD_INTERVAL = Timeout.ofMilliseconds(100);
+    private static final int MAX_HEADER_COUNT = 200;
+    private static final int MAX_LINE_BYTES = 65_536;
+
+    private final String address;
+    private final DeadlineSocket socket;
+    private final DefaultBHttpClientConnection http;
+    private final TimeSource timeSource;
+    private long releasedAtMs;
+
+    private UpstreamConnection(String address, DeadlineSocket socket, TimeSource timeSource) throws IOException {
+        this.address = address;
+        this.socket = socket;
+        this.timeSource = timeSource;
+        this.http = new DefaultBHttpClientConnection(Http1Config.custom()
+                .setMaxHeaderCount(MAX_HEADER_COUNT)
+                .setMaxLineLength(MAX_LINE_BYTES)
+                .build());
+        http.bind(socket);
+    }
+
+    static UpstreamConnection open(String host, int port, long connectTimeoutMs, TimeSource timeSource)
+            throws IOException {
+        DeadlineSocket socket = new DeadlineSocket(timeSource);
+        try {
+            socket.setTcpNoDelay(true);
+            socket.connect(new InetSocketAddress(host, port), (int) connectTimeoutMs);
+            return new UpstreamConnection(host + ":" + port, socket, timeSource);
+        } catch (IOException e) {
+            socket.close();
+            throw e;
+        }
+    }
+
+    String address() {
+        return address;
+    }
+
+    /** Returns whether a byte of the current request may have left this process. */
+    boolean mayHaveSent() {
+        return socket.isOutputStarted();
+    }
+
+    void send(ClassicHttpRequest request, UpstreamCall call) throws IOException, HttpException {
+        socket.resetOutputStarted();
+        socket.setReadDeadlineMs(call.deadlineMs());
+        http.setSocketTimeout(Timeout.ofMilliseconds(call.readTimeoutMs()));
+        http.sendRequestHeader(request);
+        http.sendRequestEntity(request);
+        http.flush();
+    }
+
+    /** Receives the headers of the final response; interim responses are skipped. */
+    ClassicHttpResponse receive(UpstreamCall call, CallGuard guard)
+            throws IOException, HttpException, CallAbortedException {
+        while (true) {
+            awaitInput(call, guard);
+            ClassicHttpResponse response = http.receiveResponseHeader();
+            if (response == null) {
+                throw new IOException("connection closed before the response");
+            }
+            if (response.getCode() >= 200) {
+                return response;
+            }
+        }
+    }
+
+    void receiveEntity(ClassicHttpResponse response) throws IOException, HttpException {
+        http.receiveResponseEntity(response);
+    }
+
+    /**
+     * Waits until a byte or the end of the input can be read. The wait is cut into intervals so that the guard is
+     * asked; nothing is consumed, so an interval that ends cannot lose a part of a message.
+     */
+    void awaitInput(UpstreamCall call, CallGuard guard) throws IOException, CallAbortedException {
+        long endMs = Math.min(timeSource.monotonicMs() + call.readTimeoutMs(), call.deadlineMs());
+        while (!http.isDataAvailable(GUARD_INTERVAL)) {
+            guard.check();
+            if (timeSource.monotonicMs() >= endMs) {
+                throw new SocketTimeoutException("no byte received");
+            }
+            if (http.isStale()) {
+                return;
+            }
+        }
+    }
+
+    /** Returns whether the connection holds no byte that belongs to no request; called after a whole response. */
+    boolean isClean() {
+        try {
+            return http.isOpen() && http.isConsistent() && !http.isDataAvailable(Timeout.ofMilliseconds(1));
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Returns whether an idle connection is still open and silent. Takes up to 1 ms. */
+    boolean isIdleUsable() {
+        try {
+            socket.setReadDeadlineMs(DeadlineSocket.UNBOUNDED);
+            socket.setSoTimeout(1);
+            InputStream in = socket.getInputStream();
+            in.read();
+            return false;
+        } catch (SocketTimeoutException e) {
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    void setReleasedAtMs(long nowMs) {
+        releasedAtMs = nowMs;
+    }
+
+    long releasedAtMs() {
+        return releasedAtMs;
+    }
+
+    void close() {
+        try {
+            socket.close();
+        } catch (IOException ignored) {
+            // The socket is closed in any case.
+        }
+    }
+}
--- /dev/null
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/dispatch/UpstreamResponse.java
@@ -0,0 +1,124 @@
+package org.cranberrybend.router.dispatch;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.SocketTimeoutException;
+import java.util.List;
+import java.util.Optional;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpEntity;
+import org.apache.hc.core5.http.HttpHeaders;
+
+/** A response whose body is being received. Closing it before its end closes the connection, which cancels the call. */
+final class UpstreamResponse implements AutoCloseable {
+    private static final int BUFFER_BYTES = 8192;
+
+    private final ClassicHttpResponse response;
+    private final UpstreamConnection connection;
+    private final UpstreamCall call;
+    private final CallGuard guard;
+    private final UpstreamPool pool;
+    private final byte[] buffer = new byte[BUFFER_BYTES];
+    private InputStream content;
+    private long remainingBytes;
+    private boolean ended;
+    private boolean closed;
+
+    UpstreamResponse(
+            ClassicHttpResponse response,
+            UpstreamConnection connection,
+            UpstreamCall call,
+            CallGuard guard,
+            UpstreamPool pool) {
+        this.response = response;
+        this.connection = connection;
+        this.call = call;
+        this.guard = guard;
+        this.pool = pool;
+        HttpEntity entity = response.getEntity();
+        this.ended = entity == null;
+        this.remainingBytes = entity == null ? 0 : entity.getContentLength();
+    }
+
+    int status() {
+        return response.getCode();
+    }
+
+    List<Header> headers() {
+        return List.of(response.getHeaders());
+    }
+
+    Optional<String> header(String name) {
+        return Optional.ofNullable(response.getFirstHeader(name)).map(Header::getValue);
+    }
+
+    /**
+     * Reads the next bytes of the body.
+     *
+     * @return the bytes, empty at the end of the body
+     * @throws UpstreamFailure if the connection failed or the body is shorter than announced
+     */
+    byte[] read() throws UpstreamFailure, CallAbortedException {
+        if (ended || remainingBytes == 0) {
+            ended = true;
+            return new byte[0];
+        }
+        try {
+            connection.awaitInput(call, guard);
+            if (content == null) {
+                content = response.getEntity().getContent();
+            }
+            int count = content.read(buffer);
+            if (count < 0) {
+                ended = true;
+                return new byte[0];
+            }
+            remainingBytes -= remainingBytes < 0 ? 0 : count;
+            byte[] bytes = new byte[count];
+            System.arraycopy(buffer, 0, bytes, 0, count);
+            return bytes;
+        } catch (SocketTimeoutException e) {
+            throw UpstreamFailure.timeout(call.readTimeoutMs());
+        } catch (IOException e) {
+            throw UpstreamFailure.broken("the connection failed");
+        }
+    }
+
+    /**
+     * Reads the rest of the body.
+     *
+     * @throws UpstreamFailure also if the body exceeds {@code maxBytes}
+     */
+    byte[] readAll(int maxBytes) throws UpstreamFailure, CallAbortedException {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        for (byte[] bytes = read(); bytes.length > 0; bytes = read()) {
+            if (body.size() + bytes.length > maxBytes) {
+                throw UpstreamFailure.broken("the response exceeds " + maxBytes + " bytes");
+            }
+            body.writeBytes(bytes);
+        }
+        return body.toByteArray();
+    }
+
+    /** Returns the connection to the pool after a whole response that allows it; otherwise closes the connection. */
+    @Override
+    public void close() {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        boolean closing = header(HttpHeaders.CONNECTION)
+                .filter(value -> value.equalsIgnoreCase("close"))
+                .isPresent();
+        boolean framed = response.getEntity() == null
+                || response.getEntity().isChunked()
+                || response.getEntity().getContentLength() >= 0;
+        if (ended && framed && !closing) {
+            pool.release(connection);
+        } else {
+            connection.close();
+        }
+    }
+}
--- /dev/null
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/dispatch/package-info.java
@@ -0,0 +1,2 @@
+/** Sending requests to upstreams and their answers back. */
+package org.cranberrybend.router.dispatch;
--- /dev/null
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/io/package-info.java
@@ -0,0 +1,2 @@
+/** Sockets with deadlines, used towards callers and upstreams. */
+package org.cranberrybend.router.io;
--- /dev/null
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/meter/UsageFlusher.java
@@ -0,0 +1,120 @@
+package org.cranberrybend.router.meter;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.cranberrybend.core.membership.Member;
+import org.cranberrybend.core.membership.MemberState;
+import org.cranberrybend.core.usage.UsageCounters;
+import org.cranberrybend.core.usage.UsageKey;
+import org.cranberrybend.core.usage.UsageTotals;
+import org.cranberrybend.runtime.lifecycle.Service;
+import org.cranberrybend.wire.generated.Envelope;
+import org.cranberrybend.wire.generated.UsageCounter;
+import org.cranberrybend.wire.generated.UsageFlush;
+import org.cranberrybend.wire.generated.UsageWindowCounters;
+import org.cranberrybend.wire.node.MemberDirectory;
+import org.cranberrybend.wire.transport.PeerMessenger;
+
+/**
+ * Sends the usage counters to two controllers of the zone each second.
+ *
+ * <p>Figures are cumulative, so a repeated or late flush does no harm. A receiver is identified with its incarnation:
+ * a restarted controller holds nothing and gets every kept window again.
+ */
+public final class UsageFlusher implements Service {
+    private static final long INTERVAL_MS = 1_000;
+    private static final long TIMEOUT_MS = 2_000;
+    private static final String CONTROLLER = "controller";
+
+    private final UsageMeter meter;
+    private final MemberDirectory members;
+    private final PeerMessenger messenger;
+    private ScheduledExecutorService scheduler;
+
+    /** Creates a flusher over the members known to this process. */
+    public UsageFlusher(UsageMeter meter, MemberDirectory members, PeerMessenger messenger) {
+        this.meter = meter;
+        this.members = members;
+        this.messenger = messenger;
+    }
+
+    @Override
+    public synchronized void start() {
+        scheduler = Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "usage-flush"));
+        scheduler.scheduleWithFixedDelay(this::flush, INTERVAL_MS, INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Sends what is pending; the result completes when each controller acknowledged it or failed. */
+    public CompletableFuture<Void> flush() {
+        List<CompletableFuture<?>> sent = new ArrayList<>();
+        for (Member controller : receivers()) {
+            sent.add(flushTo(controller));
+        }
+        return CompletableFuture.allOf(sent.toArray(CompletableFuture[]::new)).handle((ignored, failure) -> {
+            meter.dropOld();
+            return null;
+        });
+    }
+
+    /** Returns the first two controllers of the zone by identifier, so that all its routers choose the same. */
+    private List<Member> receivers() {
+        String zone = members.self().identity().zone();
+        return members.members().stream()
+                .filter(each -> each.identity().role().equals(CONTROLLER)
+                        && each.identity().zone().equals(zone)
+                        && each.state() != MemberState.LEAVING)
+                .limit(UsageCounters.RECEIVERS)
+                .toList();
+    }
+
+    private CompletableFuture<?> flushTo(Member controller) {
+        String receiver = controller.id() + "@" + controller.identity().incarnation();
+        List<UsageCounters.Snapshot> pending = meter.pendingFor(receiver);
+        if (pending.isEmpty()) {
+            return CompletableFuture.completedFuture(null);
+        }
+        UsageFlush.Builder flush = UsageFlush.newBuilder();
+        pending.forEach(snapshot -> flush.addWindows(toMessage(snapshot)));
+        Envelope.Builder message = Envelope.newBuilder().setUsageFlush(flush);
+        return messenger.request(controller.peerAddress(), message, TIMEOUT_MS).thenAccept(answer -> {
+            Set<Long> held = new HashSet<>(answer.getUsageAck().getWindowStartMsList());
+            pending.stream()
+                    .filter(snapshot -> held.contains(snapshot.startMs()))
+                    .forEach(snapshot -> meter.acknowledge(receiver, snapshot));
+        });
+    }
+
+    private static UsageWindowCounters toMessage(UsageCounters.Snapshot snapshot) {
+        UsageWindowCounters.Builder window = UsageWindowCounters.newBuilder().setWindowStartMs(snapshot.startMs());
+        for (Map.Entry<UsageKey, UsageTotals> entry : snapshot.totals().entrySet()) {
+            window.addCounters(UsageCounter.newBuilder()
+                    .setClientAccount(entry.getKey().clientAccount())
+                    .setClassName(entry.getKey().className())
+                    .setService(entry.getKey().service())
+                    .setRequests(entry.getValue().requests())
+                    .setPromptTokens(entry.getValue().promptTokens())
+                    .setOutputTokens(entry.getValue().outputTokens()));
+        }
+        return window.build();
+    }
+
+    /** Flushes once more and waits for the acknowledgements. */
+    @Override
+    public synchronized void stop() {
+        if (scheduler == null) {
+            return;
+        }
+        scheduler.shutdownNow();
+        scheduler = null;
+        flush().orTimeout(2 * TIMEOUT_MS, TimeUnit.MILLISECONDS)
+                .exceptionally(failure -> null)
+                .join();
+    }
+}
--- /dev/null
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/meter/package-info.java
@@ -0,0 +1,2 @@
+/** Usage, metrics and events of requests. */
+package org.cranberrybend.router.meter;
--- /dev/null
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/package-info.java
@@ -0,0 +1,2 @@
+/** The router: accepts callers' requests and answers them through upstreams. */
+package org.cranberrybend.router;
--- /dev/null
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/route/package-info.java
@@ -0,0 +1,2 @@
+/** Where a request may be sent. */
+package org.cranberrybend.router.route;
