Record request trailers in the stand-ins

Cause: a new test sent a request with a trailer, and GET /requests listed none. HttpCore leaves the trailers of a received entity empty and keeps them in the stream that decodes the chunks. A check that no upstream sees a key in a trailer would have passed without looking.

Ruled out: a fault in the order of reading; the trailers stay empty after the body was read to its end.

Also, a start order for a plain service now finds a spare address by the name of the service; before, only models were compared.

Before: the test for trailers fails.

Conclusion: code that must remove or forward trailers on HttpCore's classic server has to read them from the chunk stream.

--- a/cranberrybend-standins/src/main/java/org/cranberrybend/standins/platform/OrderBook.java
+++ b/cranberrybend-standins/src/main/java/org/cranberrybend/standins/platform/OrderBook.java
@@ -59,6 +59,7 @@
 
     private boolean fits(InstanceEntry spare, String zone, UpstreamOrder order) {
         boolean modelFits = order.model() == null
+                || order.model().equals(spare.service())
                 || (spare.models() != null && spare.models().contains(order.model()));
         boolean marketFits = order.market() == null || order.market().equals(spare.market());
         return spare.zone().equals(zone) && modelFits && marketFits && !instances.isInUse(spare.id());
--- a/cranberrybend-standins/src/main/java/org/cranberrybend/standins/server/ReceivedRequest.java
+++ b/cranberrybend-standins/src/main/java/org/cranberrybend/standins/server/ReceivedRequest.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.hash.Hashing;
 import java.io.IOException;
+import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -11,6 +12,7 @@
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpEntity;
+import org.apache.hc.core5.http.impl.io.ChunkedInputStream;
 import org.cranberrybend.core.configuration.CanonicalJson;
 
 /**
@@ -37,15 +39,21 @@
         List<Field> trailers = List.of();
         HttpEntity entity = request.getEntity();
         if (entity != null) {
-            body = entity.getContent().readAllBytes();
-            if (entity.getTrailers() != null && entity.getTrailers().get() != null) {
-                trailers = fields(entity.getTrailers().get());
-            }
+            InputStream content = entity.getContent();
+            body = content.readAllBytes();
+            trailers = readTrailers(content);
         }
         return new ReceivedRequest(
                 request.getMethod(), request.getRequestUri(), fields(List.of(request.getHeaders())), trailers, body);
     }
 
+    /** The entity of a received request has no trailers of its own; the stream that decodes the chunks keeps them. */
+    private static List<Field> readTrailers(InputStream content) {
+        return content instanceof ChunkedInputStream
+                ? fields(List.of(((ChunkedInputStream) content).getFooters()))
+                : List.of();
+    }
+
     private static List<Field> fields(List<? extends Header> headers) {
         List<Field> fields = new ArrayList<>();
         headers.forEach(each -> fields.add(new Field(each.getName(), each.getValue())));
--- a/cranberrybend-standins/src/test/java/org/cranberrybend/standins/service/PlainServiceTest.java
+++ b/cranberrybend-standins/src/test/java/org/cranberrybend/standins/service/PlainServiceTest.java
@@ -4,6 +4,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
+import java.net.Socket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
@@ -87,4 +88,19 @@
         assertThat(send("POST", "/fault", "{\"mode\":\"crash\"}").status()).isEqualTo(200);
         assertThat(crashed.await(10, TimeUnit.SECONDS)).isTrue();
     }
+
+    @Test
+    void trailersAndRepeatedHeadersAreRecorded() throws Exception {
+        String request = "POST /print HTTP/1.1\r\nHost: s\r\nX-Api-Key: one\r\nX-Api-Key: two\r\n"
+                + "Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n2\r\n{}\r\n0\r\nX-Trailer: three\r\n\r\n";
+        try (Socket socket = new Socket("127.0.0.1", service.port())) {
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+            assertThat(new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8))
+                    .startsWith("HTTP/1.1 200");
+        }
+        String received = send("GET", "/requests", null).text();
+        for (String value : new String[] {"one", "two", "three"}) {
+            assertThat(received).contains("\"value\":\"" + value + "\"");
+        }
+    }
 }
