Resume interrupted streams and notice vanished callers

Cause: a caller that disconnects while its engine is silent must free its slot. The wait between two events asked "is input available", but the line end after a chunk's data is input as well, so the parser then blocked in the middle of a chunk header until the read timeout. The test vanishedCallerFreesTheSlotAndCancels failed that way (no REQUEST_ABANDONED within 20 s).

Ruled out: shorter socket timeouts seen by the parser, which could lose what it has read of a chunk header. Now the socket's own stream reads in intervals of 100 ms and asks a guard between them.

Also: the deadline for receiving a request stayed set after the body and would have hidden a vanished caller once it had passed; it is now cleared when the body is complete.

--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/accept/CallerConnection.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/accept/CallerConnection.java
@@ -110,7 +110,7 @@
             }
             RequestFraming.check(http, limits.maxHeaderBytes());
             connection.receiveRequestEntity(http);
-            return new CallerRequest(requestIds.get(), timeSource.monotonicMs(), http, connection, limits);
+            return new CallerRequest(requestIds.get(), timeSource.monotonicMs(), http, connection, socket, limits);
         } catch (MessageConstraintException e) {
             failure = RequestFailedException.notRun(ErrorCode.HEADERS_TOO_LARGE);
         } catch (SocketTimeoutException e) {
@@ -128,7 +128,7 @@
         socket.setReadableBytes(DeadlineSocket.UNBOUNDED);
         ClassicHttpRequest unread = new BasicClassicHttpRequest("GET", "/");
         CallerRequest request =
-                new CallerRequest(requestIds.get(), timeSource.monotonicMs(), unread, connection, limits);
+                new CallerRequest(requestIds.get(), timeSource.monotonicMs(), unread, connection, socket, limits);
         new CallerResponse(request, connection, () -> true).sendError(failure);
         linger();
     }
--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/accept/CallerRequest.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/accept/CallerRequest.java
@@ -17,6 +17,7 @@
 import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
 import org.cranberrybend.core.error.ErrorCode;
 import org.cranberrybend.core.error.RequestFailedException;
+import org.cranberrybend.router.io.DeadlineSocket;
 
 /**
  * One request of a caller. The body is read when it is first asked for, so that a request that is refused by its
@@ -29,6 +30,7 @@
     private final long arrivalMs;
     private final ClassicHttpRequest http;
     private final DefaultBHttpServerConnection connection;
+    private final DeadlineSocket socket;
     private final AcceptLimits limits;
     private final String path;
     private final String rawQuery;
@@ -40,11 +42,13 @@
             long arrivalMs,
             ClassicHttpRequest http,
             DefaultBHttpServerConnection connection,
+            DeadlineSocket socket,
             AcceptLimits limits) {
         this.requestId = requestId;
         this.arrivalMs = arrivalMs;
         this.http = http;
         this.connection = connection;
+        this.socket = socket;
         this.limits = limits;
         String target = http.getPath();
         int question = target.indexOf('?');
@@ -117,7 +121,7 @@
             return body;
         }
         if (http.getEntity() == null) {
-            body = new byte[0];
+            markReceived(new byte[0]);
             return body;
         }
         int maxBytes = limits.maxBodyBytes();
@@ -130,8 +134,7 @@
             if (received.length > maxBytes) {
                 throw RequestFailedException.notRun(ErrorCode.BODY_TOO_LARGE, maxBytes);
             }
-            body = received;
-            receivedAtNanos = System.nanoTime();
+            markReceived(received);
             return body;
         } catch (SocketTimeoutException e) {
             throw RequestFailedException.notRun(ErrorCode.REQUEST_TIMEOUT, limits.receiveTimeoutMs());
@@ -142,6 +145,13 @@
         }
     }
 
+    private void markReceived(byte[] received) {
+        body = received;
+        receivedAtNanos = System.nanoTime();
+        // The deadline would hide the end of the input from isCallerGone.
+        socket.setReadDeadlineMs(DeadlineSocket.UNBOUNDED);
+    }
+
     private void sendContinue() throws IOException, HttpException {
         Optional<String> expect = header(HttpHeaders.EXPECT);
         if (expect.isPresent() && expect.get().equalsIgnoreCase(CONTINUE)) {
--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/dispatch/UpstreamClient.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/dispatch/UpstreamClient.java
@@ -43,8 +43,8 @@
         }
         boolean handedOver = false;
         try {
-            connection.send(toRequest(upstream, call), call);
-            ClassicHttpResponse response = connection.receive(call, guard);
+            connection.send(toRequest(upstream, call), call, guard);
+            ClassicHttpResponse response = connection.receive();
             checkRequestId(response, call);
             if (response.getCode() == 503 && isTrue(response, NOT_RUN)) {
                 throw UpstreamFailure.refused(isTrue(response, LEAVING));
@@ -53,7 +53,9 @@
                 connection.receiveEntity(response);
             }
             handedOver = true;
-            return new UpstreamResponse(response, connection, call, guard, pool);
+            return new UpstreamResponse(response, connection, call, pool);
+        } catch (AbortedIoException e) {
+            throw e.abortion();
         } catch (SocketTimeoutException e) {
             throw connection.mayHaveSent()
                     ? UpstreamFailure.timeout(call.readTimeoutMs())
--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/dispatch/UpstreamConnection.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/dispatch/UpstreamConnection.java
@@ -15,8 +15,6 @@
 
 /** One connection to an upstream, used by one call at a time. */
 final class UpstreamConnection {
-    // Bounds how late a vanished caller or revoked key is noticed while the upstream is silent.
-    private static final Timeout GUARD_INTERVAL = Timeout.ofMilliseconds(100);
     private static final int MAX_HEADER_COUNT = 200;
     private static final int MAX_LINE_BYTES = 65_536;
 
@@ -59,9 +57,16 @@
         return socket.isOutputStarted();
     }
 
-    void send(ClassicHttpRequest request, UpstreamCall call) throws IOException, HttpException {
+    void send(ClassicHttpRequest request, UpstreamCall call, CallGuard guard) throws IOException, HttpException {
         socket.resetOutputStarted();
         socket.setReadDeadlineMs(call.deadlineMs());
+        socket.setReadGuard(() -> {
+            try {
+                guard.check();
+            } catch (CallAbortedException e) {
+                throw new AbortedIoException(e);
+            }
+        });
         http.setSocketTimeout(Timeout.ofMilliseconds(call.readTimeoutMs()));
         http.sendRequestHeader(request);
         http.sendRequestEntity(request);
@@ -69,10 +74,8 @@
     }
 
     /** Receives the headers of the final response; interim responses are skipped. */
-    ClassicHttpResponse receive(UpstreamCall call, CallGuard guard)
-            throws IOException, HttpException, CallAbortedException {
+    ClassicHttpResponse receive() throws IOException, HttpException {
         while (true) {
-            awaitInput(call, guard);
             ClassicHttpResponse response = http.receiveResponseHeader();
             if (response == null) {
                 throw new IOException("connection closed before the response");
@@ -87,21 +90,10 @@
         http.receiveResponseEntity(response);
     }
 
-    /**
-     * Waits until a byte or the end of the input can be read. The wait is cut into intervals so that the guard is
-     * asked; nothing is consumed, so an interval that ends cannot lose a part of a message.
-     */
-    void awaitInput(UpstreamCall call, CallGuard guard) throws IOException, CallAbortedException {
-        long endMs = Math.min(timeSource.monotonicMs() + call.readTimeoutMs(), call.deadlineMs());
-        while (!http.isDataAvailable(GUARD_INTERVAL)) {
-            guard.check();
-            if (timeSource.monotonicMs() >= endMs) {
-                throw new SocketTimeoutException("no byte received");
-            }
-            if (http.isStale()) {
-                return;
-            }
-        }
+    /** Forgets the deadline and guard of the last call. */
+    void endCall() {
+        socket.setReadDeadlineMs(DeadlineSocket.UNBOUNDED);
+        socket.setReadGuard(null);
     }
 
     /** Returns whether the connection holds no byte that belongs to no request; called after a whole response. */
@@ -116,7 +108,6 @@
     /** Returns whether an idle connection is still open and silent. Takes up to 1 ms. */
     boolean isIdleUsable() {
         try {
-            socket.setReadDeadlineMs(DeadlineSocket.UNBOUNDED);
             socket.setSoTimeout(1);
             InputStream in = socket.getInputStream();
             in.read();
--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/dispatch/UpstreamPool.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/dispatch/UpstreamPool.java
@@ -53,6 +53,7 @@
 
     /** Keeps a connection after a whole response, or closes it if it holds unread bytes. */
     void release(UpstreamConnection connection) {
+        connection.endCall();
         connection.setReleasedAtMs(timeSource.monotonicMs());
         boolean kept = connection.isClean() && offer(connection);
         if (!kept) {
--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/dispatch/UpstreamResponse.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/dispatch/UpstreamResponse.java
@@ -18,28 +18,20 @@
     private final ClassicHttpResponse response;
     private final UpstreamConnection connection;
     private final UpstreamCall call;
-    private final CallGuard guard;
     private final UpstreamPool pool;
     private final byte[] buffer = new byte[BUFFER_BYTES];
     private InputStream content;
-    private long remainingBytes;
     private boolean ended;
     private boolean closed;
 
     UpstreamResponse(
-            ClassicHttpResponse response,
-            UpstreamConnection connection,
-            UpstreamCall call,
-            CallGuard guard,
-            UpstreamPool pool) {
+            ClassicHttpResponse response, UpstreamConnection connection, UpstreamCall call, UpstreamPool pool) {
         this.response = response;
         this.connection = connection;
         this.call = call;
-        this.guard = guard;
         this.pool = pool;
         HttpEntity entity = response.getEntity();
         this.ended = entity == null;
-        this.remainingBytes = entity == null ? 0 : entity.getContentLength();
     }
 
     int status() {
@@ -61,12 +53,10 @@
      * @throws UpstreamFailure if the connection failed or the body is shorter than announced
      */
     byte[] read() throws UpstreamFailure, CallAbortedException {
-        if (ended || remainingBytes == 0) {
-            ended = true;
+        if (ended) {
             return new byte[0];
         }
         try {
-            connection.awaitInput(call, guard);
             if (content == null) {
                 content = response.getEntity().getContent();
             }
@@ -75,10 +65,11 @@
                 ended = true;
                 return new byte[0];
             }
-            remainingBytes -= remainingBytes < 0 ? 0 : count;
             byte[] bytes = new byte[count];
             System.arraycopy(buffer, 0, bytes, 0, count);
             return bytes;
+        } catch (AbortedIoException e) {
+            throw e.abortion();
         } catch (SocketTimeoutException e) {
             throw UpstreamFailure.timeout(call.readTimeoutMs());
         } catch (IOException e) {
--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/io/DeadlineSocket.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/io/DeadlineSocket.java
@@ -19,7 +19,11 @@
     /** Deadline or byte bound that never applies. */
     public static final long UNBOUNDED = Long.MAX_VALUE;
 
+    // Bounds how late a vanished caller or revoked key is noticed while the other side is silent.
+    private static final long GUARD_INTERVAL_MS = 100;
+
     private final TimeSource timeSource;
+    private volatile ReadGuard readGuard;
     private volatile long readDeadlineMs = UNBOUNDED;
     private volatile long readableBytes = UNBOUNDED;
     private volatile boolean outputStarted;
@@ -35,6 +39,11 @@
         this.readDeadlineMs = deadlineMs;
     }
 
+    /** Sets what is asked while a read waits; null for nothing. */
+    public void setReadGuard(ReadGuard guard) {
+        this.readGuard = guard;
+    }
+
     /** Sets the number of bytes after which reads fail with {@link MessageConstraintException}. */
     public void setReadableBytes(long bytes) {
         this.readableBytes = bytes;
@@ -89,23 +98,35 @@
             return count;
         }
 
+        /**
+         * Reads in intervals between which the guard is asked. The interval ends inside this stream, where nothing was
+         * consumed yet: a timeout seen by the parser above could lose the part of a message that it has read.
+         */
         private int readBeforeDeadline(byte[] buffer, int offset, int length) throws IOException {
-            if (readDeadlineMs == UNBOUNDED) {
+            ReadGuard currentGuard = readGuard;
+            if (currentGuard == null && readDeadlineMs == UNBOUNDED) {
                 return in.read(buffer, offset, length);
             }
-            long remainingMs = readDeadlineMs - timeSource.monotonicMs();
-            if (remainingMs <= 0) {
-                throw new SocketTimeoutException("deadline exceeded");
-            }
             int configuredMs = getSoTimeout();
-            boolean shorten = configuredMs == 0 || configuredMs > remainingMs;
-            if (shorten) {
-                setSoTimeout((int) remainingMs);
-            }
+            long boundMs = configuredMs == 0 ? UNBOUNDED : timeSource.monotonicMs() + configuredMs;
+            long intervalMs = currentGuard == null ? Integer.MAX_VALUE : GUARD_INTERVAL_MS;
             try {
-                return in.read(buffer, offset, length);
+                while (true) {
+                    long remainingMs = Math.min(boundMs, readDeadlineMs) - timeSource.monotonicMs();
+                    if (remainingMs <= 0) {
+                        throw new SocketTimeoutException("deadline exceeded");
+                    }
+                    setSoTimeout((int) Math.min(remainingMs, intervalMs));
+                    try {
+                        return in.read(buffer, offset, length);
+                    } catch (SocketTimeoutException e) {
+                        if (currentGuard != null) {
+                            currentGuard.check();
+                        }
+                    }
+                }
             } finally {
-                if (shorten && !isClosed()) {
+                if (!isClosed()) {
                     setSoTimeout(configuredMs);
                 }
             }
--- a/cranberrybend-router/src/test/java/org/cranberrybend/router/FakeUpstream.java
+++ b/cranberrybend-router/src/test/java/org/cranberrybend/router/FakeUpstream.java
@@ -145,6 +145,9 @@
                 event(out, "{\"choices\":[{\"index\":0,\"delta\":{\"content\":\"t" + token + "\"}}]}");
                 await();
             }
+            if (sent == cutAfterTokens) {
+                return;
+            }
             event(
                     out,
                     "{\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}],"
--- a/cranberrybend-router/src/test/java/org/cranberrybend/router/RouterHarness.java
+++ b/cranberrybend-router/src/test/java/org/cranberrybend/router/RouterHarness.java
@@ -17,6 +17,7 @@
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.router.dispatch.LocalSlotBroker;
 import org.cranberrybend.runtime.event.EventLog;
+import org.cranberrybend.runtime.http.HttpCaller;
 import org.cranberrybend.runtime.platform.KeyValueClient;
 
 /** A router on loopback with one client account, one model and three routes. Request identifiers are req-1, req-2... */
@@ -98,6 +99,14 @@
                         + ",'timeout_ms':20000,'key_headers':['X-Desk-Key']}");
     }
 
+    /** Returns whether the administrative port reports readiness. */
+    public boolean isReady() throws IOException {
+        URI uri = URI.create("http://127.0.0.1:" + router.adminPort() + "/readyz");
+        try (HttpCaller caller = new HttpCaller(SOCKET_TIMEOUT_MS, SOCKET_TIMEOUT_MS)) {
+            return caller.get(uri).status() == 200;
+        }
+    }
+
     public Socket connect() throws IOException {
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), router.callerPort());
         socket.setSoTimeout(SOCKET_TIMEOUT_MS);
