Grant slots across the fleet by the owners of pool shards

Cause: each router queued for all upstreams on its own, so two routers could each fill the same engine and tier order held only inside one of them.

An entry router asks the owner of a shard and repeats the question until it is answered; owners ignore a repeated question and repeat a lost grant. A new owner asks all routers for their slots in use before it grants any. Ruled out: a request and response pair per slot, because the answer may take as long as the queue and would hold a handler thread of the owner meanwhile.

Before: LocalSlotBroker in each router.

--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/RouterMain.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/RouterMain.java
@@ -2,7 +2,6 @@
 
 import org.cranberrybend.runtime.lifecycle.DaemonProgram;
 import org.cranberrybend.runtime.lifecycle.Service;
-import org.cranberrybend.runtime.lifecycle.ServiceException;
 import org.cranberrybend.runtime.settings.SettingsLoader;
 
 /** The program {@code cranberrybend-router}. */
@@ -22,7 +21,7 @@
     }
 
     @Override
-    protected Service createService(RouterSettings settings) throws ServiceException {
-        throw new ServiceException("the peer node is not part of this build", null);
+    protected Service createService(RouterSettings settings) {
+        return new RouterProcess(settings);
     }
 }
--- /dev/null
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/shard/ShardOwner.java
@@ -0,0 +1,324 @@
+package org.cranberrybend.router.shard;
+
+import com.google.common.util.concurrent.ThreadFactoryBuilder;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.cranberrybend.core.admission.AdmissionDecision;
+import org.cranberrybend.core.admission.DispatchQueue;
+import org.cranberrybend.core.admission.DispatchSettings;
+import org.cranberrybend.core.admission.QueuedRequest;
+import org.cranberrybend.core.admission.SlotInUse;
+import org.cranberrybend.core.admission.SlotOutcome;
+import org.cranberrybend.core.error.ErrorCode;
+import org.cranberrybend.core.event.EventCode;
+import org.cranberrybend.core.membership.Member;
+import org.cranberrybend.core.routing.PoolShard;
+import org.cranberrybend.core.time.TimeSource;
+import org.cranberrybend.router.shard.OwnedShard.Delivery;
+import org.cranberrybend.runtime.event.EventLog;
+import org.cranberrybend.runtime.lifecycle.Service;
+import org.cranberrybend.wire.generated.Envelope;
+import org.cranberrybend.wire.generated.SlotRelease;
+import org.cranberrybend.wire.generated.SlotRequest;
+import org.cranberrybend.wire.node.MemberDirectory;
+import org.cranberrybend.wire.transport.PeerMessenger;
+
+/**
+ * The queues of the shards that this router owns.
+ *
+ * <p>Edge cases:
+ *
+ * <ul>
+ *   <li>A new owner asks all routers for their slots in use before it grants any; requests wait meanwhile.
+ *   <li>A shard that moves away answers its waiting requests with {@code moved}, so that entry routers ask the new owner
+ *       with the original time of arrival.
+ *   <li>Slots of an entry router that died or was replaced are freed, because its connections to upstreams ended with it.
+ * </ul>
+ *
+ * <p>One lock guards all owned shards. Answers are delivered after it is released.
+ */
+final class ShardOwner implements Service {
+    private static final long QUERY_TIMEOUT_MS = 500;
+    // Deadlines and slow starts of the queues are met with this resolution.
+    private static final long TICK_MS = 25;
+    private static final String ROUTER_ROLE = "router";
+
+    private final MemberDirectory members;
+    private final PeerMessenger messenger;
+    private final ShardTable table;
+    private final SlotReplies localReplies;
+    private final EntrySlots localSlots;
+    private final DispatchSettings dispatchSettings;
+    private final EventLog events;
+    private final TimeSource timeSource;
+    private final Object lock = new Object();
+    private final Map<String, OwnedShard> owned = new HashMap<>();
+    private final ScheduledExecutorService ticker =
+            Executors.newSingleThreadScheduledExecutor(new ThreadFactoryBuilder()
+                    .setNameFormat("shard-owner")
+                    .setDaemon(true)
+                    .build());
+
+    ShardOwner(
+            MemberDirectory members,
+            PeerMessenger messenger,
+            ShardTable table,
+            EntrySlots localSlots,
+            DispatchSettings dispatchSettings,
+            EventLog events,
+            TimeSource timeSource) {
+        this.members = members;
+        this.messenger = messenger;
+        this.table = table;
+        this.localReplies = localSlots;
+        this.localSlots = localSlots;
+        this.dispatchSettings = dispatchSettings;
+        this.events = events;
+        this.timeSource = timeSource;
+        messenger.register(Envelope.BodyCase.SLOT_REQUEST, this::onRequest);
+        messenger.register(Envelope.BodyCase.SLOT_RELEASE, this::onRelease);
+        messenger.register(Envelope.BodyCase.SLOT_CANCEL, this::onCancel);
+        table.addListener(this::update);
+    }
+
+    @Override
+    public void start() {
+        update();
+        ticker.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void stop() {
+        ticker.shutdownNow();
+    }
+
+    /** Offers a request to an owned shard; the answer goes to the entry router. */
+    void offer(String shardId, QueuedRequest request, Requester requester) {
+        Optional<List<Delivery>> deliveries =
+                withShard(shardId, shard -> shard.offer(request, requester, timeSource.monotonicMs()));
+        deliveries.ifPresentOrElse(this::deliver, () -> sendMoved(requester, request.requestId()));
+    }
+
+    /** Withdraws a waiting request. */
+    void cancel(String requestId) {
+        deliver(withAllShards(shard -> shard.cancel(requestId)));
+    }
+
+    /** Releases a slot; ignored if no owned shard knows it. */
+    void release(String requestId, String slotId, SlotOutcome outcome) {
+        deliver(withAllShards(shard -> shard.release(requestId, slotId, outcome, timeSource.monotonicMs())));
+    }
+
+    /** Returns the number of waiting requests over all owned shards. */
+    int waitingCount() {
+        synchronized (lock) {
+            return owned.values().stream()
+                    .mapToInt(shard -> shard.queue().waitingCount())
+                    .sum();
+        }
+    }
+
+    /** Returns the number of slots in use over all owned shards. */
+    int slotsInUse() {
+        synchronized (lock) {
+            return owned.values().stream()
+                    .mapToInt(shard -> shard.queue().slotsInUse())
+                    .sum();
+        }
+    }
+
+    /** Returns the identifiers of the owned shards. */
+    Set<String> ownedShardIds() {
+        synchronized (lock) {
+            return new HashSet<>(owned.keySet());
+        }
+    }
+
+    private interface ShardAction {
+        List<Delivery> apply(OwnedShard shard);
+    }
+
+    private Optional<List<Delivery>> withShard(String shardId, ShardAction action) {
+        synchronized (lock) {
+            return Optional.ofNullable(owned.get(shardId)).map(action::apply);
+        }
+    }
+
+    private List<Delivery> withAllShards(ShardAction action) {
+        List<Delivery> deliveries = new ArrayList<>();
+        synchronized (lock) {
+            owned.values().forEach(shard -> deliveries.addAll(action.apply(shard)));
+        }
+        return deliveries;
+    }
+
+    private void tick() {
+        long nowMs = timeSource.monotonicMs();
+        deliver(withAllShards(shard ->
+                shard.queue().waitingCount() + shard.queue().slotsInUse() == 0 ? List.of() : shard.dispatch(nowMs)));
+    }
+
+    /** Takes over the present members and upstreams. */
+    private void update() {
+        Map<String, PoolShard> wanted = new HashMap<>();
+        table.current().ownedBy(members.self().id()).forEach(shard -> wanted.put(shard.id(), shard));
+        Set<Requester> live = liveRequesters();
+        Map<String, Requester> moved = new HashMap<>();
+        Map<String, List<String>> toRestore = new HashMap<>();
+        List<Delivery> deliveries = new ArrayList<>();
+        List<String> gained = new ArrayList<>();
+        List<String> lost = new ArrayList<>();
+        long nowMs = timeSource.monotonicMs();
+        synchronized (lock) {
+            for (String shardId : List.copyOf(owned.keySet())) {
+                if (!wanted.containsKey(shardId)) {
+                    moved.putAll(owned.remove(shardId).handOver());
+                    lost.add(shardId);
+                }
+            }
+            wanted.forEach((shardId, poolShard) -> {
+                OwnedShard shard = owned.get(shardId);
+                if (shard == null) {
+                    shard = new OwnedShard(poolShard, newQueue(shardId));
+                    owned.put(shardId, shard);
+                    gained.add(shardId);
+                }
+                List<String> unknown = shard.update(poolShard);
+                if (unknown.isEmpty()) {
+                    deliveries.addAll(shard.applyUpstreams(nowMs));
+                } else {
+                    toRestore.put(shardId, unknown);
+                }
+                deliveries.addAll(shard.dropRequesters(requester -> !live.contains(requester), nowMs));
+            });
+        }
+        lost.forEach(shardId -> events.record(EventCode.SHARD_LOST, shardId, Map.of()));
+        gained.forEach(shardId -> events.record(EventCode.SHARD_OWNED, shardId, Map.of()));
+        moved.forEach((requestId, requester) -> sendMoved(requester, requestId));
+        deliver(deliveries);
+        toRestore.forEach(this::restore);
+    }
+
+    private DispatchQueue newQueue(String shardId) {
+        String prefix = members.self().id() + "@" + members.self().identity().incarnation() + "/" + shardId + "#";
+        return new DispatchQueue(dispatchSettings, members.self().id(), prefix);
+    }
+
+    private Set<Requester> liveRequesters() {
+        Set<Requester> live = new HashSet<>();
+        members.members().forEach(member -> live.add(requester(member)));
+        live.add(requester(members.self()));
+        return live;
+    }
+
+    private static Requester requester(Member member) {
+        return new Requester(member.id(), member.identity().incarnation());
+    }
+
+    /** Asks all routers for their slots on the upstreams, then opens them; a router that does not answer is skipped. */
+    private void restore(String shardId, List<String> upstreamIds) {
+        Map<Requester, Collection<SlotInUse>> reports = new ConcurrentHashMap<>();
+        reports.put(requester(members.self()), localSlots.slotsOn(upstreamIds));
+        List<CompletableFuture<?>> answers = new ArrayList<>();
+        for (Member member : members.members()) {
+            if (member.identity().role().equals(ROUTER_ROLE)
+                    && !member.id().equals(members.self().id())) {
+                answers.add(messenger
+                        .request(member.peerAddress(), SlotMessages.slotsInUseQuery(upstreamIds), QUERY_TIMEOUT_MS)
+                        .thenAccept(answer -> reports.put(
+                                new Requester(answer.getSender(), answer.getIncarnation()),
+                                SlotMessages.slotsInUse(answer.getSlotsInUse())))
+                        .exceptionally(unreachable -> null));
+            }
+        }
+        CompletableFuture.allOf(answers.toArray(new CompletableFuture<?>[0]))
+                .thenRun(() -> withShard(shardId, shard -> opened(shard, reports, upstreamIds))
+                        .ifPresent(this::deliver));
+    }
+
+    private List<Delivery> opened(
+            OwnedShard shard, Map<Requester, Collection<SlotInUse>> reports, List<String> upstreamIds) {
+        long nowMs = timeSource.monotonicMs();
+        reports.forEach((requester, slots) -> shard.restore(requester, slots, nowMs));
+        return shard.open(upstreamIds, nowMs);
+    }
+
+    private Optional<Envelope.Builder> onRequest(Envelope message) {
+        SlotRequest request = message.getSlotRequest();
+        offer(
+                request.getShardId(),
+                SlotMessages.queuedRequest(request, timeSource.monotonicMs()),
+                new Requester(message.getSender(), message.getIncarnation()));
+        return Optional.empty();
+    }
+
+    private Optional<Envelope.Builder> onRelease(Envelope message) {
+        SlotRelease release = message.getSlotRelease();
+        release(release.getRequestId(), release.getSlotId(), SlotMessages.outcome(release));
+        return Optional.empty();
+    }
+
+    private Optional<Envelope.Builder> onCancel(Envelope message) {
+        cancel(message.getSlotCancel().getRequestId());
+        return Optional.empty();
+    }
+
+    private void deliver(List<Delivery> deliveries) {
+        for (Delivery delivery : deliveries) {
+            AdmissionDecision decision = delivery.decision();
+            if (decision instanceof AdmissionDecision.Granted) {
+                sendGrant(delivery.requester(), (AdmissionDecision.Granted) decision);
+            } else if (decision instanceof AdmissionDecision.Refused) {
+                AdmissionDecision.Refused refused = (AdmissionDecision.Refused) decision;
+                sendRefusal(delivery.requester(), refused.requestId(), refused.code(), refused.retryAfterMs());
+            }
+            // Expired and cancelled requests need no answer: their entry router ended them itself.
+        }
+    }
+
+    private void sendGrant(Requester requester, AdmissionDecision.Granted granted) {
+        if (isSelf(requester)) {
+            localReplies.granted(granted.grant());
+        } else {
+            send(requester, SlotMessages.granted(granted.grant()));
+        }
+    }
+
+    private void sendRefusal(Requester requester, String requestId, ErrorCode code, long retryAfterMs) {
+        if (isSelf(requester)) {
+            localReplies.refused(requestId, code, retryAfterMs);
+        } else {
+            send(requester, SlotMessages.refused(requestId, code, retryAfterMs));
+        }
+    }
+
+    private void sendMoved(Requester requester, String requestId) {
+        if (requester == null) {
+            return;
+        }
+        if (isSelf(requester)) {
+            localReplies.moved(requestId);
+        } else {
+            send(requester, SlotMessages.moved(requestId));
+        }
+    }
+
+    private void send(Requester requester, Envelope.Builder message) {
+        members.member(requester.memberId()).ifPresent(member -> messenger.send(member.peerAddress(), message));
+    }
+
+    private boolean isSelf(Requester requester) {
+        return requester.memberId().equals(members.self().id());
+    }
+}
