--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/RequestPipeline.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/RequestPipeline.java
@@ -111,6 +111,11 @@
         return progress.keyId;
     }
 
+    @Override
+    public boolean isRevoked(String keyId) {
+        return authenticator.isRevoked(keyId);
+    }
+
     private DispatchResult answer(CallerRequest request, CallerResponse response, Progress progress)
             throws RequestFailedException, CallAbortedException, CallerGoneException, InterruptedException {
         ConfigurationView view = authenticator.view();
--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/RouterService.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/RouterService.java
@@ -44,7 +44,6 @@
 
     private final RouterSettings settings;
     private final EventLog events;
-    private final Authenticator authenticator;
     private final ConfigurationStore store;
     private final DispatchEnvironment environment;
     private final KeyValueClient keyValueClient;
@@ -93,7 +92,7 @@
         this.keyValueClient = process.keyValueClient();
         TimeSource timeSource = process.timeSource();
         KeyHasher keyHasher = new KeyHasher(settings.keyHashSecret());
-        this.authenticator = new Authenticator(store, keyHasher);
+        Authenticator authenticator = new Authenticator(store, keyHasher);
         RouterMetrics metrics = new RouterMetrics(process.metrics());
         this.environment = new DispatchEnvironment(
                 process.broker(),
@@ -157,6 +156,11 @@
         return listener.port();
     }
 
+    /** Returns the number of open connections of callers. */
+    public int connectionCount() {
+        return listener.connectionCount();
+    }
+
     /** Returns the administrative port in use after {@link #start()}. */
     public int adminPort() {
         return admin.port();
@@ -172,7 +176,7 @@
                 MAINTENANCE_INTERVAL_MS,
                 MAINTENANCE_INTERVAL_MS,
                 TimeUnit.MILLISECONDS);
-        store.addListener(() -> listener.closeIdle(authenticator::isRevoked));
+        store.addListener(listener::closeRevoked);
         try {
             listener.start();
         } catch (ServiceException e) {
--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/accept/CallerConnection.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/accept/CallerConnection.java
@@ -10,6 +10,7 @@
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.MessageConstraintException;
+import org.apache.hc.core5.http.RequestHeaderFieldsTooLargeException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
@@ -95,7 +96,9 @@
             linger();
             return false;
         }
-        return state.compareAndSet(State.BUSY, State.IDLE);
+        state.set(State.IDLE);
+        // Checked after the change of state: a revocation before it finds the connection busy.
+        return !handler.isRevoked(lastKeyId);
     }
 
     /** Receives the request line and headers, or answers with an error and returns null. */
@@ -111,7 +114,7 @@
             RequestFraming.check(http, limits.maxHeaderBytes());
             connection.receiveRequestEntity(http);
             return new CallerRequest(requestIds.get(), timeSource.monotonicMs(), http, connection, socket, limits);
-        } catch (MessageConstraintException e) {
+        } catch (MessageConstraintException | RequestHeaderFieldsTooLargeException e) {
             failure = RequestFailedException.notRun(ErrorCode.HEADERS_TOO_LARGE);
         } catch (SocketTimeoutException e) {
             failure = RequestFailedException.notRun(ErrorCode.REQUEST_TIMEOUT, limits.receiveTimeoutMs());
--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/accept/CallerListener.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/accept/CallerListener.java
@@ -185,8 +185,12 @@
         return (int) connections.stream().filter(CallerConnection::isBusy).count();
     }
 
-    /** Closes the idle connections whose last request carried a key that matches. */
-    public void closeIdle(Predicate<String> keyIds) {
+    /** Closes the idle connections whose last request carried a key that was revoked since. */
+    public void closeRevoked() {
+        closeIdle(handler::isRevoked);
+    }
+
+    private void closeIdle(Predicate<String> keyIds) {
         connections.forEach(connection -> connection.closeIfIdle(keyIds));
     }
 
--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/accept/RequestHandler.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/accept/RequestHandler.java
@@ -1,7 +1,6 @@
 package org.cranberrybend.router.accept;
 
 /** Answers the requests of all callers; called by one thread per connection. */
-@FunctionalInterface
 public interface RequestHandler {
     /**
      * Answers one request and returns the identifier of the key it carried, or an empty text.
@@ -10,4 +9,7 @@
      * @throws InterruptedException if the router is stopped
      */
     String handle(CallerRequest request, CallerResponse response) throws CallerGoneException, InterruptedException;
+
+    /** Returns whether a key was revoked, so that its connections must not stay open. */
+    boolean isRevoked(String keyId);
 }
