Add the clients of the platform's leases, orders, reports and instance list

Cause: the controller needs every interface of the platform, and a caller must know whether a failed call may have taken effect.

PlatformException now says NOT_ACCEPTED or UNKNOWN. A status 4xx and a refused connection are NOT_ACCEPTED; a status 5xx, a timeout and a broken connection are UNKNOWN. Counting 5xx as not accepted was ruled out, because it may follow the effect. KeyValueClient implements the extracted interface KeyValueStore; leases, orders, reports and the instance list have interfaces too, so that tests use fakes in memory.

Before: key-value client only, one kind of failure.

Conclusion: the HTTP clients other than KeyValueClient have no test of their own yet; they are to be run against the stand-in platform.

--- a/cranberrybend-runtime/src/main/java/org/cranberrybend/runtime/platform/KeyValueClient.java
+++ b/cranberrybend-runtime/src/main/java/org/cranberrybend/runtime/platform/KeyValueClient.java
@@ -14,8 +14,8 @@
 import org.cranberrybend.runtime.http.HttpCaller;
 import org.cranberrybend.runtime.http.HttpResult;
 
-/** Client of the platform's key-value service: reads, watches and compare-and-swap. */
-public final class KeyValueClient implements AutoCloseable {
+/** HTTP client of the platform's key-value service. */
+public final class KeyValueClient implements KeyValueStore, AutoCloseable {
     private static final long CONNECT_TIMEOUT_MS = 1_000;
     private static final long READ_TIMEOUT_MS = 3_000;
     private static final long WATCH_MARGIN_MS = 5_000;
@@ -30,18 +30,14 @@
         this.base = platformUri;
     }
 
-    /** Reads a key. */
+    @Override
     public VersionedValue get(String key) throws PlatformException {
         HttpResult result = call(caller, "GET", path(key), null);
         return toValue(key, result);
     }
 
-    /**
-     * Waits until the key's revision exceeds the given one.
-     *
-     * @param waitMs longest wait in milliseconds, at most 30,000
-     * @return the new value, or empty after the wait
-     */
+    /** {@inheritDoc} The wait is bounded by 30,000 ms. */
+    @Override
     public Optional<VersionedValue> watch(String key, long afterRevision, long waitMs) throws PlatformException {
         long boundedWaitMs = Math.min(waitMs, WATCH_WAIT_MAX_MS);
         String target = path(key) + "?after=" + afterRevision + "&wait_ms=" + boundedWaitMs;
@@ -49,13 +45,7 @@
         return result.status() == 304 ? Optional.empty() : Optional.of(toValue(key, result));
     }
 
-    /**
-     * Writes a key if its revision is the expected one.
-     *
-     * @param expectedRevision revision seen by the caller; 0 if the key must not exist
-     * @return the new revision, or empty if the key has another revision
-     * @throws PlatformException if the outcome is not known; read the key to resolve it
-     */
+    @Override
     public OptionalLong compareAndSwap(String key, long expectedRevision, byte[] value) throws PlatformException {
         String target = path(key) + "?expected_revision=" + expectedRevision;
         HttpResult result = call(caller, "PUT", target, value);
@@ -68,7 +58,7 @@
         return OptionalLong.of(revision(result));
     }
 
-    /** Deletes a key if its revision is the expected one and returns whether it was deleted. */
+    @Override
     public boolean compareAndDelete(String key, long expectedRevision) throws PlatformException {
         HttpResult result = call(caller, "DELETE", path(key) + "?expected_revision=" + expectedRevision, null);
         if (result.status() != 200 && result.status() != 412 && result.status() != 404) {
@@ -77,7 +67,7 @@
         return result.status() == 200;
     }
 
-    /** Lists the keys with a prefix, in key order. */
+    @Override
     public List<VersionedValue> list(String prefix) throws PlatformException {
         String target = "/v1/kv?prefix=" + URLEncoder.encode(prefix, StandardCharsets.UTF_8);
         HttpResult result = call(caller, "GET", target, null);
--- /dev/null
+++ b/cranberrybend-runtime/src/main/java/org/cranberrybend/runtime/platform/UpstreamOrderClient.java
@@ -0,0 +1,49 @@
+package org.cranberrybend.runtime.platform;
+
+import java.net.URI;
+import java.util.HashSet;
+import java.util.Set;
+import org.cranberrybend.runtime.http.HttpResult;
+
+/** HTTP client of the platform's interface to order upstreams. */
+public final class UpstreamOrderClient implements UpstreamOrders, AutoCloseable {
+    private final PlatformCaller caller;
+
+    /**
+     * Creates a client of the interface at the platform's address.
+     *
+     * @param orderTimeoutMs longest wait for the response to an order, in milliseconds
+     */
+    public UpstreamOrderClient(URI platformUri, long orderTimeoutMs) {
+        this.caller = new PlatformCaller(platformUri, orderTimeoutMs);
+    }
+
+    @Override
+    public void send(String zone, UpstreamOrder order) throws PlatformException {
+        HttpResult result = caller.callJson("POST", path(zone), order.toJsonFields());
+        if (!result.isSuccess()) {
+            throw new PlatformException("order " + order.orderId(), result.status());
+        }
+    }
+
+    @Override
+    public Set<String> acceptedOrders(String zone) throws PlatformException {
+        HttpResult result = caller.call("GET", path(zone), null);
+        if (result.status() != 200) {
+            throw new PlatformException("GET " + path(zone), result.status());
+        }
+        Set<String> orderIds = new HashSet<>();
+        PlatformCaller.json("GET " + path(zone), result)
+                .forEach(each -> orderIds.add(each.path("order_id").asText()));
+        return Set.copyOf(orderIds);
+    }
+
+    private static String path(String zone) {
+        return "/v1/zones/" + zone + "/orders";
+    }
+
+    @Override
+    public void close() {
+        caller.close();
+    }
+}
--- /dev/null
+++ b/cranberrybend-runtime/src/main/java/org/cranberrybend/runtime/platform/UsageReportClient.java
@@ -0,0 +1,31 @@
+package org.cranberrybend.runtime.platform;
+
+import java.net.URI;
+import org.cranberrybend.runtime.http.HttpResult;
+
+/** HTTP client of the platform's interface that accepts usage reports. */
+public final class UsageReportClient implements UsageReports, AutoCloseable {
+    private final PlatformCaller caller;
+
+    /**
+     * Creates a client of the interface at the platform's address.
+     *
+     * @param reportTimeoutMs longest wait for the response to a report, in milliseconds
+     */
+    public UsageReportClient(URI platformUri, long reportTimeoutMs) {
+        this.caller = new PlatformCaller(platformUri, reportTimeoutMs);
+    }
+
+    @Override
+    public void put(long windowStartMs, byte[] body) throws PlatformException {
+        HttpResult result = caller.call("PUT", "/v1/usage-reports/" + windowStartMs, body);
+        if (!result.isSuccess()) {
+            throw new PlatformException("usage report " + windowStartMs, result.status());
+        }
+    }
+
+    @Override
+    public void close() {
+        caller.close();
+    }
+}
