Write and watch the configuration, and add the operators' interface

Cause: operators' changes must be accepted as a whole or refused, reach every process, and survive lost responses, outages and a key-value service that comes back with older data.

ConfigurationWriter writes content-addressed shards and then the head by compare-and-swap. A lost response is resolved by reading the head, and the same bytes are sent again only while the head still has the expected revision. ConfigurationSynchroniser accepts newer data (deltas, or the shards on a gap) and writes the accepted state back over older data. Data of another history at the same revision is overwritten once per digest, so that two controllers cannot alternate. A higher revision with another history is refused with an event and not overwritten. The writer also refuses a change that would reinstate a revoked key.

Superseded shards are deleted after 600 s if their key revision has not changed. A writer that needs an existing shard writes it again, which changes the revision, and gives up if 60 s pass before the head. Deleting by content alone was ruled out: an operator may go back to earlier content at the same moment.

Before: no controller.

Conclusion: one gap stays open. If the service loses a change before any second controller has heard of it and a controller that has not heard of it writes next, both changes have the same revision; without a second store this cannot be prevented. The fuzz test lets changes spread before data gets older.

--- /dev/null
+++ b/cranberrybend-controller/src/main/java/org/cranberrybend/controller/configuration/ConfigurationCodec.java
@@ -0,0 +1,156 @@
+package org.cranberrybend.controller.configuration;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.collect.ImmutableSortedMap;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import org.cranberrybend.core.configuration.CanonicalJson;
+import org.cranberrybend.core.configuration.ChangeSet;
+import org.cranberrybend.core.configuration.ConfigurationState;
+import org.cranberrybend.core.configuration.EntityId;
+import org.cranberrybend.core.configuration.EntityKind;
+
+/** Pure encoding of a configuration as one head and 64 content-addressed shards. */
+public final class ConfigurationCodec {
+    /** Largest number of change sets kept in the head. */
+    public static final int RECENT_CHANGES_MAX = 64;
+
+    // Leaves three quarters of the service's limit of 1 MiB per value free for the rest of the head.
+    private static final int RECENT_CHANGES_MAX_BYTES = 256 << 10;
+
+    private ConfigurationCodec() {}
+
+    /**
+     * Content of one shard.
+     *
+     * @param digest SHA-256 digest of the content in hexadecimal digits; empty for a shard without entities
+     * @param content canonical JSON array of entities
+     */
+    public record Shard(String digest, byte[] content) {}
+
+    private record StoredEntity(EntityKind kind, String name, JsonNode value) {}
+
+    /** Returns the index of the shard that holds an entity. */
+    public static int shardOf(EntityId id) {
+        int hash = Hashing.sha256()
+                .hashString(id.toString(), StandardCharsets.UTF_8)
+                .asInt();
+        return Math.floorMod(hash, ConfigurationHead.SHARDS);
+    }
+
+    /** Returns the key under which the content of a shard is stored. */
+    public static String shardKey(int index, String digest) {
+        return "config/shard/" + index + "/" + digest;
+    }
+
+    /** Encodes all shards of a configuration, in the order of their index. */
+    public static List<Shard> shards(ConfigurationState state) {
+        List<List<StoredEntity>> content = new ArrayList<>();
+        for (int i = 0; i < ConfigurationHead.SHARDS; i++) {
+            content.add(new ArrayList<>());
+        }
+        state.entities().forEach((id, value) -> content.get(shardOf(id))
+                .add(new StoredEntity(id.kind(), id.name(), normalise(value))));
+        return content.stream().map(ConfigurationCodec::shard).toList();
+    }
+
+    private static Shard shard(List<StoredEntity> entities) {
+        if (entities.isEmpty()) {
+            return new Shard("", new byte[0]);
+        }
+        String text = CanonicalJson.write(entities);
+        return new Shard(CanonicalJson.digestHex(text), text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Returns the value as it is after one write and read, with sorted fields, so that digests stay stable. */
+    public static JsonNode normalise(JsonNode value) {
+        try {
+            return CanonicalJson.mapper().readTree(CanonicalJson.write(value));
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("value cannot be written as JSON", e);
+        }
+    }
+
+    /**
+     * Adds the entities of a shard.
+     *
+     * @throws IllegalArgumentException if the content does not match its digest or is not readable
+     */
+    static void readShard(String digest, byte[] content, Map<EntityId, JsonNode> entities) {
+        String text = new String(content, StandardCharsets.UTF_8);
+        if (!CanonicalJson.digestHex(text).equals(digest)) {
+            throw new IllegalArgumentException("shard content does not match its digest " + digest);
+        }
+        try {
+            for (StoredEntity each :
+                    CanonicalJson.mapper().readValue(text, new TypeReference<List<StoredEntity>>() {})) {
+                entities.put(new EntityId(each.kind(), each.name()), each.value());
+            }
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("shard " + digest + " is not readable", e);
+        }
+    }
+
+    /**
+     * Returns the head of a configuration.
+     *
+     * @param shards shards of the configuration, see {@link #shards}
+     * @param recentChanges change sets that end at the configuration's revision; the oldest may be left out
+     */
+    public static ConfigurationHead head(
+            ConfigurationState state, List<Shard> shards, List<ChangeSet> recentChanges, String author, long timeMs) {
+        List<String> digests = shards.stream().map(Shard::digest).toList();
+        ChangeSet last = recentChanges.isEmpty() ? null : recentChanges.get(recentChanges.size() - 1);
+        return new ConfigurationHead(
+                state.revision(),
+                state.chainDigest(),
+                last == null ? "" : last.previousDigest(),
+                last == null ? author : last.author(),
+                last == null ? timeMs : last.timeMs(),
+                digests,
+                bounded(recentChanges));
+    }
+
+    private static List<ChangeSet> bounded(List<ChangeSet> changes) {
+        List<ChangeSet> kept = new ArrayList<>();
+        int sizeBytes = 0;
+        for (int i = changes.size() - 1; i >= 0 && kept.size() < RECENT_CHANGES_MAX; i--) {
+            sizeBytes += CanonicalJson.write(changes.get(i)).length();
+            if (sizeBytes > RECENT_CHANGES_MAX_BYTES) {
+                break;
+            }
+            kept.add(changes.get(i));
+        }
+        Collections.reverse(kept);
+        return kept;
+    }
+
+    /** Encodes a head. */
+    public static byte[] write(ConfigurationHead head) {
+        return CanonicalJson.write(head).getBytes(StandardCharsets.UTF_8);
+    }
+
+    /**
+     * Decodes a head.
+     *
+     * @throws IllegalArgumentException if it is not readable
+     */
+    public static ConfigurationHead readHead(byte[] value) {
+        try {
+            return CanonicalJson.mapper().readValue(new String(value, StandardCharsets.UTF_8), ConfigurationHead.class);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("config/head is not readable: " + e.getOriginalMessage(), e);
+        }
+    }
+
+    /** Returns the configuration that a head and the entities of its shards describe. */
+    static ConfigurationState state(ConfigurationHead head, Map<EntityId, JsonNode> entities) {
+        return new ConfigurationState(head.revision(), head.chainDigest(), ImmutableSortedMap.copyOf(entities));
+    }
+}
--- /dev/null
+++ b/cranberrybend-controller/src/main/java/org/cranberrybend/controller/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** Writing of the configuration to the key-value service and watching of its head. */
+package org.cranberrybend.controller.configuration;
--- /dev/null
+++ b/cranberrybend-controller/src/main/java/org/cranberrybend/controller/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' HTTP interface. */
+package org.cranberrybend.controller.operator;
--- /dev/null
+++ b/cranberrybend-controller/src/main/java/org/cranberrybend/controller/package-info.java
@@ -0,0 +1,2 @@
+/** The controller: settings, wiring and main program. */
+package org.cranberrybend.controller;
--- /dev/null
+++ b/cranberrybend-controller/src/main/java/org/cranberrybend/controller/upstream/InstanceListPoller.java
@@ -0,0 +1,76 @@
+package org.cranberrybend.controller.upstream;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.cranberrybend.controller.schedule.ControllerRanking;
+import org.cranberrybend.controller.schedule.RepeatedTask;
+import org.cranberrybend.controller.schedule.RetryDelay;
+import org.cranberrybend.core.event.EventCode;
+import org.cranberrybend.core.routing.Upstream;
+import org.cranberrybend.core.time.TimeSource;
+import org.cranberrybend.runtime.event.EventLog;
+import org.cranberrybend.runtime.platform.InstanceList;
+import org.cranberrybend.runtime.platform.PlatformException;
+import org.cranberrybend.runtime.platform.PlatformInstance;
+import org.cranberrybend.wire.node.UpstreamSource;
+
+/**
+ * Reads the platform's list of instances while this controller is one of the two that do so for their zone.
+ *
+ * <p>Used by one thread.
+ */
+public final class InstanceListPoller implements RepeatedTask.Step {
+    private final InstanceList instanceList;
+    private final UpstreamSource upstreamSource;
+    private final ControllerRanking ranking;
+    private final RetryDelay retryDelay;
+    private final TimeSource time;
+    private final EventLog events;
+    private final long periodMs;
+
+    /** Creates a poller with its period in milliseconds. */
+    public InstanceListPoller(
+            InstanceList instanceList,
+            UpstreamSource upstreamSource,
+            ControllerRanking ranking,
+            RetryDelay retryDelay,
+            TimeSource time,
+            EventLog events,
+            long periodMs) {
+        this.instanceList = instanceList;
+        this.upstreamSource = upstreamSource;
+        this.ranking = ranking;
+        this.retryDelay = retryDelay;
+        this.time = time;
+        this.events = events;
+        this.periodMs = periodMs;
+    }
+
+    @Override
+    public long run() {
+        if (!ranking.isRanked()) {
+            return periodMs;
+        }
+        // Taken before the call, so that a list which was delayed on its way does not replace a newer one.
+        long readAtMs = time.wallMs();
+        try {
+            List<Upstream> upstreams = instanceList.instances().stream()
+                    .map(PlatformInstance::toUpstream)
+                    .flatMap(Optional::stream)
+                    .toList();
+            upstreamSource.offerUpstreams(upstreams, readAtMs);
+            if (retryDelay.isFailing()) {
+                retryDelay.succeeded();
+                events.record(EventCode.STORE_AVAILABLE, "instances", Map.of("upstreams", upstreams.size()));
+            }
+            return periodMs;
+        } catch (PlatformException e) {
+            if (!retryDelay.isFailing()) {
+                events.record(
+                        EventCode.STORE_UNAVAILABLE, "instances", Map.of("reason", String.valueOf(e.getMessage())));
+            }
+            return retryDelay.nextMs();
+        }
+    }
+}
--- /dev/null
+++ b/cranberrybend-controller/src/main/java/org/cranberrybend/controller/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** Polling of the platform's list of instances. */
+package org.cranberrybend.controller.upstream;
--- /dev/null
+++ b/cranberrybend-controller/src/test/java/org/cranberrybend/controller/testing/package-info.java
@@ -0,0 +1,2 @@
+/** Fakes of what the controller is connected to. */
+package org.cranberrybend.controller.testing;
