--- /dev/null
+++ b/cranberrybend-controller/src/main/java/org/cranberrybend/controller/ControllerService.java
@@ -0,0 +1,147 @@
+package org.cranberrybend.controller;
+
+import com.codahale.metrics.MetricRegistry;
+import java.net.URI;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.cranberrybend.controller.configuration.ConfigurationRepository;
+import org.cranberrybend.controller.configuration.ConfigurationSynchroniser;
+import org.cranberrybend.controller.configuration.ConfigurationWatcher;
+import org.cranberrybend.controller.configuration.ConfigurationWriter;
+import org.cranberrybend.controller.configuration.PendingRevocations;
+import org.cranberrybend.controller.configuration.ShardCleaner;
+import org.cranberrybend.controller.operator.KeyService;
+import org.cranberrybend.controller.operator.OperatorInterface;
+import org.cranberrybend.controller.operator.RequestExplainer;
+import org.cranberrybend.controller.schedule.ControllerRanking;
+import org.cranberrybend.controller.schedule.RepeatedTask;
+import org.cranberrybend.controller.schedule.RetryDelay;
+import org.cranberrybend.controller.upstream.InstanceListPoller;
+import org.cranberrybend.core.account.KeyHasher;
+import org.cranberrybend.core.event.EventCode;
+import org.cranberrybend.core.event.HybridClock;
+import org.cranberrybend.core.event.ProcessIdentity;
+import org.cranberrybend.core.time.TimeSource;
+import org.cranberrybend.runtime.admin.AdminServer;
+import org.cranberrybend.runtime.event.EventLog;
+import org.cranberrybend.runtime.http.HttpService;
+import org.cranberrybend.runtime.lifecycle.Service;
+import org.cranberrybend.runtime.lifecycle.ServiceException;
+import org.cranberrybend.runtime.lifecycle.ServiceGroup;
+import org.cranberrybend.runtime.platform.InstanceListClient;
+import org.cranberrybend.runtime.platform.KeyValueClient;
+import org.cranberrybend.wire.node.PeerNode;
+import org.cranberrybend.wire.node.PeerNodeSettings;
+
+/** All parts of a controller, wired together. */
+final class ControllerService implements Service {
+    private static final long RETRY_BASE_MS = 500;
+    private static final long RETRY_MAX_MS = 10_000;
+
+    private final TimeSource time = TimeSource.system();
+    private final UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
+    private final ControllerSettings settings;
+    private final EventLog events;
+    private final PeerNode node;
+    private final ServiceGroup services;
+    private final List<AutoCloseable> clients = new ArrayList<>();
+
+    ControllerService(ControllerSettings settings) {
+        this.settings = settings;
+        ProcessIdentity identity = new ProcessIdentity(
+                settings.instance(), ControllerRanking.ROLE, time.wallMs(), settings.zone(), settings.region());
+        this.events = new EventLog(identity, new HybridClock(time));
+        MetricRegistry metrics = new MetricRegistry();
+        this.node = new PeerNode(
+                new PeerNodeSettings(
+                        identity,
+                        settings.host(),
+                        settings.peerPort(),
+                        settings.host() + ":" + settings.adminPort(),
+                        settings.peers()),
+                events,
+                metrics,
+                time);
+        this.services = new ServiceGroup(services(metrics));
+    }
+
+    private List<Service> services(MetricRegistry metrics) {
+        URI platform = URI.create(settings.platformUrl());
+        KeyValueClient store = closedOnStop(new KeyValueClient(platform));
+        ControllerRanking ranking = new ControllerRanking(node);
+        ConfigurationRepository repository = new ConfigurationRepository(store, time);
+        ConfigurationSynchroniser synchroniser = new ConfigurationSynchroniser(repository, node, events);
+        ConfigurationWriter writer = new ConfigurationWriter(repository, synchroniser, node, time, events);
+        ControllerStatus status = new ControllerStatus(node, time);
+        RequestExplainer explainer = closedOnStop(new RequestExplainer(node));
+        KeyService keys =
+                new KeyService(writer, node, new KeyHasher(settings.keyHashSecret()), new SecureRandom(), events);
+        OperatorInterface operators = new OperatorInterface(
+                settings.operatorTokenDigestHex(),
+                writer,
+                node,
+                keys,
+                node,
+                explainer,
+                status::fields,
+                () -> Map.of("windows", List.of()));
+        ConfigurationWatcher watcher = new ConfigurationWatcher(
+                store,
+                synchroniser,
+                new PendingRevocations(node, writer),
+                new ShardCleaner(store, time),
+                ranking,
+                retryDelay(),
+                events);
+        InstanceListPoller poller = new InstanceListPoller(
+                closedOnStop(new InstanceListClient(platform)),
+                node,
+                ranking,
+                retryDelay(),
+                time,
+                events,
+                settings.instanceListPeriodMs());
+        List<Service> all = new ArrayList<>();
+        all.add(new AdminServer(
+                settings.host(), settings.adminPort(), events, metrics, status::isReady, status::fields));
+        all.add(node);
+        all.add(new RepeatedTask("configuration-watch", watcher, events));
+        all.add(new RepeatedTask("instance-list", poller, events));
+        all.add(new HttpService(settings.host(), settings.operatorPort(), operators.router()));
+        return all;
+    }
+
+    private RetryDelay retryDelay() {
+        return new RetryDelay(RETRY_BASE_MS, RETRY_MAX_MS, random);
+    }
+
+    private <T extends AutoCloseable> T closedOnStop(T client) {
+        clients.add(client);
+        return client;
+    }
+
+    @Override
+    public void start() throws ServiceException {
+        services.start();
+        events.record(EventCode.PROCESS_STARTED, settings.instance(), Map.of("role", ControllerRanking.ROLE));
+    }
+
+    @Override
+    public void stop() {
+        events.record(EventCode.PROCESS_STOPPING, settings.instance(), Map.of());
+        node.leave();
+        services.stop();
+        for (AutoCloseable client : clients) {
+            try {
+                client.close();
+            } catch (Exception e) {
+                events.record(EventCode.INTERNAL_FAILURE, "stop", Map.of("reason", String.valueOf(e)));
+            }
+        }
+        events.record(EventCode.PROCESS_STOPPED, settings.instance(), Map.of());
+    }
+}
--- a/cranberrybend-controller/src/main/java/org/cranberrybend/controller/operator/OperatorInterface.java
+++ b/cranberrybend-controller/src/main/java/org/cranberrybend/controller/operator/OperatorInterface.java
@@ -20,6 +20,8 @@
 
 /** Endpoints of the operators' interface. Every request needs the operators' bearer token. */
 public final class OperatorInterface {
+    private static final String DEFAULT_AUTHOR = "operator";
+
     private final OperatorAuthentication authentication;
     private final ConfigurationWriter writer;
     private final ConfigurationStore accepted;
@@ -142,12 +144,12 @@
     }
 
     private JsonResponse issueKey(JsonRequest request) throws RequestFailedException {
-        String author = OperatorAuthentication.author(request, "");
+        String author = OperatorAuthentication.author(request, DEFAULT_AUTHOR);
         return JsonResponse.json(201, keys.issue(request.pathParameter("name"), author));
     }
 
     private JsonResponse revokeKey(JsonRequest request) throws RequestFailedException {
-        String author = OperatorAuthentication.author(request, "");
+        String author = OperatorAuthentication.author(request, DEFAULT_AUTHOR);
         Revocation revocation = keys.revoke(request.pathParameter("name"), request.pathParameter("key_id"), author);
         return JsonResponse.json(revocation.pending() ? 202 : 200, revocation);
     }
