--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/accept/CallerListener.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/accept/CallerListener.java
@@ -150,7 +150,7 @@
                 1_000, ErrorCode.RATE_LIMITED, limits.maxConnections() + " connections of this instance");
         String requestId = requestIds.get();
         String body = new String(ErrorBody.json(failure, requestId), StandardCharsets.UTF_8);
-        String response = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\n"
+        String response = "HTTP/1.1 429 Too Many Requests\r\nConnection: close\r\nRetry-After: 1\r\n"
                 + "Content-Type: application/json\r\nX-Request-Id: " + requestId + "\r\nContent-Length: "
                 + body.length() + "\r\n\r\n" + body;
         try (socket) {
--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/accept/CallerResponse.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/accept/CallerResponse.java
@@ -63,7 +63,9 @@
         ClassicHttpResponse response = head(status, headers);
         boolean bodyAllowed = status >= 200 && status != 204 && status != 304;
         if (bodyAllowed) {
-            response.setHeader(HttpHeaders.CONTENT_LENGTH, body.length);
+            if (!request.method().equals("HEAD")) {
+                response.setHeader(HttpHeaders.CONTENT_LENGTH, body.length);
+            }
             if (contentType != null) {
                 response.setHeader(HttpHeaders.CONTENT_TYPE, contentType);
             }
--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/accept/RequestFraming.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/accept/RequestFraming.java
@@ -15,6 +15,9 @@
     private RequestFraming() {}
 
     static void check(ClassicHttpRequest http, int maxHeaderBytes) throws RequestFailedException {
+        if (http.getPath() == null || !http.getPath().startsWith("/")) {
+            throw RequestFailedException.notRun(ErrorCode.INVALID_FIELD, "path", "must start with '/'");
+        }
         long headerBytes = http.getMethod().length() + http.getPath().length();
         for (Header header : http.getHeaders()) {
             headerBytes += header.getName().length()
@@ -42,9 +45,6 @@
                 && !"100-continue".equals(String.valueOf(expect.getValue()).toLowerCase(Locale.ROOT))) {
             throw invalid(HttpHeaders.EXPECT, "must be \"100-continue\"");
         }
-        if (!http.getPath().startsWith("/")) {
-            throw RequestFailedException.notRun(ErrorCode.INVALID_FIELD, "path", "must start with '/'");
-        }
     }
 
     private static RequestFailedException invalid(String header, String reason) {
--- a/cranberrybend-router/src/test/java/org/cranberrybend/router/ServiceRoutesTest.java
+++ b/cranberrybend-router/src/test/java/org/cranberrybend/router/ServiceRoutesTest.java
@@ -39,6 +39,7 @@
                 "GET /stock|Proxy-Authorization: Bearer KEY",
                 "GET /stock|Proxy-Authorization: Basic BASE64",
                 "GET /stock|Cookie: session=KEY; other=1",
+                "GET /stock|Cookie: session=BASE64",
                 "GET /stock|X-Desk-Key: KEY",
                 "GET /stock|X-Other: KEY",
                 "GET /stock|X-Other: prefix KEY suffix",
