--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/admission/ClassShares.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/admission/ClassShares.java
@@ -13,13 +13,14 @@
  * slot. A class with positive credit and waiting work is behind its share and holds one guaranteed slot. Over any period
  * in which a class always has waiting work it therefore receives its share, less the largest request.
  *
- * <p>Edge cases: a class without waiting work saves up no more than one token. That one token makes its first request
- * hold the guaranteed slot on arrival; without it, a class whose requests are all refused on arrival would never have
- * waiting work and would starve. Shares that add up to more than 1 are scaled down to 1. Service outside the guaranteed
+ * <p>Edge cases: a class without waiting work saves up only its share of a short burst. With that credit its first
+ * request holds the guaranteed slot on arrival; without any, a class whose requests are all refused on arrival would never
+ * have waiting work and would starve. Shares that add up to more than 1 are scaled down to 1. Service outside the guaranteed
  * slot never creates a debt, so a class that used idle capacity keeps its guarantee.
  */
 public final class ClassShares {
-    private static final double IDLE_CREDIT_TOKENS = 1;
+    // One token was too little: a class whose requests are refused while it pays off an advance lost 10% of its share.
+    private static final double IDLE_BURST_TOKENS = 8_192;
     // Bounds the burst of a class whose requests could not be placed for a while because of exclusions.
     private static final double CREDIT_MAX_TOKENS = 65_536;
     // Operators rarely define more than a few dozen classes; more entries are left over from renamed ones.
@@ -88,7 +89,7 @@
 
     private Share share(RequestClass requestClass) {
         if (shares.size() > CLASSES_KEPT) {
-            shares.values().removeIf(share -> share.waiting == 0 && share.creditTokens >= IDLE_CREDIT_TOKENS);
+            shares.values().removeIf(share -> share.waiting == 0 && share.creditTokens >= share.idleCreditTokens());
         }
         Share share = shares.computeIfAbsent(ClassKey.of(requestClass), key -> new Share());
         share.ratio = requestClass.guaranteedShareRatio();
@@ -97,8 +98,8 @@
 
     private static final class Share {
         private double ratio;
-        /** At most one token while nothing waits. */
-        private double creditTokens = IDLE_CREDIT_TOKENS;
+        /** At most the share of the idle burst while nothing waits. */
+        private double creditTokens = 1;
 
         private int waiting;
 
@@ -106,8 +107,12 @@
             return ratio > 0 && creditTokens > 0;
         }
 
+        double idleCreditTokens() {
+            return Math.max(1, ratio * IDLE_BURST_TOKENS);
+        }
+
         void cap() {
-            creditTokens = Math.min(creditTokens, waiting == 0 ? IDLE_CREDIT_TOKENS : CREDIT_MAX_TOKENS);
+            creditTokens = Math.min(creditTokens, waiting == 0 ? idleCreditTokens() : CREDIT_MAX_TOKENS);
         }
     }
 }
--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/routing/EngineLoad.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/routing/EngineLoad.java
@@ -227,7 +227,7 @@
     }
 
     private void learnPrefill(long promptTokens, long firstTokenMs, double predictedMs) {
-        if (Double.isNaN(predictedMs) || predictedMs <= 0) {
+        if (Double.isNaN(prefillMsPerToken) || Double.isNaN(predictedMs) || predictedMs <= 0) {
             prefillMsPerToken =
                     smooth(prefillMsPerToken, Math.max(1, firstTokenMs) / (double) (promptTokens + OVERHEAD_TOKENS));
         } else {
--- /dev/null
+++ b/cranberrybend-core/src/test/java/org/cranberrybend/core/routing/RoutingRulesTest.java
@@ -0,0 +1,128 @@
+package org.cranberrybend.core.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class RoutingRulesTest {
+    private static final Map<String, String> REGIONS =
+            Map.of("szeged-a", "alfold", "debrecen-a", "alfold", "gyor-a", "dunantul");
+
+    private static Upstream engine(String id, boolean leaving) {
+        return new Upstream(
+                id,
+                "szeged-a",
+                "alfold",
+                "127.0.0.1",
+                9_000,
+                UpstreamKind.ENGINE,
+                Set.of("stub"),
+                8,
+                Market.GUARANTEED,
+                true,
+                leaving);
+    }
+
+    private static EngineLoad measured(String id, double tokenMs) {
+        EngineLoad load = new EngineLoad(engine(id, false), 0);
+        load.recordSuccess(100, 101, 100, 100 + Math.round(100 * tokenMs), Double.NaN, 1_000, 0);
+        return load;
+    }
+
+    // Guards against traffic over the billed link while the region itself could serve, or beyond the budget.
+    @ParameterizedTest
+    @CsvSource({
+        "szeged-a, alfold, 1000, 1000, szeged-a debrecen-a gyor-a",
+        "szeged-a, alfold, 1000, 1001, szeged-a debrecen-a",
+        "gyor-a, dunantul, 1000, 1001, gyor-a",
+        "debrecen-a, alfold, 0, 1, debrecen-a szeged-a",
+    })
+    void orderOfZones(String zone, String region, long budgetBytes, long bytes, String expected) {
+        ZonePreference preference = new ZonePreference(zone, region, new LinkBudget(10, budgetBytes, 0));
+        assertThat(preference.order(REGIONS, bytes, 0))
+                .containsExactlyElementsIn(expected.split(" "))
+                .inOrder();
+    }
+
+    // Guards against a budget that refills beyond its burst, or forgets an overdraft.
+    @ParameterizedTest
+    @CsvSource({"600, 0, 0, 400", "600, 0, 10000, 1000", "600, 600, 0, -200", "600, 600, 3000, 100", "0, 0, 99000, 1000"
+    })
+    void linkBudget(long takenBytes, long overdrawnBytes, long afterMs, long allowedBytes) {
+        LinkBudget budget = new LinkBudget(100, 1_000, 0);
+        budget.tryTake(takenBytes, 0);
+        budget.correct(overdrawnBytes, 0);
+        assertThat(budget.allows(allowedBytes, afterMs)).isTrue();
+        assertThat(budget.allows(allowedBytes + 1, afterMs)).isFalse();
+    }
+
+    // Guards against a failed engine that attracts requests because it fails fast, and against a full load at once
+    // after
+    // it comes back.
+    @Test
+    void circuitOpensProbesAndStartsSlowly() {
+        EngineLoad load = new EngineLoad(engine("a", false), 0);
+        for (int failure = 0; failure < 3; failure++) {
+            load.occupy(10, 0);
+            load.vacate();
+            load.recordFailure(0);
+        }
+        assertThat(load.freeSlots(999)).isEqualTo(0);
+        assertThat(load.freeSlots(1_000)).isEqualTo(1);
+        load.occupy(10, 1_000);
+        assertThat(load.freeSlots(1_001)).isEqualTo(0);
+        load.vacate();
+        load.recordSuccess(10, 10, 10, 100, Double.NaN, 1_000, 1_100);
+        assertThat(load.freeSlots(1_100)).isEqualTo(1);
+        assertThat(load.freeSlots(6_100)).isGreaterThan(1);
+        assertThat(load.freeSlots(6_100)).isLessThan(7);
+        assertThat(load.freeSlots(11_100)).isGreaterThan(4);
+    }
+
+    // Guards against new requests to an upstream that refused as leaving while the lagging list still shows it as live.
+    @Test
+    void leavingIsNotUndoneByAnOlderList() {
+        EngineSelector selector = new EngineSelector();
+        selector.setUpstreams(List.of(engine("a", false)), id -> 0);
+        selector.load("a").orElseThrow().markLeaving();
+        selector.setUpstreams(List.of(engine("a", false)), id -> 0);
+        assertThat(selector.hasUsable(Set.of())).isFalse();
+        assertThat(selector.select(1, 1, Set.of(), "", 0)).isEmpty();
+    }
+
+    // Guards against a limit that stays up while the engine is overloaded.
+    @ParameterizedTest
+    @CsvSource({"20, 100, 8", "45, 100, 8", "55, 100, 7", "30, 25, 7"})
+    void limitFollowsMeasuredLatency(double tokenMs, double targetMs, int expectedSlots) {
+        EngineLoad load = measured("a", 20);
+        load.occupy(10, 0);
+        load.vacate();
+        load.recordSuccess(100, 101, 100, 100 + Math.round(100 * tokenMs), 100, targetMs, 100_000);
+        assertThat(load.limit(100_000)).isEqualTo(expectedSlots);
+    }
+
+    // Guards against a slow engine that is treated like a fast one.
+    @Test
+    void fasterEngineIsChosenUntilItIsMuchFuller() {
+        EngineSelector selector = new EngineSelector();
+        selector.setUpstreams(List.of(engine("fast", false), engine("slow", false)), id -> 0);
+        for (int sample = 0; sample < 20; sample++) {
+            selector.load("fast").orElseThrow().recordSuccess(100, 101, 100, 2_100, 100, 1_000, 0);
+            selector.load("slow").orElseThrow().recordSuccess(100, 101, 200, 4_200, 200, 1_000, 0);
+        }
+        int slow = 0;
+        for (int request = 0; request < 12; request++) {
+            EngineLoad chosen = selector.select(0, 100, Set.of(), "", 0).orElseThrow();
+            chosen.occupy(0, 0);
+            slow += chosen.upstream().id().equals("slow") ? 1 : 0;
+            assertThat(request > 0 || slow == 0).isTrue();
+        }
+        assertThat(slow).isGreaterThan(1);
+        assertThat(slow).isLessThan(6);
+    }
+}
