--- a/cranberrybend-runtime/src/main/java/org/cranberrybend/runtime/lifecycle/DaemonProgram.java
+++ b/cranberrybend-runtime/src/main/java/org/cranberrybend/runtime/lifecycle/DaemonProgram.java
@@ -19,6 +19,11 @@
  * @param <S> settings record of the daemon
  */
 public abstract class DaemonProgram<S> {
+    private static final String LOG_FORMAT_PROPERTY = "java.util.logging.SimpleFormatter.format";
+
+    /** Message and stack trace only: an event is a whole JSON line with its own time stamp and severity. */
+    private static final String LOG_FORMAT = "%5$s%6$s%n";
+
     private final String name;
     private final SettingsLoader<S> settingsLoader;
 
@@ -33,6 +38,7 @@
 
     /** Runs the daemon until it is stopped, and returns its exit code. */
     public final ExitCode run(String[] arguments, PrintStream out, PrintStream err) {
+        System.setProperty(LOG_FORMAT_PROPERTY, LOG_FORMAT);
         Options options = options();
         CommandLine line;
         try {
