--- a/cranberrybend-wire/src/main/java/org/cranberrybend/wire/node/ConfigurationReplication.java
+++ b/cranberrybend-wire/src/main/java/org/cranberrybend/wire/node/ConfigurationReplication.java
@@ -37,6 +37,9 @@
     /** Bound on concurrent requests, so that a silent peer does not keep this process from asking others. */
     private static final int MAX_CONCURRENT_REQUESTS = 3;
 
+    /** Time before a member whose answer did not help is asked again; every frame from it would ask otherwise. */
+    private static final long RETRY_DELAY_MS = 1_000;
+
     private static final int MAX_REPORTED_DIVERGENCES = 256;
 
     /** The configuration lock: the first in lock order. Guards the replica and the history. */
@@ -48,7 +51,9 @@
     private final PeerGroup peers;
     private final ChangeListeners listeners;
     private final StoreConfirmation confirmation;
+    private final TimeSource timeSource;
     private final Set<String> askedMembers = ConcurrentHashMap.newKeySet();
+    private final Map<String, Long> retryAtMs = new ConcurrentHashMap<>();
     private final Set<String> reportedDivergences = ConcurrentHashMap.newKeySet();
 
     /** State and view of the same revision; replaced under the lock, read without it. */
@@ -67,6 +72,7 @@
         this.eventLog = eventLog;
         this.peers = peers;
         this.listeners = listeners;
+        this.timeSource = timeSource;
         this.confirmation = new StoreConfirmation(timeSource);
         PeerMessages.onRequest(peers, Envelope.BodyCase.CONFIGURATION_REQUEST, this::answer);
         PeerMessages.onMessage(peers, Envelope.BodyCase.CONFIGURATION_DELTA, this::receiveDelta);
@@ -249,7 +255,8 @@
 
     /** Asks one member for newer configuration; completes when its answer was applied, with whether it had any. */
     CompletableFuture<Boolean> ask(String memberId, String address) {
-        if (askedMembers.size() >= MAX_CONCURRENT_REQUESTS || !askedMembers.add(memberId)) {
+        boolean tooEarly = timeSource.monotonicMs() < retryAtMs.getOrDefault(memberId, Long.MIN_VALUE);
+        if (tooEarly || askedMembers.size() >= MAX_CONCURRENT_REQUESTS || !askedMembers.add(memberId)) {
             return CompletableFuture.completedFuture(false);
         }
         long revision = state().revision();
@@ -258,7 +265,14 @@
         return peers.messenger()
                 .request(address, request, REQUEST_TIMEOUT_MS)
                 .thenApply(this::receiveAnswer)
-                .whenComplete((progressed, failure) -> askedMembers.remove(memberId));
+                .whenComplete((progressed, failure) -> {
+                    if (failure == null && progressed) {
+                        retryAtMs.remove(memberId);
+                    } else {
+                        retryAtMs.put(memberId, timeSource.monotonicMs() + RETRY_DELAY_MS);
+                    }
+                    askedMembers.remove(memberId);
+                });
     }
 
     private boolean receiveAnswer(Envelope frame) {
--- a/cranberrybend-wire/src/main/java/org/cranberrybend/wire/node/PeerGroup.java
+++ b/cranberrybend-wire/src/main/java/org/cranberrybend/wire/node/PeerGroup.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import java.util.function.Supplier;
 import org.cranberrybend.core.event.ProcessIdentity;
@@ -17,11 +18,13 @@
     private final ProcessIdentity self;
     private final Supplier<List<Member>> members;
     private final PeerMessenger messenger;
+    private final Random random;
 
-    PeerGroup(ProcessIdentity self, Supplier<List<Member>> members, PeerMessenger messenger) {
+    PeerGroup(ProcessIdentity self, Supplier<List<Member>> members, PeerMessenger messenger, Random random) {
         this.self = self;
         this.members = members;
         this.messenger = messenger;
+        this.random = random;
     }
 
     PeerMessenger messenger() {
@@ -54,7 +57,7 @@
      */
     void sendToOwnZoneAndRelays(Envelope.Builder message) {
         List<Member> shuffled = new ArrayList<>(others());
-        Collections.shuffle(shuffled);
+        Collections.shuffle(shuffled, random);
         Set<String> reached = new HashSet<>();
         sendTo(
                 shuffled.stream()
--- a/cranberrybend-wire/src/main/java/org/cranberrybend/wire/node/PeerNode.java
+++ b/cranberrybend-wire/src/main/java/org/cranberrybend/wire/node/PeerNode.java
@@ -4,6 +4,7 @@
 import com.google.common.util.concurrent.ThreadFactoryBuilder;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -79,7 +80,7 @@
         this.listeners = new ChangeListeners(notifier);
         this.upstreamListeners = new ChangeListeners(notifier);
         this.transport = new PeerTransport(transportSettings, new Context(), metrics);
-        PeerGroup peers = new PeerGroup(identity, this::members, transport);
+        PeerGroup peers = new PeerGroup(identity, this::members, transport, new Random());
         this.configuration = new ConfigurationReplication(eventLog, timeSource, peers, listeners);
         this.revocations = new RevocationReplication(eventLog, peers, listeners);
         this.upstreams = new UpstreamReplication(peers, upstreamListeners);
--- /dev/null
+++ b/cranberrybend-wire/src/test/java/org/cranberrybend/wire/SilentPeer.java
@@ -0,0 +1,51 @@
+package org.cranberrybend.wire;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** Accepts connections and neither reads from them nor answers. */
+public final class SilentPeer implements Closeable {
+    private final ServerSocket server;
+    private final List<Socket> accepted = new CopyOnWriteArrayList<>();
+
+    /** Listens on a free port of the loopback interface. */
+    public SilentPeer() throws IOException {
+        server = new ServerSocket(0, 64, InetAddress.getByName("127.0.0.1"));
+        Thread acceptor = new Thread(this::acceptAll, "silent-peer");
+        acceptor.setDaemon(true);
+        acceptor.start();
+    }
+
+    private void acceptAll() {
+        try {
+            while (true) {
+                accepted.add(server.accept());
+            }
+        } catch (IOException ignored) {
+            // Closed at the end of the test.
+        }
+    }
+
+    /** Returns the address, {@code host:port}. */
+    public String address() {
+        return "127.0.0.1:" + server.getLocalPort();
+    }
+
+    /** Returns the number of connections accepted so far. */
+    public int acceptedCount() {
+        return accepted.size();
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        for (Socket socket : accepted) {
+            socket.close();
+        }
+    }
+}
--- a/cranberrybend-wire/src/test/java/org/cranberrybend/wire/node/PeerNodeTest.java
+++ b/cranberrybend-wire/src/test/java/org/cranberrybend/wire/node/PeerNodeTest.java
@@ -11,6 +11,7 @@
 import org.cranberrybend.core.routing.Upstream;
 import org.cranberrybend.core.routing.UpstreamKind;
 import org.cranberrybend.wire.Await;
+import org.cranberrybend.wire.SilentPeer;
 import org.junit.jupiter.api.Test;
 
 class PeerNodeTest {
@@ -91,4 +92,23 @@
             assertThat(second.member("entry-3/router")).isEmpty();
         }
     }
+
+    // Guards against a silent process that keeps the others from finding each other and exchanging state.
+    @Test
+    void silentPeerDoesNotBlockTheOthers() throws Exception {
+        try (Fleet fleet = new Fleet();
+                SilentPeer silent = new SilentPeer()) {
+            PeerNode first = fleet.start("entry-1", "szeged-a", List.of(silent.address()));
+            PeerNode second = fleet.start(
+                    "entry-2",
+                    "szeged-a",
+                    List.of(silent.address(), first.self().peerAddress()));
+            awaitMembers(2, first, second);
+
+            first.offer(Fleet.changeAfter(first.state(), "ana"));
+
+            Await.until("revision 1", () -> second.state().equals(first.state()));
+            Await.until("the silent peer was contacted", () -> silent.acceptedCount() > 1);
+        }
+    }
 }
--- /dev/null
+++ b/cranberrybend-wire/src/test/java/org/cranberrybend/wire/transport/PeerTransportTest.java
@@ -0,0 +1,259 @@
+package org.cranberrybend.wire.transport;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.protobuf.ByteString;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.cranberrybend.wire.Await;
+import org.cranberrybend.wire.SilentPeer;
+import org.cranberrybend.wire.generated.Ack;
+import org.cranberrybend.wire.generated.Envelope;
+import org.cranberrybend.wire.generated.Hello;
+import org.cranberrybend.wire.generated.Ping;
+import org.cranberrybend.wire.generated.SlotCancel;
+import org.cranberrybend.wire.generated.UsageAck;
+import org.cranberrybend.wire.generated.UsageFlush;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class PeerTransportTest {
+    private static final long LONG_MS = 60_000;
+    private static final int MAX_FRAME_BYTES = 1 << 16;
+
+    private final List<PeerTransport> transports = new ArrayList<>();
+    private final MetricRegistry metrics = new MetricRegistry();
+
+    private enum TestContext implements PeerContext {
+        INSTANCE;
+
+        @Override
+        public void stamp(Envelope.Builder frame) {
+            frame.setSender("entry-1/router");
+        }
+
+        @Override
+        public Envelope.Builder greeting() {
+            return Envelope.newBuilder().setHello(Hello.getDefaultInstance());
+        }
+
+        @Override
+        public void observe(Envelope frame) {}
+    }
+
+    private PeerTransport create(MetricRegistry registry, long keepAliveMs, long silenceMs) {
+        PeerTransportSettings settings = new PeerTransportSettings(
+                "127.0.0.1", 0, keepAliveMs, silenceMs, 1_000, 0, MAX_FRAME_BYTES, 4 * MAX_FRAME_BYTES);
+        PeerTransport transport = new PeerTransport(settings, TestContext.INSTANCE, registry);
+        transports.add(transport);
+        return transport;
+    }
+
+    private PeerTransport startResponder() throws Exception {
+        PeerTransport responder = create(new MetricRegistry(), 20_000, LONG_MS);
+        responder.register(Envelope.BodyCase.PING, frame -> Optional.of(ack()));
+        responder.start();
+        return responder;
+    }
+
+    private PeerTransport startClient(long silenceMs) throws Exception {
+        PeerTransport client = create(metrics, silenceMs / 4, silenceMs);
+        client.start();
+        return client;
+    }
+
+    private static String address(PeerTransport transport) {
+        return "127.0.0.1:" + transport.port();
+    }
+
+    private static Envelope.Builder ping() {
+        return Envelope.newBuilder().setPing(Ping.getDefaultInstance());
+    }
+
+    private static Envelope.Builder ack() {
+        return Envelope.newBuilder().setAck(Ack.newBuilder().setReached(true));
+    }
+
+    private long count(String name) {
+        return metrics.counter(name).getCount();
+    }
+
+    @AfterEach
+    void stopAll() {
+        transports.forEach(PeerTransport::stop);
+    }
+
+    // Guards against counters that miss a message type or the frame's prefix.
+    @Test
+    void requestIsAnsweredAndCounted() throws Exception {
+        PeerTransport client = startClient(LONG_MS);
+
+        Envelope answer =
+                client.request(address(startResponder()), ping(), LONG_MS).get();
+
+        assertThat(answer.getAck().getReached()).isTrue();
+        assertThat(count("peer_frames_received{type=\"Ack\"}")).isEqualTo(1);
+        assertThat(count("peer_bytes_received{type=\"Ack\"}"))
+                .isEqualTo(answer.getSerializedSize() + TransportMetrics.PREFIX_BYTES);
+        Await.until("ping is counted", () -> count("peer_frames_sent{type=\"Ping\"}") == 1);
+    }
+
+    // Guards against a stalled connection that holds up requests to others, or is used for ever.
+    @Test
+    void silentPeerTimesOutAndIsContactedOnNewConnection() throws Exception {
+        try (SilentPeer silent = new SilentPeer()) {
+            PeerTransport client = startClient(10 * LONG_MS);
+            CompletableFuture<Envelope> unanswered = client.request(silent.address(), ping(), 50);
+
+            assertThat(client.request(address(startResponder()), ping(), LONG_MS)
+                            .get()
+                            .hasAck())
+                    .isTrue();
+            ExecutionException failure = assertThrows(ExecutionException.class, unanswered::get);
+            assertThat(failure).hasCauseThat().isInstanceOf(TimeoutException.class);
+            Await.until("a new connection", () -> {
+                client.request(silent.address(), ping(), 50);
+                return silent.acceptedCount() > 1;
+            });
+        }
+    }
+
+    // Guards against a connection without received frames that is never closed.
+    @Test
+    void silentConnectionIsClosedAndReopened() throws Exception {
+        try (SilentPeer silent = new SilentPeer()) {
+            PeerTransport client = startClient(200);
+
+            client.send(silent.address(), ping());
+
+            Await.until("the connection is reopened", () -> silent.acceptedCount() > 1);
+            assertThat(count("peer_connections_silent")).isAtLeast(1);
+        }
+    }
+
+    // Guards against an idle connection whose ends send no keep-alives.
+    @Test
+    void idleConnectionCarriesKeepAlives() throws Exception {
+        PeerTransport responder = create(new MetricRegistry(), 20, LONG_MS);
+        responder.start();
+        PeerTransport client = create(metrics, 20, LONG_MS);
+        client.start();
+
+        client.send(address(responder), ping());
+
+        Await.until("keep-alives received", () -> count("peer_frames_received{type=\"KeepAlive\"}") > 2);
+        Await.until("keep-alives sent", () -> count("peer_frames_sent{type=\"KeepAlive\"}") > 2);
+    }
+
+    // Guards against a response that is taken for the answer to another request.
+    @Test
+    void responseWithoutRequestIsDropped() throws Exception {
+        PeerTransport receiver = startClient(LONG_MS);
+        Envelope response = ack().setCorrelationId(1).setResponse(true).build();
+
+        try (Socket socket = new Socket("127.0.0.1", receiver.port());
+                DataOutputStream out = new DataOutputStream(socket.getOutputStream())) {
+            out.writeInt(response.getSerializedSize());
+            out.write(response.toByteArray());
+
+            Await.until("dropped", () -> count("peer_frames_dropped{reason=\"unknown_correlation\"}") == 1);
+        }
+    }
+
+    // Guards against a peer that exhausts the memory with one frame.
+    @Test
+    void oversizedFrameClosesTheConnection() throws Exception {
+        PeerTransport receiver = startClient(LONG_MS);
+
+        try (Socket socket = new Socket("127.0.0.1", receiver.port());
+                DataOutputStream out = new DataOutputStream(socket.getOutputStream())) {
+            out.writeInt(MAX_FRAME_BYTES + 1);
+            out.write(new byte[1]);
+
+            assertThat(socket.getInputStream().read()).isEqualTo(-1);
+            assertThat(count("peer_frames_dropped{reason=\"invalid\"}")).isEqualTo(1);
+        }
+    }
+
+    // Guards against a peer that does not read and makes the frames for it pile up.
+    @Test
+    void framesAreDroppedWhenTheBufferIsFull() throws Exception {
+        try (SilentPeer silent = new SilentPeer()) {
+            PeerTransport client = startClient(LONG_MS);
+            Envelope.Builder large = Envelope.newBuilder()
+                    .setSlotCancel(SlotCancel.newBuilder()
+                            .setRequestIdBytes(ByteString.copyFrom(new byte[MAX_FRAME_BYTES / 2])));
+
+            Await.until("frames are dropped", () -> {
+                client.send(silent.address(), large.clone());
+                return count("peer_frames_dropped{reason=\"buffer_full\"}") > 0;
+            });
+            assertThat(client.request(address(startResponder()), ping(), LONG_MS)
+                            .get()
+                            .hasAck())
+                    .isTrue();
+        }
+    }
+
+    // Guards against probes that wait behind the handlers of large messages.
+    @Test
+    void blockedBulkHandlersDoNotDelayProbes() throws Exception {
+        CountDownLatch released = new CountDownLatch(1);
+        PeerTransport responder = create(new MetricRegistry(), 20_000, LONG_MS);
+        responder.register(Envelope.BodyCase.PING, frame -> Optional.of(ack()));
+        responder.register(Envelope.BodyCase.USAGE_FLUSH, frame -> {
+            awaitUninterrupted(released);
+            return Optional.of(Envelope.newBuilder().setUsageAck(UsageAck.getDefaultInstance()));
+        });
+        responder.start();
+        PeerTransport client = startClient(LONG_MS);
+        List<CompletableFuture<Envelope>> flushes = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            Envelope.Builder flush = Envelope.newBuilder().setUsageFlush(UsageFlush.getDefaultInstance());
+            flushes.add(client.request(address(responder), flush, LONG_MS));
+        }
+
+        assertThat(client.request(address(responder), ping(), LONG_MS).get().hasAck())
+                .isTrue();
+        assertThat(flushes.stream().noneMatch(CompletableFuture::isDone)).isTrue();
+        released.countDown();
+        for (CompletableFuture<Envelope> flush : flushes) {
+            assertThat(flush.get().hasUsageAck()).isTrue();
+        }
+    }
+
+    private static void awaitUninterrupted(CountDownLatch latch) {
+        try {
+            latch.await(LONG_MS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    // Guards against a request that waits for its whole timeout although nobody listens.
+    @Test
+    void requestToClosedPortFailsAtOnce() throws Exception {
+        String closed;
+        try (SilentPeer peer = new SilentPeer()) {
+            closed = peer.address();
+        }
+        PeerTransport client = startClient(LONG_MS);
+
+        ExecutionException failure =
+                assertThrows(ExecutionException.class, () -> client.request(closed, ping(), LONG_MS)
+                        .get());
+
+        assertThat(failure).hasCauseThat().isInstanceOf(IOException.class);
+    }
+}
