Bound spillover between regions, wait after a pause, and correct a false not_run

Cause, found while reading the router against the invariants: - Requests moved to other regions without any bound, although the link is slow and billed. ZoneCandidates now uses ZonePreference with a byte budget per router; a running response is not cut, its excess is paid off first. - A router that was paused served the next request with the configuration from before the pause, so a key revoked meanwhile worked once more. Authentication now waits until a peer was asked (3 s at most). - A repeat of a running keyed order was refused with not_run, which invites the caller to order again. It says outcome_unknown. - key_id could contain '_', which the text of a key uses as a separator, and such keys were always unknown. path_prefix "/" and "/v1/models" were accepted and shadowed by the model interface. Both are refused now.

Ruled out: a bound on the number of spilled requests, because their sizes differ by three orders of magnitude.

--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/account/ApiKey.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/account/ApiKey.java
@@ -10,6 +10,9 @@
 public record ApiKey(String keyId, String digestHex, boolean revoked) {
     public ApiKey {
         Checks.name("key_id", keyId);
+        if (keyId.indexOf(KeyHasher.SEPARATOR) >= 0) {
+            throw new IllegalArgumentException("key_id must not contain '" + KeyHasher.SEPARATOR + "': " + keyId);
+        }
         if (digestHex == null || !digestHex.matches("[0-9a-f]{64}")) {
             throw new IllegalArgumentException("digest_hex must have 64 hexadecimal digits");
         }
--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/account/KeyHasher.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/account/KeyHasher.java
@@ -9,7 +9,10 @@
 /** Keyed hash of callers' keys, so that a copy of the configuration does not reveal or confirm a key. */
 public final class KeyHasher {
     private static final int MIN_SECRET_BYTES = 16;
-    private static final String PREFIX = "cbk_";
+    /** Stands between the prefix, the key identifier and the secret of a key. */
+    static final char SEPARATOR = '_';
+
+    private static final String PREFIX = "cbk" + SEPARATOR;
 
     private final HashFunction hmac;
 
@@ -24,7 +27,7 @@
 
     /** Returns the text of a key, {@code cbk_{keyId}_{secret}}. */
     public static String keyText(String keyId, String secret) {
-        return PREFIX + keyId + "_" + secret;
+        return PREFIX + keyId + SEPARATOR + secret;
     }
 
     /** Returns the key identifier inside the text of a key, or empty if the text does not have the form of a key. */
@@ -32,7 +35,7 @@
         if (!keyText.startsWith(PREFIX)) {
             return Optional.empty();
         }
-        int end = keyText.indexOf('_', PREFIX.length());
+        int end = keyText.indexOf(SEPARATOR, PREFIX.length());
         return end <= PREFIX.length() ? Optional.empty() : Optional.of(keyText.substring(PREFIX.length(), end));
     }
 
--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/account/RouteRule.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/account/RouteRule.java
@@ -29,8 +29,9 @@
         if (pathPrefix == null || !pathPrefix.startsWith("/")) {
             throw new IllegalArgumentException("path_prefix must start with '/': " + pathPrefix);
         }
-        if (pathPrefix.startsWith("/v1/chat") || pathPrefix.startsWith("/v1/completions")) {
-            throw new IllegalArgumentException("path_prefix must not cover the model interface: " + pathPrefix);
+        if (pathPrefix.equals("/") || pathPrefix.equals("/v1") || pathPrefix.startsWith("/v1/")) {
+            throw new IllegalArgumentException(
+                    "path_prefix must not cover the model interface under /v1: " + pathPrefix);
         }
         Checks.name("service", service);
         methods = methods == null || methods.isEmpty() ? List.of("POST") : List.copyOf(methods);
--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/error/ErrorCode.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/error/ErrorCode.java
@@ -39,7 +39,9 @@
     CONFIGURATION_MISSING(503, Severity.WARNING, "This instance has not received a configuration yet."),
     CONFIGURATION_STALE(503, Severity.WARNING, "This availability zone has been cut off for longer than allowed."),
     IDEMPOTENCY_STORE_UNAVAILABLE(
-            503, Severity.WARNING, "The store of idempotency keys cannot be reached; the request was not run."),
+            503,
+            Severity.WARNING,
+            "The store of idempotency keys cannot be reached; this attempt was not run, an earlier one with this key may have."),
     SHUTTING_DOWN(503, Severity.INFO, "This instance is shutting down."),
     UPSTREAM_TIMEOUT(504, Severity.WARNING, "The upstream did not answer within %d ms."),
     REVISION_CONFLICT(409, Severity.INFO, "The configuration changed from revision %d to %d: %s"),
--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/error/RequestFailedException.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/error/RequestFailedException.java
@@ -33,6 +33,12 @@
         return new RequestFailedException(code, RunState.OUTCOME_UNKNOWN, NO_RETRY_AFTER_MS, arguments);
     }
 
+    /** Creates the error of a request that may have run and whose outcome may be known after the given time. */
+    public static RequestFailedException outcomeUnknownRetryAfter(
+            long retryAfterMs, ErrorCode code, Object... arguments) {
+        return new RequestFailedException(code, RunState.OUTCOME_UNKNOWN, retryAfterMs, arguments);
+    }
+
     /** Creates the error of a request that ran, at least in part. */
     public static RequestFailedException ran(ErrorCode code, Object... arguments) {
         return new RequestFailedException(code, RunState.RAN, NO_RETRY_AFTER_MS, arguments);
--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/RouterService.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/RouterService.java
@@ -96,7 +96,13 @@
         RouterMetrics metrics = new RouterMetrics(process.metrics());
         this.environment = new DispatchEnvironment(
                 process.broker(),
-                new ZoneCandidates(settings.zone(), settings.region(), process.upstreams()),
+                new ZoneCandidates(
+                        settings.zone(),
+                        settings.region(),
+                        process.upstreams(),
+                        timeSource,
+                        settings.linkBytesPerSecond(),
+                        settings.linkBurstBytes()),
                 timeSource,
                 process.jitter(),
                 metrics,
--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/RouterSettings.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/RouterSettings.java
@@ -23,6 +23,8 @@
  * @param upstreamReadTimeoutMs time without a byte from an upstream, in milliseconds
  * @param drainNoticeMs time between failing readiness and closing the listener, in milliseconds
  * @param drainLimitMs time for running requests to finish, in milliseconds
+ * @param linkBytesPerSecond bytes a second of this router's requests on the link between regions
+ * @param linkBurstBytes bytes on the link between regions that may be used at once after a quiet time
  */
 public record RouterSettings(
         String instance,
@@ -42,7 +44,9 @@
         Long upstreamConnectTimeoutMs,
         Long upstreamReadTimeoutMs,
         Long drainNoticeMs,
-        Long drainLimitMs) {
+        Long drainLimitMs,
+        Long linkBytesPerSecond,
+        Long linkBurstBytes) {
     /** Name of the JSON schema beside this class. */
     public static final String SCHEMA = "router-settings.schema.json";
 
@@ -57,6 +61,9 @@
         upstreamReadTimeoutMs = upstreamReadTimeoutMs == null ? 30_000L : upstreamReadTimeoutMs;
         drainNoticeMs = drainNoticeMs == null ? 3_000L : drainNoticeMs;
         drainLimitMs = drainLimitMs == null ? 300_000L : drainLimitMs;
+        // The link carries 2.5 MB/s for all traffic; four routers of a region at this rate use 40% of it.
+        linkBytesPerSecond = linkBytesPerSecond == null ? 250_000L : linkBytesPerSecond;
+        linkBurstBytes = linkBurstBytes == null ? 1_000_000L : linkBurstBytes;
     }
 
     /** Returns the settings without the secret. */
--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/authenticate/Authenticator.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/authenticate/Authenticator.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.cranberrybend.core.account.ClientAccount;
 import org.cranberrybend.core.account.KeyHasher;
 import org.cranberrybend.core.account.Template;
@@ -18,6 +19,7 @@
     private static final String BEARER = "bearer ";
     private static final long OPEN_CUT_OFF_SERVE_SECONDS = 86_400;
     private static final long MS_PER_SECOND = 1_000;
+    private static final long CATCH_UP_CHECK_MS = 5;
 
     private final ConfigurationStore store;
     private final KeyHasher keyHasher;
@@ -29,11 +31,16 @@
     }
 
     /**
-     * Returns the view that the whole request is judged by.
+     * Returns the view that the whole request is judged by. After a pause of this process it waits until a peer was
+     * asked for newer configuration, so that a key revoked during the pause is not accepted.
      *
      * @throws RequestFailedException if this instance has not received a configuration yet
+     * @throws InterruptedException if the router is stopped
      */
-    public ConfigurationView view() throws RequestFailedException {
+    public ConfigurationView view() throws RequestFailedException, InterruptedException {
+        while (store.isCatchingUp()) {
+            TimeUnit.MILLISECONDS.sleep(CATCH_UP_CHECK_MS);
+        }
         ConfigurationView view = store.view();
         if (view.revision() == 0) {
             throw RequestFailedException.notRun(ErrorCode.CONFIGURATION_MISSING);
--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/dispatch/Attempts.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/dispatch/Attempts.java
@@ -10,12 +10,18 @@
 import org.cranberrybend.core.error.ErrorCode;
 import org.cranberrybend.core.error.RequestFailedException;
 import org.cranberrybend.core.event.EventCode;
+import org.cranberrybend.router.route.LinkCharge;
 
 /**
  * The attempts of one request: waits for slots, excludes upstreams that failed, and decides about retries. It is the
  * only retry layer.
  */
 final class Attempts {
+    // One streamed token is one server-sent event of about this size.
+    private static final long BYTES_PER_OUTPUT_TOKEN = 180;
+    private static final long BYTES_PER_PROMPT_TOKEN = 4;
+    private static final long BYTES_PER_REQUEST = 2_048;
+
     private final DispatchEnvironment environment;
     private final RequestContext context;
     private final long promptTokens;
@@ -61,13 +67,15 @@
                 EventCode.REQUEST_DISPATCHED,
                 Map.of("upstream", grant.upstream().id(), "attempt", attemptsMade, "waited_ms", nowMs - queuedMs));
         context.markSent();
-        return new SlotUse(environment.broker(), grant, environment.timeSource());
+        LinkCharge charge = environment.zones().charge(grant.upstream(), linkBytes(promptTokens, expectedOutputTokens));
+        return new SlotUse(environment.broker(), grant, environment.timeSource(), charge);
     }
 
     private SlotGrant acquireInAnyZone() throws RequestFailedException, CallAbortedException, InterruptedException {
         RequestFailedException refusal = null;
+        long expectedBytes = linkBytes(promptTokens, expectedOutputTokens);
         try {
-            for (String zone : environment.zones().zonesFor(context.service())) {
+            for (String zone : environment.zones().zonesFor(context.service(), expectedBytes)) {
                 try {
                     return environment.broker().acquire(toQueuedRequest(), zone, context::isUnwanted);
                 } catch (RequestFailedException e) {
@@ -82,6 +90,11 @@
         throw lastFailure == null ? refusal : toCallerError(lastFailure);
     }
 
+    /** Returns the estimated bytes of a request and its response on the link between regions. */
+    static long linkBytes(long promptTokens, long outputTokens) {
+        return BYTES_PER_REQUEST + promptTokens * BYTES_PER_PROMPT_TOKEN + outputTokens * BYTES_PER_OUTPUT_TOKEN;
+    }
+
     private QueuedRequest toQueuedRequest() {
         return new QueuedRequest(
                 context.requestId(),
--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/dispatch/ServiceDispatcher.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/dispatch/ServiceDispatcher.java
@@ -147,7 +147,8 @@
                         Map.of("first_request", claim.record().requestId()));
                 return replay(claim.record());
             case IN_PROGRESS:
-                throw RequestFailedException.notRunRetryAfter(1_000, ErrorCode.IDEMPOTENCY_IN_PROGRESS);
+                // The operation that the key names is running, so "not_run" would invite the caller to start another.
+                throw RequestFailedException.outcomeUnknownRetryAfter(1_000, ErrorCode.IDEMPOTENCY_IN_PROGRESS);
             case MISMATCH:
                 throw RequestFailedException.notRun(ErrorCode.IDEMPOTENCY_KEY_MISMATCH);
             case OUTCOME_UNKNOWN:
--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/dispatch/SlotUse.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/dispatch/SlotUse.java
@@ -5,22 +5,25 @@
 import org.cranberrybend.core.admission.SlotResult;
 import org.cranberrybend.core.routing.Upstream;
 import org.cranberrybend.core.time.TimeSource;
+import org.cranberrybend.router.route.LinkCharge;
 
 /** A granted slot while it is used. It is released once; closing it without a result counts as cancelled. */
 final class SlotUse implements AutoCloseable {
     private final SlotBroker broker;
     private final SlotGrant grant;
     private final TimeSource timeSource;
+    private final LinkCharge linkCharge;
     private final long startMs;
     private long firstTokenMs = -1;
     private long promptTokens;
     private long outputTokens;
     private boolean released;
 
-    SlotUse(SlotBroker broker, SlotGrant grant, TimeSource timeSource) {
+    SlotUse(SlotBroker broker, SlotGrant grant, TimeSource timeSource, LinkCharge linkCharge) {
         this.broker = broker;
         this.grant = grant;
         this.timeSource = timeSource;
+        this.linkCharge = linkCharge;
         this.startMs = timeSource.monotonicMs();
     }
 
@@ -44,6 +47,7 @@
             return;
         }
         released = true;
+        linkCharge.settle(Attempts.linkBytes(promptTokens, outputTokens));
         long totalMs = timeSource.monotonicMs() - startMs;
         broker.release(grant, new SlotOutcome(result, promptTokens, outputTokens, firstTokenMs, totalMs));
     }
--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/route/ZoneCandidates.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/route/ZoneCandidates.java
@@ -1,50 +1,81 @@
 package org.cranberrybend.router.route;
 
-import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import org.cranberrybend.core.error.ErrorCode;
 import org.cranberrybend.core.error.RequestFailedException;
+import org.cranberrybend.core.routing.LinkBudget;
 import org.cranberrybend.core.routing.Upstream;
+import org.cranberrybend.core.routing.ZonePreference;
+import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.wire.node.UpstreamSource;
 
 /**
  * Availability zones that can serve a request, nearest first: the link between regions is slow and billed, so it is
- * used only when nothing nearer can serve.
+ * used only when nothing nearer can serve and only within this router's byte budget.
  */
 public final class ZoneCandidates {
-    private final String ownZone;
-    private final String ownRegion;
     private final UpstreamSource upstreams;
+    private final TimeSource timeSource;
+    private final Object budgetLock = new Object();
+    private final LinkBudget budget;
+    private final ZonePreference preference;
 
-    /** Creates the candidates of a router in the given zone and region. */
-    public ZoneCandidates(String ownZone, String ownRegion, UpstreamSource upstreams) {
-        this.ownZone = ownZone;
-        this.ownRegion = ownRegion;
+    /**
+     * Creates the candidates of a router in the given zone and region.
+     *
+     * @param linkBytesPerSecond bytes a second that this router may send and receive over the link between regions
+     * @param linkBurstBytes bytes that may be used at once after a quiet time
+     */
+    public ZoneCandidates(
+            String ownZone,
+            String ownRegion,
+            UpstreamSource upstreams,
+            TimeSource timeSource,
+            long linkBytesPerSecond,
+            long linkBurstBytes) {
         this.upstreams = upstreams;
+        this.timeSource = timeSource;
+        this.budget = new LinkBudget(linkBytesPerSecond, linkBurstBytes, timeSource.monotonicMs());
+        this.preference = new ZonePreference(ownZone, ownRegion, budget);
     }
 
     /**
-     * Returns the zones with upstreams for a service: own zone, own region, other regions; by name within each.
+     * Returns the zones with upstreams for a service: own zone, own region, other regions while the budget lasts.
      *
+     * @param expectedBytes bytes of the request and its response
      * @throws RequestFailedException with {@link ErrorCode#NO_UPSTREAM} if there is none
      */
-    public List<String> zonesFor(String service) throws RequestFailedException {
-        List<String> zones = upstreams.upstreams().stream()
-                .filter(each -> !each.leaving() && each.services().contains(service))
-                .sorted(Comparator.comparingInt(this::distance).thenComparing(Upstream::zone))
-                .map(Upstream::zone)
-                .distinct()
-                .toList();
+    public List<String> zonesFor(String service, long expectedBytes) throws RequestFailedException {
+        Map<String, String> regionByZone = new TreeMap<>();
+        for (Upstream upstream : upstreams.upstreams()) {
+            if (!upstream.leaving() && upstream.services().contains(service)) {
+                regionByZone.put(upstream.zone(), upstream.region());
+            }
+        }
+        List<String> zones;
+        synchronized (budgetLock) {
+            zones = preference.order(regionByZone, expectedBytes, timeSource.monotonicMs());
+        }
         if (zones.isEmpty()) {
             throw RequestFailedException.notRun(ErrorCode.NO_UPSTREAM, service);
         }
         return zones;
     }
 
-    private int distance(Upstream upstream) {
-        if (upstream.zone().equals(ownZone)) {
-            return 0;
+    /** Charges the bytes of a request that is sent to an upstream; requests inside the region cost nothing. */
+    public LinkCharge charge(Upstream upstream, long expectedBytes) {
+        if (!preference.usesLink(upstream.zone(), upstream.region())) {
+            return LinkCharge.NONE;
+        }
+        correct(expectedBytes);
+        return actualBytes -> correct(actualBytes - expectedBytes);
+    }
+
+    private void correct(long bytes) {
+        synchronized (budgetLock) {
+            budget.correct(bytes, timeSource.monotonicMs());
         }
-        return upstream.region().equals(ownRegion) ? 1 : 2;
     }
 }
--- a/cranberrybend-router/src/test/java/org/cranberrybend/router/FakeProcess.java
+++ b/cranberrybend-router/src/test/java/org/cranberrybend/router/FakeProcess.java
@@ -8,6 +8,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
 import org.cranberrybend.core.configuration.Acceptance;
 import org.cranberrybend.core.configuration.CanonicalJson;
 import org.cranberrybend.core.configuration.ChangeSet;
@@ -34,6 +35,7 @@
     public final List<Envelope> sent = new CopyOnWriteArrayList<>();
     public volatile boolean acknowledging = true;
     public volatile long ageMs;
+    public volatile BooleanSupplier catchingUp = () -> false;
     private final Map<EntityId, com.fasterxml.jackson.databind.JsonNode> entities = new TreeMap<>();
     private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
     private final List<Runnable> upstreamListeners = new CopyOnWriteArrayList<>();
@@ -108,6 +110,11 @@
         return ageMs;
     }
 
+    @Override
+    public boolean isCatchingUp() {
+        return catchingUp.getAsBoolean();
+    }
+
     @Override
     public void addListener(Runnable listener) {
         listeners.add(listener);
--- a/cranberrybend-router/src/test/java/org/cranberrybend/router/RequestErrorsTest.java
+++ b/cranberrybend-router/src/test/java/org/cranberrybend/router/RequestErrorsTest.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.cranberrybend.core.account.KeyHasher;
 import org.cranberrybend.core.configuration.EntityKind;
 import org.cranberrybend.core.configuration.RevocationSet;
@@ -211,6 +212,22 @@
         }
     }
 
+    /** Guards against accepting a key that was revoked while this process was paused. */
+    @Test
+    void requestWaitsUntilThePausedRouterHasCaughtUp() throws Exception {
+        try (RouterHarness other = new RouterHarness()) {
+            AtomicInteger asked = new AtomicInteger();
+            other.process.catchingUp = () -> {
+                if (asked.getAndIncrement() == 0) {
+                    other.process.revoke(RevocationSet.EMPTY.with("clerk1"));
+                    return true;
+                }
+                return false;
+            };
+            assertRefused(other.send(request("GET", "/v1/models", "", "")), 401, "key_revoked");
+        }
+    }
+
     /** Guards against an account that exceeds its concurrent requests or its tokens per minute. */
     @Test
     void accountLimitsAreEnforced() throws Exception {
--- a/cranberrybend-router/src/test/java/org/cranberrybend/router/ServiceRoutesTest.java
+++ b/cranberrybend-router/src/test/java/org/cranberrybend/router/ServiceRoutesTest.java
@@ -247,7 +247,9 @@
             String keyed = request("POST", "/orders", "Idempotency-Key: seat-12\r\n", "{}");
             socket.getOutputStream().write(keyed.getBytes(StandardCharsets.UTF_8));
             harness.awaitEvent("req-1", EventCode.REQUEST_DISPATCHED);
-            assertThat(harness.send(keyed)).contains("idempotency_in_progress");
+            String repeated = harness.send(keyed);
+            assertThat(repeated).contains("idempotency_in_progress");
+            assertThat(repeated).contains("\"run_state\":\"outcome_unknown\"");
             service.hold.countDown();
             assertThat(new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8))
                     .contains("run 1");
--- a/cranberrybend-wire/src/main/java/org/cranberrybend/wire/node/ConfigurationStore.java
+++ b/cranberrybend-wire/src/main/java/org/cranberrybend/wire/node/ConfigurationStore.java
@@ -36,6 +36,14 @@
     /** Returns the time since any member of the fleet known to this process read the service, in milliseconds. */
     long storeConfirmedAgeMs();
 
+    /**
+     * Returns whether this process was paused and has not yet compared its configuration with a peer. Its configuration
+     * may then be older than a revocation that the rest of the fleet obeys.
+     */
+    default boolean isCatchingUp() {
+        return false;
+    }
+
     /** Adds a listener that is called on a worker thread, without locks, after each change. */
     void addListener(Runnable listener);
 }
--- a/cranberrybend-wire/src/main/java/org/cranberrybend/wire/node/PeerNode.java
+++ b/cranberrybend-wire/src/main/java/org/cranberrybend/wire/node/PeerNode.java
@@ -132,6 +132,7 @@
      * Returns whether this process was paused and has not yet compared its configuration with a peer. Requests wait
      * until then; without a reachable peer the answer is false after 3 s.
      */
+    @Override
     public boolean isCatchingUp() {
         CatchUp current = catchUp;
         return membership.isPaused() || (current.pending() && timeSource.monotonicMs() < current.deadlineMs());
