Hold the order lease of a zone and send upstream orders under it

Cause: the platform must never receive orders from two processes that both believe they hold the lease, and no order twice, also with pauses and lost responses.

LeaseGuard counts the expiry from before the request, less a margin, and a check covers a write for at most one margin. An intent is recorded, changed to sent by compare-and-swap, and only then sent, after a last check. A successor abandons intents that are only intended, so the change to sent fails in a paused predecessor. An order without a response is settled by reading back the platform's list, after the lease duration plus the order timeout. It is never sent a second time; repeating it after an empty read was ruled out, because it may still be on its way. A remaining need leads to a new order.

Before: no orders.

Conclusion: the source of wanted orders is empty until the scaling policy is connected in ControllerService.orderServices.

--- a/cranberrybend-controller/src/main/java/org/cranberrybend/controller/ControllerService.java
+++ b/cranberrybend-controller/src/main/java/org/cranberrybend/controller/ControllerService.java
@@ -14,9 +14,12 @@
 import org.cranberrybend.controller.configuration.ConfigurationWriter;
 import org.cranberrybend.controller.configuration.PendingRevocations;
 import org.cranberrybend.controller.configuration.ShardCleaner;
+import org.cranberrybend.controller.lease.LeaseHolder;
 import org.cranberrybend.controller.operator.KeyService;
 import org.cranberrybend.controller.operator.OperatorInterface;
 import org.cranberrybend.controller.operator.RequestExplainer;
+import org.cranberrybend.controller.order.OrderRound;
+import org.cranberrybend.controller.order.OrderSource;
 import org.cranberrybend.controller.schedule.ControllerRanking;
 import org.cranberrybend.controller.schedule.RepeatedTask;
 import org.cranberrybend.controller.schedule.RetryDelay;
@@ -25,6 +28,7 @@
 import org.cranberrybend.core.event.EventCode;
 import org.cranberrybend.core.event.HybridClock;
 import org.cranberrybend.core.event.ProcessIdentity;
+import org.cranberrybend.core.lease.LeaseTimes;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.runtime.admin.AdminServer;
 import org.cranberrybend.runtime.event.EventLog;
@@ -34,6 +38,8 @@
 import org.cranberrybend.runtime.lifecycle.ServiceGroup;
 import org.cranberrybend.runtime.platform.InstanceListClient;
 import org.cranberrybend.runtime.platform.KeyValueClient;
+import org.cranberrybend.runtime.platform.LeaseClient;
+import org.cranberrybend.runtime.platform.UpstreamOrderClient;
 import org.cranberrybend.wire.node.PeerNode;
 import org.cranberrybend.wire.node.PeerNodeSettings;
 
@@ -111,10 +117,40 @@
         all.add(node);
         all.add(new RepeatedTask("configuration-watch", watcher, events));
         all.add(new RepeatedTask("instance-list", poller, events));
+        all.addAll(orderServices(platform, store, ranking));
         all.add(new HttpService(settings.host(), settings.operatorPort(), operators.router()));
         return all;
     }
 
+    private List<Service> orderServices(URI platform, KeyValueClient store, ControllerRanking ranking) {
+        LeaseTimes times =
+                new LeaseTimes(settings.leaseTtlMs(), settings.leaseSafetyMarginMs(), settings.orderTimeoutMs());
+        LeaseHolder lease = new LeaseHolder(
+                closedOnStop(new LeaseClient(platform)),
+                "lease/orders/" + settings.zone(),
+                node.self().id(),
+                times,
+                ranking::isRanked,
+                time,
+                events);
+        // The scaling policy is connected here; until then no order is wanted.
+        OrderSource source = (zone, intents) -> List.of();
+        OrderRound round = new OrderRound(
+                settings.zone(),
+                store,
+                closedOnStop(new UpstreamOrderClient(platform, settings.orderTimeoutMs())),
+                lease,
+                times,
+                source,
+                () -> Long.toHexString(random.nextLong()),
+                time,
+                events,
+                settings.orderPeriodMs());
+        return List.of(
+                new RepeatedTask("order-lease", lease, lease::release, events),
+                new RepeatedTask("orders", round, events));
+    }
+
     private RetryDelay retryDelay() {
         return new RetryDelay(RETRY_BASE_MS, RETRY_MAX_MS, random);
     }
--- /dev/null
+++ b/cranberrybend-controller/src/main/java/org/cranberrybend/controller/lease/package-info.java
@@ -0,0 +1,2 @@
+/** Acquiring and renewing of leases. */
+package org.cranberrybend.controller.lease;
--- a/cranberrybend-controller/src/main/java/org/cranberrybend/controller/schedule/RepeatedTask.java
+++ b/cranberrybend-controller/src/main/java/org/cranberrybend/controller/schedule/RepeatedTask.java
@@ -20,6 +20,7 @@
 
     private final String name;
     private final Step step;
+    private final Runnable atEnd;
     private final EventLog events;
     private final ReentrantLock lock = new ReentrantLock();
     private final Condition changed = lock.newCondition();
@@ -36,8 +37,14 @@
 
     /** Creates the task; its thread has the given name. */
     public RepeatedTask(String name, Step step, EventLog events) {
+        this(name, step, () -> {}, events);
+    }
+
+    /** Creates the task with an action that its thread runs once after the last step. */
+    public RepeatedTask(String name, Step step, Runnable atEnd, EventLog events) {
         this.name = name;
         this.step = step;
+        this.atEnd = atEnd;
         this.events = events;
     }
 
@@ -69,6 +76,7 @@
                 pauseMs = PAUSE_AFTER_FAILURE_MS;
             }
         }
+        atEnd.run();
     }
 
     private boolean awaitNextRun(long pauseMs) {
--- a/cranberrybend-controller/src/test/java/org/cranberrybend/controller/configuration/ConfigurationFuzzTest.java
+++ b/cranberrybend-controller/src/test/java/org/cranberrybend/controller/configuration/ConfigurationFuzzTest.java
@@ -73,24 +73,24 @@
             switch (action) {
                 case WRITE -> write(controller);
                 case RACE -> {
-                    store.interrupt(second % 6, () -> write(other));
+                    store.faults().interrupt(second % 6, () -> write(other));
                     write(controller);
                 }
                 case CLEAN_DURING_WRITE -> {
                     time.advanceMs(CLEANER_SWEEP_MS);
-                    store.interrupt(second % 8, () -> watch(other));
+                    store.faults().interrupt(second % 8, () -> watch(other));
                     write(controller);
                 }
                 case WRITE_DURING_CLEAN -> {
                     time.advanceMs(CLEANER_SWEEP_MS);
-                    store.interrupt(second % 4, () -> write(other));
+                    store.faults().interrupt(second % 4, () -> write(other));
                     watch(controller);
                 }
                 case WATCH -> watch(controller);
                 case GOSSIP -> other.accepted.offerSnapshot(controller.accepted.state());
-                case FAULT -> store.failNext(faults(second));
-                case OUTAGE -> store.setDown(true);
-                case RECOVERY -> store.setDown(false);
+                case FAULT -> store.faults().failNext(faults(second));
+                case OUTAGE -> store.faults().setDown(true);
+                case RECOVERY -> store.faults().setDown(false);
                 case SNAPSHOT -> store.takeSnapshot();
                 case OLDER_DATA -> {
                     // A change that one process alone accepted is lost with the store's data; heartbeats spread it
@@ -164,7 +164,7 @@
         }
 
         void settleAndCheck() {
-            store.heal();
+            store.faults().heal();
             for (int round = 0; round < 3; round++) {
                 controllers.forEach(each -> each.watcher.run());
                 gossipToAll();
--- a/cranberrybend-controller/src/test/java/org/cranberrybend/controller/configuration/ConfigurationWriterTest.java
+++ b/cranberrybend-controller/src/test/java/org/cranberrybend/controller/configuration/ConfigurationWriterTest.java
@@ -108,10 +108,10 @@
     void pendingRevocationIsWrittenAfterTheOutage() throws RequestFailedException, JsonProcessingException {
         writeAccount(false);
         second.watcher.run();
-        store.setDown(true);
+        store.faults().setDown(true);
         second.accepted.revoke(RevocationSet.EMPTY.with("k1"));
         second.watcher.run();
-        store.setDown(false);
+        store.faults().setDown(false);
 
         second.watcher.run();
 
@@ -137,7 +137,7 @@
         for (String each : faults.split(",")) {
             sequence.add(StoreFault.valueOf(each));
         }
-        store.failNext(sequence);
+        store.faults().failNext(sequence);
         // The first read has its own failure, which is tried again by the operator.
         String actual = write();
         if (sequence.get(0) != StoreFault.NONE) {
--- a/cranberrybend-controller/src/test/java/org/cranberrybend/controller/operator/OperatorInterfaceTest.java
+++ b/cranberrybend-controller/src/test/java/org/cranberrybend/controller/operator/OperatorInterfaceTest.java
@@ -155,7 +155,7 @@
                 .json()
                 .path("key_id")
                 .asText();
-        store.setDown(true);
+        store.faults().setDown(true);
 
         assertThat(call("DELETE", "/v1/accounts/north/keys/" + keyId, null).status())
                 .isEqualTo(202);
--- a/cranberrybend-controller/src/test/java/org/cranberrybend/controller/testing/FaultyKeyValueStore.java
+++ b/cranberrybend-controller/src/test/java/org/cranberrybend/controller/testing/FaultyKeyValueStore.java
@@ -1,15 +1,12 @@
 package org.cranberrybend.controller.testing;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeMap;
-import org.cranberrybend.runtime.platform.CallOutcome;
 import org.cranberrybend.runtime.platform.KeyValueStore;
 import org.cranberrybend.runtime.platform.PlatformException;
 import org.cranberrybend.runtime.platform.VersionedValue;
@@ -22,32 +19,12 @@
 public final class FaultyKeyValueStore implements KeyValueStore {
     private final TreeMap<String, VersionedValue> values = new TreeMap<>();
     private final Map<String, Long> lastRevisions = new HashMap<>();
-    private final Deque<StoreFault> faults = new ArrayDeque<>();
-    private final TreeMap<Integer, Runnable> interruptions = new TreeMap<>();
+    private final CallFaults faults = new CallFaults();
     private TreeMap<String, VersionedValue> snapshot = new TreeMap<>();
-    private boolean down;
-    private int calls;
 
-    /** Lets the next calls fail, one fault per call. */
-    public void failNext(List<StoreFault> next) {
-        faults.addAll(next);
-    }
-
-    /** Runs an action before the call that is {@code callsAhead} calls away; 0 is the next one. */
-    public void interrupt(int callsAhead, Runnable action) {
-        interruptions.put(calls + callsAhead, action);
-    }
-
-    /** Starts or ends an outage. */
-    public void setDown(boolean isDown) {
-        down = isDown;
-    }
-
-    /** Ends all faults. */
-    public void heal() {
-        down = false;
-        faults.clear();
-        interruptions.clear();
+    /** Returns the faults of the calls. */
+    public CallFaults faults() {
+        return faults;
     }
 
     /** Remembers all data. */
@@ -73,66 +50,45 @@
         return values.getOrDefault(key, new VersionedValue(key, 0, new byte[0]));
     }
 
-    private StoreFault before(String call) throws PlatformException {
-        Runnable action = interruptions.remove(calls++);
-        if (action != null) {
-            action.run();
-        }
-        StoreFault fault = faults.isEmpty() ? StoreFault.NONE : faults.removeFirst();
-        if (down || fault == StoreFault.NOT_REACHED) {
-            throw new PlatformException(call + ": no response", CallOutcome.UNKNOWN);
-        }
-        if (fault == StoreFault.REFUSED) {
-            throw new PlatformException(call + ": over the rate", CallOutcome.NOT_ACCEPTED);
-        }
-        return fault;
-    }
-
-    private static void after(StoreFault fault, String call) throws PlatformException {
-        if (fault == StoreFault.LOST_RESPONSE) {
-            throw new PlatformException(call + ": response lost", CallOutcome.UNKNOWN);
-        }
-    }
-
     @Override
     public VersionedValue get(String key) throws PlatformException {
-        after(before("get"), "get");
+        faults.before("get").respond();
         return read(key);
     }
 
     @Override
     public Optional<VersionedValue> watch(String key, long afterRevision, long waitMs) throws PlatformException {
-        after(before("watch"), "watch");
+        faults.before("watch").respond();
         return Optional.of(read(key)).filter(each -> each.revision() > afterRevision);
     }
 
     @Override
     public OptionalLong compareAndSwap(String key, long expectedRevision, byte[] value) throws PlatformException {
-        StoreFault fault = before("put");
+        CallFaults.Call call = faults.before("put");
         OptionalLong result = OptionalLong.empty();
         if (read(key).revision() == expectedRevision) {
             long revision = lastRevisions.merge(key, 1L, Long::sum);
             values.put(key, new VersionedValue(key, revision, value.clone()));
             result = OptionalLong.of(revision);
         }
-        after(fault, "put");
+        call.respond();
         return result;
     }
 
     @Override
     public boolean compareAndDelete(String key, long expectedRevision) throws PlatformException {
-        StoreFault fault = before("delete");
+        CallFaults.Call call = faults.before("delete");
         boolean matches = values.containsKey(key) && values.get(key).revision() == expectedRevision;
         if (matches) {
             values.remove(key);
         }
-        after(fault, "delete");
+        call.respond();
         return matches;
     }
 
     @Override
     public List<VersionedValue> list(String prefix) throws PlatformException {
-        after(before("list"), "list");
+        faults.before("list").respond();
         return new ArrayList<>(values.entrySet().stream()
                 .filter(each -> each.getKey().startsWith(prefix))
                 .map(Map.Entry::getValue)
--- /dev/null
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/lease/package-info.java
@@ -0,0 +1,2 @@
+/** Rules for holders of leases: when a lease may be used, and what becomes of orders without a response. */
+package org.cranberrybend.core.lease;
