--- /dev/null
+++ b/cranberrybend-experiment/src/main/java/org/cranberrybend/experiment/check/package-info.java
@@ -0,0 +1,2 @@
+/** Whole sessions against a running fleet, each with a verdict. */
+package org.cranberrybend.experiment.check;
