--- a/cranberrybend-core/src/test/java/org/cranberrybend/core/event/EventCatalogueTest.java
+++ b/cranberrybend-core/src/test/java/org/cranberrybend/core/event/EventCatalogueTest.java
@@ -3,21 +3,17 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
+import org.cranberrybend.core.CataloguePages;
 import org.junit.jupiter.api.Test;
 
 class EventCatalogueTest {
     // Guards against an event that operators cannot look up, and against a page that describes another build.
     @Test
     void pageListsEveryEventOnceInOrder() throws IOException {
-        Path page = Path.of(System.getProperty("cranberrybend.root"), "docs", "events.md");
-        List<String> rows = Files.readAllLines(page).stream()
-                .filter(line -> line.matches("\\| \\d+ .*"))
-                .toList();
+        List<String> rows = CataloguePages.rows("events.md", "\\| \\d+ .*");
 
         List<String> expected = Arrays.stream(EventCode.values())
                 .map(code -> String.format(
