--- a/cranberrybend-standins/src/main/java/org/cranberrybend/standins/fleet/FleetMain.java
+++ b/cranberrybend-standins/src/main/java/org/cranberrybend/standins/fleet/FleetMain.java
@@ -92,6 +92,7 @@
             Map<String, String> keys = setUp.configure(configuration);
             setUp.awaitAll(List.of("controller", "router"), "/readyz");
             Files.writeString(directory.resolve("fleet.json"), CanonicalJson.write(setUp.describe(keys)) + "\n");
+            Files.writeString(directory.resolve("profile.json"), CanonicalJson.write(setUp.profile()) + "\n");
         }
         out.println("ready: " + processes.size() + " processes");
     }
--- a/cranberrybend-standins/src/main/java/org/cranberrybend/standins/fleet/FleetSetUp.java
+++ b/cranberrybend-standins/src/main/java/org/cranberrybend/standins/fleet/FleetSetUp.java
@@ -136,6 +136,15 @@
         return CanonicalJson.mapper().valueToTree(fields);
     }
 
+    /** Returns the content of profile.json, with which cranberrybendctl reaches the fleet. */
+    JsonNode profile() {
+        List<String> controllers = processes.stream()
+                .filter(each -> each.addresses().containsKey("operator"))
+                .map(each -> "http://" + each.addresses().get("operator"))
+                .toList();
+        return CanonicalJson.mapper().valueToTree(Map.of("controllers", controllers, "operator_token", operatorToken));
+    }
+
     @Override
     public void close() {
         caller.close();
