Close all idle upstream connections after a reused one went silent

Cause: a stock lookup failed with upstream_timeout after the network path had lost the idle connections to both services: each attempt took the next lost connection, waited its whole read timeout and excluded a healthy upstream, until none was left.

Conclusion: a retry after silence opens a new connection. With a single upstream the request still ends with an error, and the next one works.

--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/dispatch/UpstreamClient.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/dispatch/UpstreamClient.java
@@ -57,6 +57,9 @@
         } catch (AbortedIoException e) {
             throw e.abortion();
         } catch (SocketTimeoutException e) {
+            if (connection.isReused()) {
+                pool.dropAfterSilence();
+            }
             throw connection.mayHaveSent()
                     ? UpstreamFailure.timeout(call.readTimeoutMs())
                     : UpstreamFailure.unsent("cannot send");
--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/dispatch/UpstreamConnection.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/dispatch/UpstreamConnection.java
@@ -23,6 +23,7 @@
     private final DefaultBHttpClientConnection http;
     private final TimeSource timeSource;
     private long releasedAtMs;
+    private boolean reused;
 
     private UpstreamConnection(String address, DeadlineSocket socket, TimeSource timeSource) throws IOException {
         this.address = address;
@@ -121,6 +122,12 @@
 
     void setReleasedAtMs(long nowMs) {
         releasedAtMs = nowMs;
+        reused = true;
+    }
+
+    /** Returns whether an earlier call was made on this connection. */
+    boolean isReused() {
+        return reused;
     }
 
     long releasedAtMs() {
--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/dispatch/UpstreamPool.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/dispatch/UpstreamPool.java
@@ -83,6 +83,14 @@
         closeWhere(Long.MAX_VALUE);
     }
 
+    /**
+     * Closes every idle connection after a reused one went silent: what the network path forgot about one, it forgot
+     * about others too, and each of them would cost a request its read timeout.
+     */
+    void dropAfterSilence() {
+        closeWhere(Long.MAX_VALUE);
+    }
+
     private void closeWhere(long releasedUntilMs) {
         List<UpstreamConnection> dropped = new ArrayList<>();
         synchronized (idle) {
--- a/cranberrybend-router/src/test/java/org/cranberrybend/router/dispatch/UpstreamPoolTest.java
+++ b/cranberrybend-router/src/test/java/org/cranberrybend/router/dispatch/UpstreamPoolTest.java
@@ -80,4 +80,17 @@
         RouterHarness.await(() -> !closed.isIdleUsable());
         assertThat(lease(true)).isNotSameInstanceAs(closed);
     }
+
+    /** Guards against trying one lost connection after the other. */
+    @Test
+    void dropsAllIdleConnectionsAfterSilence() throws Exception {
+        UpstreamConnection first = lease(true);
+        UpstreamConnection second = lease(true);
+        assertThat(first.isReused()).isFalse();
+        pool.release(first);
+        pool.release(second);
+        assertThat(lease(true).isReused()).isTrue();
+        pool.dropAfterSilence();
+        assertThat(pool.idleCount()).isEqualTo(0);
+    }
 }
