--- /dev/null
+++ b/cranberrybend-integration/src/test/java/org/cranberrybend/integration/fleet/RouterFailureTest.java
@@ -0,0 +1,163 @@
+package org.cranberrybend.integration.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.cranberrybend.experiment.check.Completion;
+import org.cranberrybend.experiment.check.EventStream;
+import org.cranberrybend.experiment.check.FleetFile.FleetMember;
+import org.cranberrybend.experiment.check.HttpExchange;
+import org.cranberrybend.runtime.http.HttpResult;
+import org.junit.jupiter.api.Test;
+
+class RouterFailureTest {
+    private static final int STREAM_TOKENS = 400;
+    private static final int STREAMS_PER_ROUTER = 4;
+    private static final int LOAD_THREADS = 6;
+    private static final Map<String, String> BATCH_CLASS = Map.of("X-Request-Class", "batch");
+    private static final int REQUESTS_BEFORE_STOP = 60;
+
+    private static Completion prompt(String text, int tokens) {
+        return new Completion(true, Fleet.MODEL, text, tokens);
+    }
+
+    /** Returns the router that owns the model's shard. */
+    private static FleetMember owner(Fleet fleet) throws IOException {
+        FleetMember owner = null;
+        for (FleetMember router : fleet.withRole("router")) {
+            boolean owns = false;
+            for (JsonNode event : fleet.events(router)) {
+                if (event.path("subject").asText().startsWith(Fleet.ZONE + "/" + Fleet.MODEL)) {
+                    owns = event.path("name").asText().equals("SHARD_OWNED");
+                }
+            }
+            owner = owns ? router : owner;
+        }
+        return owner;
+    }
+
+    // Guards against a killed router taking down streams of other routers, or, as owner of a shard, new requests.
+    @Test
+    void routerKilled() throws Exception {
+        try (Fleet fleet = Fleet.start("router-killed", FleetPlan.of(3, 2, 2, 1))) {
+            FleetMember victim = owner(fleet);
+            List<FleetMember> survivors = new ArrayList<>(fleet.withRole("router"));
+            survivors.remove(victim);
+            List<EventStream> streams = new ArrayList<>();
+            for (int i = 0; i < STREAMS_PER_ROUTER * survivors.size(); i++) {
+                FleetMember router = survivors.get(i % survivors.size());
+                streams.add(fleet.stream(router, prompt("stream " + i, STREAM_TOKENS))
+                        .readTokens(2));
+            }
+            fleet.processes().kill(victim.name());
+            Fleet.await("a survivor declares the killed router dead", () -> {
+                for (FleetMember router : survivors) {
+                    assertAnswered(fleet, router);
+                }
+                return hasEvent(fleet, survivors.get(0), "MEMBER_DEAD", victim.name() + "/router");
+            });
+            for (int i = 0; i < streams.size(); i++) {
+                try (EventStream stream = streams.get(i).readAll()) {
+                    assertThat(stream.errorCode()).isEmpty();
+                    assertThat(stream.text()).isEqualTo(Fleet.expectedText(prompt("stream " + i, STREAM_TOKENS)));
+                    assertThat(stream.isComplete()).isTrue();
+                }
+            }
+            for (FleetMember router : survivors) {
+                Fleet.await(
+                        "the class with the shortest target is served by " + router.name(),
+                        () -> fleet.whole(router, prompt("counter", 2)).isSuccess());
+            }
+        }
+    }
+
+    private static boolean hasEvent(Fleet fleet, FleetMember daemon, String name, String subject) throws IOException {
+        for (JsonNode event : fleet.events(daemon)) {
+            if (event.path("name").asText().equals(name)
+                    && event.path("subject").asText().equals(subject)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static void assertAnswered(Fleet fleet, FleetMember router) {
+        try {
+            Completion completion = prompt("survivor", 2);
+            // The class with the longest target: a short one may be refused while the owner of a shard is replaced.
+            HttpResult model = fleet.call(router, "POST", completion.path(), BATCH_CLASS, completion.body(false));
+            assertWithMessage(model.text()).that(model.status()).isEqualTo(200);
+            HttpResult stock = fleet.call(router, "GET", "/stock/1", BATCH_CLASS, null);
+            assertWithMessage(stock.text()).that(stock.status()).isEqualTo(200);
+        } catch (IOException e) {
+            throw new AssertionError("no answer of " + router.name(), e);
+        }
+    }
+
+    // Guards against a graceful shutdown that interrupts requests: those running, those that arrive while the load
+    // balancer still takes the instance for ready, and those waiting at a shard that it owns.
+    @Test
+    void routerStoppedUnderLoad() throws Exception {
+        try (Fleet fleet = Fleet.start("router-stopped", FleetPlan.of(2, 1, 2, 1))) {
+            FleetMember stopped = owner(fleet);
+            FleetMember other = fleet.withRole("router").stream()
+                    .filter(each -> !each.equals(stopped))
+                    .findFirst()
+                    .orElseThrow();
+            Completion longPrompt = prompt("running at the stop", STREAM_TOKENS);
+            ExecutorService callers = Executors.newFixedThreadPool(LOAD_THREADS * 2);
+            try (EventStream running = fleet.stream(stopped, longPrompt).readTokens(2)) {
+                AtomicInteger answered = new AtomicInteger();
+                List<Future<?>> load = new ArrayList<>();
+                for (int i = 0; i < LOAD_THREADS; i++) {
+                    load.add(callers.submit(() -> sendWhileReady(fleet, stopped, stopped, answered)));
+                    load.add(callers.submit(() -> sendWhileReady(fleet, other, stopped, answered)));
+                }
+                Fleet.await("load runs", () -> answered.get() >= REQUESTS_BEFORE_STOP);
+                fleet.processes().signal(stopped.name(), "TERM");
+                for (Future<?> each : load) {
+                    each.get();
+                }
+                running.readAll();
+                assertThat(running.errorCode()).isEmpty();
+                assertThat(running.text()).isEqualTo(Fleet.expectedText(longPrompt));
+            } finally {
+                callers.shutdownNow();
+            }
+            assertThat(fleet.processes().awaitEnd(stopped.name())).isTrue();
+            assertAnswered(fleet, other);
+        }
+    }
+
+    /** Sends requests to a router until another one is no longer ready, as a load balancer would see it. */
+    private static Void sendWhileReady(Fleet fleet, FleetMember router, FleetMember watched, AtomicInteger answered)
+            throws IOException {
+        while (isReady(watched)) {
+            assertAnswered(fleet, router);
+            Completion completion = prompt("load " + answered.incrementAndGet(), 5);
+            try (EventStream stream = fleet.stream(router, completion).readAll()) {
+                assertThat(stream.errorCode()).isEmpty();
+                assertThat(stream.text()).isEqualTo(Fleet.expectedText(completion));
+            }
+        }
+        return null;
+    }
+
+    private static boolean isReady(FleetMember router) {
+        try {
+            return HttpExchange.call(router.address("admin"), "GET", "/readyz", Map.of(), null)
+                    .isSuccess();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+}
