Collect, seal and report usage

Cause: each usage must be billed exactly once, and no window may be reported with two figures, also with crashes, repeated and late messages and two processes that believe they hold the lease.

UsageLedger merges cumulative counters by the larger figure per router incarnation. Windows are sealed strictly in sequence and create-only; late usage is what is known of an origin less what all sealed windows bill for it. Because a window is sealed only after its predecessor was read, two processes cannot carry the same late usage into two windows. Sealing windows in any order with a list of carried usage was ruled out for that reason. A controller that writes a record when its window may be sealed marks the window as late, after the record; the sealer deletes a mark only at the revision that it read, and only if its own bytes were stored. The last three windows are always looked at again, because clocks differ. Reports are sent in order with the sealed bytes, after a check of the lease and the successor's wait. If the service comes back with older data, the holder writes the sealed windows that it knows back and does not report again.

Before: GET /v1/usage answered with no windows.

Conclusion: empty windows are sealed and reported, too. One sealed window must fit in one value of 1 MiB. A holder that has just started and finds older data cannot know what was reported before.

--- a/cranberrybend-controller/src/main/java/org/cranberrybend/controller/ControllerService.java
+++ b/cranberrybend-controller/src/main/java/org/cranberrybend/controller/ControllerService.java
@@ -24,6 +24,10 @@
 import org.cranberrybend.controller.schedule.RepeatedTask;
 import org.cranberrybend.controller.schedule.RetryDelay;
 import org.cranberrybend.controller.upstream.InstanceListPoller;
+import org.cranberrybend.controller.usage.OpenUsageWriter;
+import org.cranberrybend.controller.usage.UsageCollector;
+import org.cranberrybend.controller.usage.UsageDuty;
+import org.cranberrybend.controller.usage.UsageOverview;
 import org.cranberrybend.core.account.KeyHasher;
 import org.cranberrybend.core.event.EventCode;
 import org.cranberrybend.core.event.HybridClock;
@@ -40,6 +44,8 @@
 import org.cranberrybend.runtime.platform.KeyValueClient;
 import org.cranberrybend.runtime.platform.LeaseClient;
 import org.cranberrybend.runtime.platform.UpstreamOrderClient;
+import org.cranberrybend.runtime.platform.UsageReportClient;
+import org.cranberrybend.wire.generated.Envelope;
 import org.cranberrybend.wire.node.PeerNode;
 import org.cranberrybend.wire.node.PeerNodeSettings;
 
@@ -94,7 +100,7 @@
                 node,
                 explainer,
                 status::fields,
-                () -> Map.of("windows", List.of()));
+                new UsageOverview(store));
         ConfigurationWatcher watcher = new ConfigurationWatcher(
                 store,
                 synchroniser,
@@ -118,6 +124,7 @@
         all.add(new RepeatedTask("configuration-watch", watcher, events));
         all.add(new RepeatedTask("instance-list", poller, events));
         all.addAll(orderServices(platform, store, ranking));
+        all.addAll(usageServices(platform, store, ranking));
         all.add(new HttpService(settings.host(), settings.operatorPort(), operators.router()));
         return all;
     }
@@ -151,6 +158,41 @@
                 new RepeatedTask("orders", round, events));
     }
 
+    private List<Service> usageServices(URI platform, KeyValueClient store, ControllerRanking ranking) {
+        LeaseTimes times =
+                new LeaseTimes(settings.leaseTtlMs(), settings.leaseSafetyMarginMs(), settings.reportTimeoutMs());
+        LeaseHolder lease = new LeaseHolder(
+                closedOnStop(new LeaseClient(platform)),
+                "lease/usage",
+                node.self().id(),
+                times,
+                ranking::isFirst,
+                time,
+                events);
+        UsageCollector collector = new UsageCollector();
+        node.messenger().register(Envelope.BodyCase.USAGE_FLUSH, collector);
+        OpenUsageWriter writer = new OpenUsageWriter(
+                collector,
+                store,
+                settings.zone(),
+                settings.instance(),
+                time,
+                settings.usageSealDelayMs(),
+                settings.usageWritePeriodMs());
+        UsageDuty duty = new UsageDuty(
+                store,
+                closedOnStop(new UsageReportClient(platform, settings.reportTimeoutMs())),
+                lease,
+                time,
+                events,
+                settings.usageSealDelayMs());
+        return List.of(
+                new RepeatedTask("usage-lease", lease, lease::release, events),
+                // The last usage of the zone's routers is written before this controller ends.
+                new RepeatedTask("usage-write", writer, writer::run, events),
+                new RepeatedTask("usage-seal", duty, events));
+    }
+
     private RetryDelay retryDelay() {
         return new RetryDelay(RETRY_BASE_MS, RETRY_MAX_MS, random);
     }
--- /dev/null
+++ b/cranberrybend-controller/src/main/java/org/cranberrybend/controller/usage/package-info.java
@@ -0,0 +1,2 @@
+/** Collecting, sealing and reporting of usage. */
+package org.cranberrybend.controller.usage;
--- a/cranberrybend-controller/src/test/java/org/cranberrybend/controller/testing/FaultyKeyValueStore.java
+++ b/cranberrybend-controller/src/test/java/org/cranberrybend/controller/testing/FaultyKeyValueStore.java
@@ -45,6 +45,12 @@
         return values.keySet().stream().filter(each -> each.startsWith(prefix)).toList();
     }
 
+    /** Writes a value, past all faults. */
+    public void write(String key, byte[] value) {
+        long revision = lastRevisions.merge(key, 1L, Long::sum);
+        values.put(key, new VersionedValue(key, revision, value.clone()));
+    }
+
     /** Returns a value, past all faults. */
     public VersionedValue read(String key) {
         return values.getOrDefault(key, new VersionedValue(key, 0, new byte[0]));
@@ -67,9 +73,8 @@
         CallFaults.Call call = faults.before("put");
         OptionalLong result = OptionalLong.empty();
         if (read(key).revision() == expectedRevision) {
-            long revision = lastRevisions.merge(key, 1L, Long::sum);
-            values.put(key, new VersionedValue(key, revision, value.clone()));
-            result = OptionalLong.of(revision);
+            write(key, value);
+            result = OptionalLong.of(read(key).revision());
         }
         call.respond();
         return result;
