Keep back slots for higher tiers and judge plain services by smoothed time

Calls of plain services differ by content, and a single long one lowered the service's limit. Then long requests of lower tiers took every slot that became free while no higher tier waited.

Ruled out: a fixed count of reserved slots, because the demand of the upper tiers changes between bursts and quiet times. The reserve is the mean demand of higher tiers plus two standard deviations; guaranteed slots are exempt, so that no class starves.

The fuzz test found that a lower tier was served before a waiting higher one when only the higher one had to leave the reserve; a tier that must leave it now holds back the tiers below.

--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/admission/DispatchQueue.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/admission/DispatchQueue.java
@@ -10,6 +10,7 @@
 import java.util.function.ToLongFunction;
 import java.util.stream.LongStream;
 import org.cranberrybend.core.account.RequestClass;
+import org.cranberrybend.core.account.Tier;
 import org.cranberrybend.core.admission.WaitingRequests.Waiting;
 import org.cranberrybend.core.error.ErrorCode;
 import org.cranberrybend.core.routing.EngineLoad;
@@ -38,6 +39,7 @@
  * <p>Not safe for use by several threads. Times are milliseconds on the owner's monotonic clock.
  */
 public final class DispatchQueue {
+    private static final long RESERVE_CHECK_MS = 100;
     private static final long RETRY_AFTER_MIN_MS = 250;
     private static final long RETRY_AFTER_MAX_MS = 60_000;
 
@@ -50,6 +52,7 @@
     private final ShedRule shedRule = new ShedRule(waiting);
     private final OutputLengthEstimator lengths;
     private final FirstTokenForecast forecast;
+    private final TierReserve reserve;
     /** Slots in use by identifier; each granted or restored slot is here until released or taken back. */
     private final Map<String, Slot> slots = new LinkedHashMap<>();
     /** Slots in use by request; same content as {@code slots}. */
@@ -70,6 +73,7 @@
         this.ownerMemberId = ownerMemberId;
         this.slotIdPrefix = slotIdPrefix;
         this.lengths = new OutputLengthEstimator(settings.outputPercentile());
+        this.reserve = new TierReserve(settings.reserveDeviations());
         this.forecast = new FirstTokenForecast(waiting, shares, selector, lengths);
     }
 
@@ -80,6 +84,10 @@
             return decisions;
         }
         dropOverdue(nowMs, decisions);
+        reserve.offered(
+                request.requestClass().tier(),
+                selector.serviceMs(request.promptTokens(), lengths.estimate(request), nowMs),
+                nowMs);
         if (request.deadlineMs() <= nowMs) {
             decisions.add(new AdmissionDecision.Expired(request.requestId()));
         } else if (upstreamsKnown && !selector.hasUsable(request.excludedUpstreams())) {
@@ -145,6 +153,10 @@
         LongStream times = slots.values().stream().mapToLong(Slot::reclaimMs);
         if (waiting.size() > 0) {
             times = LongStream.concat(times, selector.nextFreeSlotMs(nowMs).stream());
+            if (selector.freeSlots(nowMs) > 0) {
+                // Requests wait for slots kept in reserve, and the reserve decays with time only.
+                times = LongStream.concat(times, LongStream.of(nowMs + RESERVE_CHECK_MS));
+            }
             times = LongStream.concat(times, requestTimes(QueuedRequest::deadlineMs));
             if (settings.refuseOverdue()) {
                 times = LongStream.concat(times, requestTimes(QueuedRequest::firstTokenDueMs));
@@ -317,7 +329,21 @@
     }
 
     private Optional<Waiting> nextPlaceable(long nowMs) {
-        return waiting.next(request -> selector.hasFreeSlot(request.excludedUpstreams(), nowMs));
+        return waiting.next(
+                request -> selector.hasFreeSlot(request.excludedUpstreams(), nowMs),
+                tier -> leavesReserve(tier, nowMs));
+    }
+
+    private boolean leavesReserve(Tier tier, long nowMs) {
+        int runningHigher = 0;
+        for (Slot slot : slots.values()) {
+            if (slot.request() != null && slot.request().requestClass().tier().outranks(tier)) {
+                runningHigher++;
+            }
+        }
+        double slotsToLeave = reserve.slotsToLeave(tier, runningHigher, nowMs);
+        // Rounding up the reserve would keep an idle slot for a demand of almost nothing.
+        return slotsToLeave < 1 || selector.freeSlots(nowMs) - 1 >= Math.floor(slotsToLeave);
     }
 
     private AdmissionDecision grant(Waiting next, long nowMs) {
--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/admission/WaitingRequests.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/admission/WaitingRequests.java
@@ -143,8 +143,8 @@
         return shares.behindWithWaiting().size();
     }
 
-    /** Returns the request that is served next, given which requests can be placed. */
-    Optional<Waiting> next(Predicate<QueuedRequest> placeable) {
+    /** Returns the request that is served next, given which requests can be placed and which tiers leave the reserve. */
+    Optional<Waiting> next(Predicate<QueuedRequest> placeable, Predicate<Tier> leavesReserve) {
         for (ClassKey key : shares.behindWithWaiting()) {
             Waiting oldest = ofClass(key).first();
             if (placeable.test(oldest.request())) {
@@ -152,6 +152,13 @@
             }
         }
         for (Tier tier : Tier.values()) {
+            if (!leavesReserve.test(tier)) {
+                // A slot that a waiting request of this tier must leave is not for a lower tier either.
+                if (!byAccount.get(tier).isEmpty()) {
+                    return Optional.empty();
+                }
+                continue;
+            }
             for (String account : fairness.get(tier).order()) {
                 for (Waiting waiting : byAccount.get(tier).get(account)) {
                     if (placeable.test(waiting.request())) {
--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/routing/EngineLoad.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/routing/EngineLoad.java
@@ -222,7 +222,8 @@
             adaptLimit(sampleMs, tokenTargetMs, totalMs, nowMs);
         } else if (outputTokens == 0) {
             callMs = smooth(callMs, totalMs);
-            adaptLimit(totalMs, Double.POSITIVE_INFINITY, totalMs, nowMs);
+            // Calls differ in length by their content, so single ones say nothing about the load of the service.
+            adaptLimit(callMs, Double.POSITIVE_INFINITY, totalMs, nowMs);
         }
     }
 
--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/routing/EngineSelector.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/routing/EngineSelector.java
@@ -80,6 +80,15 @@
         return false;
     }
 
+    /** Returns the free slots of all upstreams. */
+    public int freeSlots(long nowMs) {
+        int slots = 0;
+        for (EngineLoad load : loads.values()) {
+            slots += load.freeSlots(nowMs);
+        }
+        return slots;
+    }
+
     /** Returns the slots that may be counted on, free or in use. */
     public int countedSlots(long nowMs) {
         int slots = 0;
--- a/cranberrybend-core/src/test/java/org/cranberrybend/core/admission/DispatchRulesTest.java
+++ b/cranberrybend-core/src/test/java/org/cranberrybend/core/admission/DispatchRulesTest.java
@@ -126,4 +126,22 @@
         queue.dispatch(reclaimMs);
         assertThat(queue.slotsInUse()).isEqualTo(0);
     }
+
+    // Guards against the last free slot taken by a lower tier while a higher one uses about all slots, and against a
+    // reserve that outlives the demand.
+    @Test
+    void lowerTierLeavesTheSlotsThatHigherTiersNeed() {
+        RequestClass high = new RequestClass("question", Tier.TIER_0, 60_000, 1_000, 0);
+        queue.setUpstreams(List.of(engine("x", 2)), 0);
+        for (int number = 0; number < 8; number++) {
+            QueuedRequest request = new QueuedRequest("q" + number, "stub", high, "a", 1, 10, 10, 0, 60_000, Set.of());
+            AdmissionDecision.Granted granted =
+                    (AdmissionDecision.Granted) queue.offer(request, 0).get(0);
+            SlotOutcome outcome = new SlotOutcome(SlotResult.COMPLETED, 10, 10, 50, 2_000);
+            queue.release(granted.grant().slotId(), outcome, 0);
+        }
+        assertThat(queue.offer(request("low", "a", 10, Set.of()), 0)).isEmpty();
+        assertThat(queue.nextActionMs(0)).hasValue(100);
+        assertThat(queue.dispatch(50_000)).hasSize(1);
+    }
 }
