--- a/cranberrybend-experiment/src/main/java/org/cranberrybend/experiment/load/LoadResult.java
+++ b/cranberrybend-experiment/src/main/java/org/cranberrybend/experiment/load/LoadResult.java
@@ -6,7 +6,7 @@
 import org.HdrHistogram.Histogram;
 
 /** Totals of one target. Thread-safe. */
-final class LoadResult {
+public final class LoadResult {
     private static final long MAX_NS = TimeUnit.MINUTES.toNanos(5);
     private static final int DIGITS = 3;
     private static final double NS_PER_MS = 1e6;
@@ -37,7 +37,8 @@
         elapsedNs += durationNs;
     }
 
-    synchronized long failed() {
+    /** Returns the number of requests without a complete response. */
+    public synchronized long failed() {
         return failed;
     }
 
--- a/cranberrybend-experiment/src/main/java/org/cranberrybend/experiment/load/LoadRun.java
+++ b/cranberrybend-experiment/src/main/java/org/cranberrybend/experiment/load/LoadRun.java
@@ -14,17 +14,18 @@
 import org.apache.commons.rng.simple.RandomSource;
 
 /** Runs a plan against several targets, which take turns round by round. */
-final class LoadRun {
+public final class LoadRun {
     private final LoadPlan plan;
     private final long seed;
 
-    LoadRun(LoadPlan plan, long seed) {
+    /** Creates a run; the seed decides the prompts. */
+    public LoadRun(LoadPlan plan, long seed) {
         this.plan = plan;
         this.seed = seed;
     }
 
     /** Returns the totals by target. The first round of each target is a warm-up and is not counted. */
-    Map<LoadTarget, LoadResult> run(List<LoadTarget> targets) throws InterruptedException, ExecutionException {
+    public Map<LoadTarget, LoadResult> run(List<LoadTarget> targets) throws InterruptedException, ExecutionException {
         Map<LoadTarget, LoadResult> results = new LinkedHashMap<>();
         targets.forEach(target -> results.put(target, new LoadResult()));
         ExecutorService executor = Executors.newFixedThreadPool(plan.concurrency());
--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/shard/ShardMap.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/shard/ShardMap.java
@@ -14,13 +14,14 @@
 import org.cranberrybend.core.routing.Upstream;
 
 /** The shards of all pools with their owners, for one list of upstreams and one list of members. Immutable. */
-final class ShardMap {
+public final class ShardMap {
     private static final String ROUTER_ROLE = "router";
 
     private final Map<PoolKey, PoolOwnership> pools = new HashMap<>();
     private final Map<String, PoolShard> shardsById = new HashMap<>();
 
-    ShardMap(List<Upstream> upstreams, List<Member> members) {
+    /** Divides all pools among the routers of their zones. */
+    public ShardMap(List<Upstream> upstreams, List<Member> members) {
         Map<String, List<String>> routersByZone = new HashMap<>();
         for (Member member : members) {
             if (member.identity().role().equals(ROUTER_ROLE) && member.state().mayOwnShards()) {
--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/shard/SlotMessages.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/shard/SlotMessages.java
@@ -23,13 +23,13 @@
 import org.cranberrybend.wire.node.WireConversions;
 
 /** Conversions between slot decisions and peer messages. */
-final class SlotMessages {
+public final class SlotMessages {
     private static final String MOVED = "moved";
 
     private SlotMessages() {}
 
-    /** Ages replace times, because the clocks of two instances are not comparable. */
-    static Envelope.Builder request(String shardId, QueuedRequest request, long nowMs) {
+    /** Returns the request for a slot. Ages replace times, because the clocks of two instances are not comparable. */
+    public static Envelope.Builder request(String shardId, QueuedRequest request, long nowMs) {
         RequestClass requestClass = request.requestClass();
         return Envelope.newBuilder()
                 .setSlotRequest(SlotRequest.newBuilder()
@@ -50,7 +50,8 @@
                         .addAllExcludedUpstreams(request.excludedUpstreams()));
     }
 
-    static QueuedRequest queuedRequest(SlotRequest message, long nowMs) {
+    /** Returns a received request with times of this process's clock. */
+    public static QueuedRequest queuedRequest(SlotRequest message, long nowMs) {
         RequestClass requestClass = new RequestClass(
                 message.getClassName(),
                 Tier.of(message.getTier()),
@@ -70,7 +71,8 @@
                 Set.copyOf(message.getExcludedUpstreamsList()));
     }
 
-    static Envelope.Builder granted(SlotGrant grant) {
+    /** Returns the message of a grant. */
+    public static Envelope.Builder granted(SlotGrant grant) {
         return Envelope.newBuilder()
                 .setSlotGrant(SlotGranted.newBuilder()
                         .setSlotId(grant.slotId())
@@ -78,7 +80,8 @@
                         .setUpstream(WireConversions.toWire(grant.upstream())));
     }
 
-    static SlotGrant grant(SlotGranted message, String ownerMemberId) {
+    /** Returns a received grant of the given owner. */
+    public static SlotGrant grant(SlotGranted message, String ownerMemberId) {
         return new SlotGrant(
                 message.getSlotId(),
                 message.getRequestId(),
@@ -111,7 +114,8 @@
         }
     }
 
-    static Envelope.Builder release(SlotGrant grant, SlotOutcome outcome) {
+    /** Returns the message of a release. */
+    public static Envelope.Builder release(SlotGrant grant, SlotOutcome outcome) {
         return Envelope.newBuilder()
                 .setSlotRelease(SlotRelease.newBuilder()
                         .setSlotId(grant.slotId())
@@ -124,7 +128,8 @@
                         .setTotalMs(outcome.totalMs()));
     }
 
-    static SlotOutcome outcome(SlotRelease message) {
+    /** Returns the outcome of a received release. */
+    public static SlotOutcome outcome(SlotRelease message) {
         return new SlotOutcome(
                 SlotResult.values()[message.getResult()],
                 message.getPromptTokens(),
