Reuse unchanged entities when the configuration view is rebuilt

Each accepted change set rebuilt ConfigurationView from the JSON of every entity.

ConfigurationView.next takes over the records whose JSON is the same object in both states, which ConfigurationState.apply preserves. Ruled out: patching the maps in place, because readers hold the old view; and a persistent map, which needs a new library for the remaining cost of copying 13,000 references.

--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/configuration/ConfigurationView.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/configuration/ConfigurationView.java
@@ -1,5 +1,6 @@
 package org.cranberrybend.core.configuration;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -18,6 +19,9 @@
  */
 public final class ConfigurationView {
     private final long revision;
+    /** Each readable entity; reused by the next view as long as the entity's JSON is the same object. */
+    private final Map<EntityId, ReadEntity> readEntities;
+
     private final Map<String, Template> templates = new HashMap<>();
     private final Map<String, ClientAccount> accounts = new HashMap<>();
     private final Map<String, RouteRule> routes = new HashMap<>();
@@ -34,18 +38,38 @@
      */
     public record KeyOwner(String account, ApiKey key) {}
 
+    private record ReadEntity(JsonNode value, Object record) {}
+
     /** Builds the view; entities that cannot be read are left out and listed in {@link #faults()}. */
     public ConfigurationView(ConfigurationState state) {
+        this(state, Map.of());
+    }
+
+    private ConfigurationView(ConfigurationState state, Map<EntityId, ReadEntity> known) {
         this.revision = state.revision();
+        this.readEntities = new HashMap<>(2 * state.entities().size());
         state.entities().forEach((id, value) -> {
             try {
-                add(id, id.kind().read(value));
+                ReadEntity entity = known.get(id);
+                if (entity == null || entity.value() != value) {
+                    entity = new ReadEntity(value, id.kind().read(value));
+                }
+                readEntities.put(id, entity);
+                add(id, entity.record());
             } catch (IllegalArgumentException e) {
                 faults.add(new ConfigurationFault(id.toString(), rootMessage(e)));
             }
         });
     }
 
+    /**
+     * Returns the view of a later state. Only entities that changed are read: reading 13,000 client accounts took 60 to
+     * 100 ms of CPU time.
+     */
+    public ConfigurationView next(ConfigurationState nextState) {
+        return new ConfigurationView(nextState, readEntities);
+    }
+
     private void add(EntityId id, Object entity) {
         if (entity instanceof Template) {
             templates.put(id.name(), (Template) entity);
--- a/cranberrybend-experiment/src/main/java/org/cranberrybend/experiment/capacity/ConfigurationGroup.java
+++ b/cranberrybend-experiment/src/main/java/org/cranberrybend/experiment/capacity/ConfigurationGroup.java
@@ -78,7 +78,8 @@
         stateTime.add(accounts, Probe.medianCpuUs(() -> WireConversions.fromWire(snapshot)));
         viewTime.add(accounts, Probe.medianCpuUs(() -> new ConfigurationView(state)));
         ChangeSet changeSet = ConfigurationFixture.change(state, 1);
-        applyTime.add(accounts, Probe.medianCpuUs(() -> apply(state, changeSet)));
+        ConfigurationView view = new ConfigurationView(state);
+        applyTime.add(accounts, Probe.medianCpuUs(() -> apply(state, view, changeSet)));
         writeTime.add(accounts, Probe.medianCpuUs(() -> {
             ConfigurationState next = state.apply(changeSet);
             ConfigurationValidator.validate(next);
@@ -93,8 +94,8 @@
     }
 
     /** What ConfigurationReplication does for each change set, besides recording it. */
-    private static ConfigurationView apply(ConfigurationState state, ChangeSet changeSet) {
-        return new ConfigurationView(state.apply(changeSet));
+    private static ConfigurationView apply(ConfigurationState state, ConfigurationView view, ChangeSet changeSet) {
+        return view.next(state.apply(changeSet));
     }
 
     private static int headBytes(ConfigurationState state, int changeSets) {
--- a/cranberrybend-wire/src/main/java/org/cranberrybend/wire/node/ConfigurationReplication.java
+++ b/cranberrybend-wire/src/main/java/org/cranberrybend/wire/node/ConfigurationReplication.java
@@ -144,7 +144,7 @@
 
     private void publish() {
         ConfigurationState state = replica.accepted();
-        accepted = new Accepted(state, new ConfigurationView(state));
+        accepted = new Accepted(state, accepted.view().next(state));
     }
 
     private void report(Acceptance acceptance, long revision, String digest, String author, Source source) {
