Require a guaranteed share for every request class

Cause: a class with a share of 0 waits for ever while higher tiers fill the capacity, which breaks the invariant that no class starves. The configuration accepted such classes, and the built-in class of open routes had a share of 0.

Ruled out: a hidden minimum inside the queue, because operators would not see why shares differ from their templates.

Before: the new row of ConfigurationValidatorTest failed (no fault). After: it passes; the smallest allowed share is 0.01.

--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/configuration/ConfigurationValidator.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/configuration/ConfigurationValidator.java
@@ -11,6 +11,8 @@
 /** Checks a whole configuration before it is accepted; a configuration with one fault is refused as a whole. */
 public final class ConfigurationValidator {
     private static final double GUARANTEED_SHARE_SUM_MAX = 0.8;
+    // A class without any guaranteed share would starve while higher tiers fill the capacity.
+    private static final double GUARANTEED_SHARE_MIN = 0.01;
 
     private ConfigurationValidator() {}
 
@@ -47,11 +49,20 @@
         }
     }
 
+    private static void checkShare(String template, RequestClass requestClass, List<ConfigurationFault> faults) {
+        if (requestClass.guaranteedShareRatio() < GUARANTEED_SHARE_MIN) {
+            faults.add(new ConfigurationFault(
+                    "template/" + template + ".request_classes." + requestClass.name() + ".guaranteed_share_ratio",
+                    "must be at least " + GUARANTEED_SHARE_MIN + ": " + requestClass.guaranteedShareRatio()));
+        }
+    }
+
     /** Classes are shared by name across templates, so their tier and share must agree. */
     private static void checkClasses(ConfigurationView view, List<ConfigurationFault> faults) {
         Map<String, RequestClass> classes = new HashMap<>();
         view.templates().forEach((name, template) -> {
             for (RequestClass each : template.requestClasses()) {
+                checkShare(name, each, faults);
                 RequestClass earlier = classes.putIfAbsent(each.name(), each);
                 if (earlier != null && !earlier.equals(each)) {
                     faults.add(new ConfigurationFault(
--- a/cranberrybend-core/src/test/java/org/cranberrybend/core/configuration/ConfigurationValidatorTest.java
+++ b/cranberrybend-core/src/test/java/org/cranberrybend/core/configuration/ConfigurationValidatorTest.java
@@ -31,6 +31,7 @@
                 "template | {`request_classes`:[C],`max_concurrent_requests`:1,`models`:[`x`]} | \"x\" does not exist",
                 "template | {`request_classes`:[C],`max_concurrent_requests`:1,`colour`:1} | colour",
                 "template | {`request_classes`:[C,C],`max_concurrent_requests`:1} | must not name a class twice",
+                "template | {`request_classes`:[Z],`max_concurrent_requests`:1} | must be at least 0.01",
                 "account | {`template`:`none`} | \"none\" does not exist",
                 "account | {`template`:`a`,`keys`:[{`key_id`:`a_b`,`digest_hex`:`D`}]} | key_id must not contain '_'",
                 "account | {`template`:`a`,`keys`:[{`key_id`:`ab`,`digest_hex`:`0`}]} | 64 hexadecimal digits",
@@ -45,6 +46,7 @@
         String json = template.replace('`', '"')
                 .replace("[C", "[" + CLASS)
                 .replace(",C]", "," + CLASS + "]")
+                .replace("[Z", "[" + CLASS.replace("0.2", "0"))
                 .replace("\"D\"", "\"" + "0".repeat(64) + "\"");
 
         List<String> faults = faults(kind, "entity", json);
--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/authenticate/Caller.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/authenticate/Caller.java
@@ -16,7 +16,7 @@
     public static final String OPEN_ACCOUNT = "(open)";
 
     /** Class of requests without a key. */
-    public static final RequestClass OPEN_CLASS = new RequestClass("open", Tier.TIER_3, 10_000, 1_000, 0);
+    public static final RequestClass OPEN_CLASS = new RequestClass("open", Tier.TIER_3, 10_000, 1_000, 0.01);
 
     /** Returns the caller of a route open to all. */
     public static Caller open() {
