Measure the router group with enough requests for a straight line

With 12 to 100 requests per size the compiler's work hid the slope: the points at 8, 64 and 192 tokens were 7.8, 24.9 and 12.3 ms, residual 7.2 ms.

Ruled out: 12 concurrent requests, some of which the router refuses. The idle rate is read over 8 s in place of 4 s, because the CPU time of a process has a resolution of 10 ms.

--- a/cranberrybend-experiment/src/main/java/org/cranberrybend/experiment/capacity/RouterGroup.java
+++ b/cranberrybend-experiment/src/main/java/org/cranberrybend/experiment/capacity/RouterGroup.java
@@ -15,14 +15,14 @@
 
 /** CPU time of a running router process per request and per streamed token. The fleet must have no other load. */
 final class RouterGroup implements CapacityGroup {
-    private static final int[] TOKENS = {8, 64, 192};
-    private static final int[] REQUESTS_PER_ROUND = {100, 32, 12};
+    private static final int[] TOKENS = {8, 32, 128};
+    private static final int[] REQUESTS_PER_ROUND = {300, 150, 60};
     private static final int ROUNDS = 1;
-    private static final int WARM_UP_REQUESTS = 100;
+    private static final int WARM_UP_REQUESTS = 300;
     /** Low, because the router refuses requests whose first token would be late. */
-    private static final int CONCURRENCY = 4;
+    private static final int CONCURRENCY = 6;
 
-    private static final long IDLE_MS = 4_000;
+    private static final long IDLE_MS = 8_000;
 
     private final Path fleetFile;
 
