Let the clock run while requests wait in the slot broker tests

Cause: waitingRequestMovesToTheNewOwner timed out once under load. If the new owner hears of the change after the entry router, it answers "moved", and the entry router repeats its question by the clock, which the test never advanced.

Production uses the system clock, which moves.

The checks are unchanged.

--- a/cranberrybend-router/src/test/java/org/cranberrybend/router/shard/FleetSlotBrokerTest.java
+++ b/cranberrybend-router/src/test/java/org/cranberrybend/router/shard/FleetSlotBrokerTest.java
@@ -33,6 +33,7 @@
 @Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class FleetSlotBrokerTest {
     private static final int SLOTS = 2;
+    private static final long CHECK_MS = 25;
     private static final String[] INSTANCES = {"szeged-1", "szeged-2", "szeged-3"};
     private static final SlotOutcome COMPLETED = new SlotOutcome(SlotResult.COMPLETED, 10, 10, 5, 50);
 
@@ -90,6 +91,8 @@
             try {
                 return fleet.broker(instance).acquire(request, "szeged-a", () -> {
                     waiting.countDown();
+                    // A question that was answered with "moved" is repeated by the clock.
+                    fleet.clock.advanceMs(CHECK_MS);
                     return callerGone.getAsBoolean();
                 });
             } finally {
