Report the zone's demand to its order controllers and drain upstreams

Cause: the order controllers had no measure of demand, and an upstream that is to be stopped could not be kept free of new requests without marking it as leaving for good.

Each router reports cumulative counters per pool each second; the holder of the order lease answers with the draining upstreams. Ruled out: the leaving mark of the upstream table, because two controllers publish the table, the mark is not taken back by a shard's queue, and nobody learns who applied it; counters per interval, because a lost or repeated report would change them.

The ranking of controllers moves to cranberrybend-wire, so that routers and controllers choose the same two. A request that is offered to further shards of its pool says so, so that it is counted as demand once.

Before: no demand message.

Conclusion: demand and drains are known within a second at a cost of one small request per router, controller and second.

--- a/cranberrybend-controller/src/main/java/org/cranberrybend/controller/schedule/ControllerRanking.java
+++ b/cranberrybend-controller/src/main/java/org/cranberrybend/controller/schedule/ControllerRanking.java
@@ -1,10 +1,8 @@
 package org.cranberrybend.controller.schedule;
 
-import com.google.common.hash.Hashing;
-import java.nio.charset.StandardCharsets;
-import java.util.Comparator;
 import java.util.List;
 import org.cranberrybend.core.membership.Member;
+import org.cranberrybend.wire.node.ControllerRanks;
 import org.cranberrybend.wire.node.MemberDirectory;
 
 /**
@@ -15,9 +13,7 @@
  */
 public final class ControllerRanking {
     /** Role of controllers in their member identifier. */
-    public static final String ROLE = "controller";
-
-    private static final int RANKED = 2;
+    public static final String ROLE = ControllerRanks.ROLE;
 
     private final MemberDirectory members;
 
@@ -34,7 +30,7 @@
     /** Returns whether this controller is one of the two that do the zone's duties. */
     public boolean isRanked() {
         int rank = ownRank();
-        return rank >= 0 && rank < RANKED;
+        return rank >= 0 && rank < ControllerRanks.RANKED;
     }
 
     /** Returns whether this controller is ranked first in its zone. */
@@ -45,23 +41,9 @@
     private List<String> ranked() {
         Member self = members.self();
         String zone = self.identity().zone();
-        return members.members().stream()
-                .filter(each -> each.id().equals(self.id()) || isCandidate(each, zone))
-                .map(Member::id)
-                .sorted(Comparator.comparingLong((String id) -> weight(zone, id))
-                        .thenComparing(id -> id))
+        List<Member> candidates = members.members().stream()
+                .filter(each -> each.id().equals(self.id()) || ControllerRanks.isCandidate(each, zone))
                 .toList();
-    }
-
-    private static boolean isCandidate(Member member, String zone) {
-        return member.identity().role().equals(ROLE)
-                && member.identity().zone().equals(zone)
-                && member.state().mayOwnShards();
-    }
-
-    private static long weight(String zone, String memberId) {
-        return Hashing.sha256()
-                .hashString(zone + "\n" + memberId, StandardCharsets.UTF_8)
-                .asLong();
+        return ControllerRanks.sorted(zone, candidates).stream().map(Member::id).toList();
     }
 }
--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/shard/FleetSlotBroker.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/shard/FleetSlotBroker.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
 import org.cranberrybend.core.admission.DispatchSettings;
@@ -48,6 +49,7 @@
     private final ShardTable table;
     private final EntrySlots slots;
     private final ShardOwner owner;
+    private final DemandReporter demandReporter;
 
     /**
      * Creates the broker and registers its message handlers; the messenger must not be started yet.
@@ -69,6 +71,7 @@
         this.table = new ShardTable(members, upstreams);
         this.slots = new EntrySlots(messenger, grant -> release(grant, UNUSED));
         this.owner = new ShardOwner(members, messenger, table, slots, DispatchSettings.DEFAULT, events, timeSource);
+        this.demandReporter = new DemandReporter(members, messenger, owner, timeSource);
         Gauge<Integer> waiting = owner::waitingCount;
         Gauge<Integer> ownedSlots = owner::slotsInUse;
         Gauge<Integer> entrySlots = slots::inUseCount;
@@ -80,13 +83,20 @@
     @Override
     public void start() {
         owner.start();
+        demandReporter.start();
     }
 
     @Override
     public void stop() {
+        demandReporter.stop();
         owner.stop();
     }
 
+    /** Reports the demand now instead of within a second; the result completes when the answers were applied. */
+    CompletableFuture<Void> reportDemand() {
+        return demandReporter.report();
+    }
+
     /** Returns the identifiers of the shards owned by this router. */
     public Set<String> ownedShardIds() {
         return owner.ownedShardIds();
@@ -101,7 +111,7 @@
             RequestFailedException refusal = null;
             for (String shardId : shardOrder(pool)) {
                 try {
-                    return await(request, shardId, pending, callerGone);
+                    return await(request, shardId, refusal != null, pending, callerGone);
                 } catch (RequestFailedException e) {
                     refusal = moreTelling(refusal, e);
                     if (isOver(request, callerGone)) {
@@ -133,7 +143,12 @@
         return order;
     }
 
-    private SlotGrant await(QueuedRequest request, String shardId, PendingSlot pending, BooleanSupplier callerGone)
+    private SlotGrant await(
+            QueuedRequest request,
+            String shardId,
+            boolean offeredBefore,
+            PendingSlot pending,
+            BooleanSupplier callerGone)
             throws RequestFailedException, InterruptedException {
         String askedOwner = "";
         long askedMs = 0;
@@ -143,7 +158,7 @@
                 long nowMs = timeSource.monotonicMs();
                 if (!currentOwner.equals(askedOwner) || nowMs - askedMs >= REPEAT_INTERVAL_MS) {
                     withdraw(request, askedOwner, currentOwner);
-                    ask(request, shardId, currentOwner);
+                    ask(request, shardId, currentOwner, offeredBefore);
                     askedOwner = currentOwner;
                     askedMs = nowMs;
                 }
@@ -174,14 +189,17 @@
         return timeSource.monotonicMs() >= request.deadlineMs() || callerGone.getAsBoolean();
     }
 
-    private void ask(QueuedRequest request, String shardId, String ownerId) {
+    private void ask(QueuedRequest request, String shardId, String ownerId, boolean offeredBefore) {
         if (ownerId.equals(members.self().id())) {
             owner.offer(
                     shardId,
                     request,
-                    new Requester(ownerId, members.self().identity().incarnation()));
+                    new Requester(ownerId, members.self().identity().incarnation()),
+                    offeredBefore);
         } else {
-            sendTo(ownerId, SlotMessages.request(shardId, request, timeSource.monotonicMs()));
+            Envelope.Builder message = SlotMessages.request(shardId, request, timeSource.monotonicMs());
+            message.getSlotRequestBuilder().setOfferedBefore(offeredBefore);
+            sendTo(ownerId, message);
         }
     }
 
--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/shard/OwnedShard.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/shard/OwnedShard.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -33,14 +34,24 @@
     /** Upstreams whose slots in use have been asked for; only these receive requests. */
     private final Set<String> restoredUpstreams = new HashSet<>();
 
+    /** Requests that wait; the queue does not show its tokens per tier. */
+    private final Map<String, QueuedRequest> waiting = new HashMap<>();
+    /** Expected tokens of each request with a slot that was granted here. */
+    private final Map<String, Long> runningTokens = new HashMap<>();
+
+    private final PoolCounters counters;
+    /** Upstreams that are to receive no new requests until they are taken back. */
+    private Set<String> draining = Set.of();
+
     private PoolShard shard;
 
     /** A decision and the entry router that must hear of it. */
     record Delivery(Requester requester, AdmissionDecision decision) {}
 
-    OwnedShard(PoolShard shard, DispatchQueue queue) {
+    OwnedShard(PoolShard shard, DispatchQueue queue, PoolCounters counters) {
         this.shard = shard;
         this.queue = queue;
+        this.counters = counters;
     }
 
     PoolShard shard() {
@@ -51,13 +62,23 @@
         return queue;
     }
 
-    List<Delivery> offer(QueuedRequest request, Requester requester, long nowMs) {
-        requesters.put(request.requestId(), requester);
+    /** Offers a request; {@code offeredBefore} says that another shard of the pool has counted it as demand. */
+    List<Delivery> offer(QueuedRequest request, Requester requester, boolean offeredBefore, long nowMs) {
+        String requestId = request.requestId();
+        requesters.put(requestId, requester);
+        if (!waiting.containsKey(requestId) && !slotIds.containsKey(requestId)) {
+            // A request that excludes an upstream was counted when it was offered for the first time.
+            if (!offeredBefore && request.excludedUpstreams().isEmpty()) {
+                counters.offered(request.requestClass().tier(), request.expectedTokens());
+            }
+            waiting.put(requestId, request);
+        }
         return deliveries(queue.offer(request, nowMs));
     }
 
     List<Delivery> cancel(String requestId) {
         List<Delivery> deliveries = deliveries(queue.cancel(requestId));
+        waiting.remove(requestId);
         String slotId = slotIds.get(requestId);
         // The grant may be on its way; the entry router releases the slot when it arrives.
         if (slotId == null) {
@@ -70,10 +91,33 @@
         if (slotId.equals(slotIds.get(requestId))) {
             slotIds.remove(requestId);
             requesters.remove(requestId);
+            countServed(runningTokens.remove(requestId), outcome);
         }
         return deliveries(queue.release(slotId, outcome, nowMs));
     }
 
+    private void countServed(Long expectedTokens, SlotOutcome outcome) {
+        long tokens = outcome.promptTokens() + outcome.outputTokens();
+        if (outcome.result() == SlotResult.COMPLETED) {
+            // The request of a restored slot is not known; it must not change the ratio of served to expected tokens.
+            counters.served(tokens, expectedTokens == null ? tokens : expectedTokens, outcome.totalMs());
+        }
+    }
+
+    /** Returns the requests that wait for a slot of this shard. */
+    Collection<QueuedRequest> waiting() {
+        return Collections.unmodifiableCollection(waiting.values());
+    }
+
+    /** Changes the upstreams that receive no new requests although they are not leaving. */
+    List<Delivery> drain(Set<String> upstreamIds, long nowMs) {
+        if (draining.equals(upstreamIds)) {
+            return List.of();
+        }
+        draining = upstreamIds;
+        return applyUpstreams(nowMs);
+    }
+
     List<Delivery> dispatch(long nowMs) {
         return deliveries(queue.dispatch(nowMs));
     }
@@ -110,6 +154,7 @@
         }
         List<Upstream> known = shard.upstreams().stream()
                 .filter(upstream -> restoredUpstreams.contains(upstream.id()))
+                .filter(upstream -> !draining.contains(upstream.id()))
                 .toList();
         return deliveries(queue.setUpstreams(known, nowMs));
     }
@@ -121,6 +166,8 @@
             if (gone.test(entry.getValue())) {
                 String requestId = entry.getKey();
                 queue.cancel(requestId);
+                waiting.remove(requestId);
+                runningTokens.remove(requestId);
                 String slotId = slotIds.remove(requestId);
                 requesters.remove(requestId);
                 if (slotId != null) {
@@ -133,18 +180,23 @@
 
     /** Ends the ownership and returns the waiting requests with their entry routers. */
     Map<String, Requester> handOver() {
-        Map<String, Requester> waiting = new HashMap<>();
-        queue.handOver().forEach(request -> waiting.put(request.requestId(), requesters.get(request.requestId())));
-        return waiting;
+        Map<String, Requester> handedOver = new HashMap<>();
+        queue.handOver().forEach(request -> handedOver.put(request.requestId(), requesters.get(request.requestId())));
+        waiting.clear();
+        return handedOver;
     }
 
     private List<Delivery> deliveries(List<AdmissionDecision> decisions) {
         List<Delivery> deliveries = new ArrayList<>();
         for (AdmissionDecision decision : decisions) {
+            QueuedRequest decided = waiting.remove(decision.requestId());
             Requester requester = requesters.get(decision.requestId());
             if (decision instanceof AdmissionDecision.Granted) {
                 AdmissionDecision.Granted granted = (AdmissionDecision.Granted) decision;
                 slotIds.put(decision.requestId(), granted.grant().slotId());
+                if (decided != null) {
+                    runningTokens.put(decision.requestId(), decided.expectedTokens());
+                }
             } else {
                 requesters.remove(decision.requestId());
             }
--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/shard/ShardOwner.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/shard/ShardOwner.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
@@ -29,6 +30,7 @@
 import org.cranberrybend.runtime.event.EventLog;
 import org.cranberrybend.runtime.lifecycle.Service;
 import org.cranberrybend.wire.generated.Envelope;
+import org.cranberrybend.wire.generated.PoolDemand;
 import org.cranberrybend.wire.generated.SlotRelease;
 import org.cranberrybend.wire.generated.SlotRequest;
 import org.cranberrybend.wire.node.MemberDirectory;
@@ -64,6 +66,11 @@
     private final TimeSource timeSource;
     private final Object lock = new Object();
     private final Map<String, OwnedShard> owned = new HashMap<>();
+    /** Demand counters by service; all owned shards are of this router's zone. */
+    private final Map<String, PoolCounters> counters = new HashMap<>();
+    /** Upstreams that receive no new requests because the zone's order controller is about to stop them. */
+    private Set<String> draining = Set.of();
+
     private final ScheduledExecutorService ticker =
             Executors.newSingleThreadScheduledExecutor(new ThreadFactoryBuilder()
                     .setNameFormat("shard-owner")
@@ -103,10 +110,14 @@
         ticker.shutdownNow();
     }
 
-    /** Offers a request to an owned shard; the answer goes to the entry router. */
-    void offer(String shardId, QueuedRequest request, Requester requester) {
+    /**
+     * Offers a request to an owned shard; the answer goes to the entry router.
+     *
+     * @param offeredBefore whether another shard of the pool refused the request and counted it as demand
+     */
+    void offer(String shardId, QueuedRequest request, Requester requester, boolean offeredBefore) {
         Optional<List<Delivery>> deliveries =
-                withShard(shardId, shard -> shard.offer(request, requester, timeSource.monotonicMs()));
+                withShard(shardId, shard -> shard.offer(request, requester, offeredBefore, timeSource.monotonicMs()));
         deliveries.ifPresentOrElse(this::deliver, () -> sendMoved(requester, request.requestId()));
     }
 
@@ -138,6 +149,38 @@
         }
     }
 
+    /** Stops new requests to the given upstreams and allows them again to all others. */
+    void drain(Set<String> upstreamIds) {
+        long nowMs = timeSource.monotonicMs();
+        List<Delivery> deliveries = new ArrayList<>();
+        synchronized (lock) {
+            draining = Set.copyOf(upstreamIds);
+            owned.values().forEach(shard -> deliveries.addAll(shard.drain(draining, nowMs)));
+        }
+        deliver(deliveries);
+    }
+
+    /** Returns those of the given upstreams on which this router knows of a slot in use, granted or used by it. */
+    Set<String> busyAmong(Set<String> upstreamIds) {
+        Set<String> busy = new TreeSet<>();
+        synchronized (lock) {
+            for (OwnedShard shard : owned.values()) {
+                upstreamIds.stream()
+                        .filter(each -> shard.queue().slotsInUse(each) > 0)
+                        .forEach(busy::add);
+            }
+        }
+        localSlots.slotsOn(upstreamIds).forEach(slot -> busy.add(slot.upstreamId()));
+        return busy;
+    }
+
+    /** Returns the demand for each pool of engines with owned shards. */
+    List<PoolDemand> demand() {
+        synchronized (lock) {
+            return DemandMessages.pools(owned.values(), counters);
+        }
+    }
+
     /** Returns the identifiers of the owned shards. */
     Set<String> ownedShardIds() {
         synchronized (lock) {
@@ -190,7 +233,7 @@
             wanted.forEach((shardId, poolShard) -> {
                 OwnedShard shard = owned.get(shardId);
                 if (shard == null) {
-                    shard = new OwnedShard(poolShard, newQueue(shardId));
+                    shard = newShard(poolShard);
                     owned.put(shardId, shard);
                     gained.add(shardId);
                 }
@@ -210,6 +253,13 @@
         toRestore.forEach(this::restore);
     }
 
+    private OwnedShard newShard(PoolShard poolShard) {
+        PoolCounters pool = counters.computeIfAbsent(poolShard.pool().service(), service -> new PoolCounters());
+        OwnedShard shard = new OwnedShard(poolShard, newQueue(poolShard.id()), pool);
+        shard.drain(draining, timeSource.monotonicMs());
+        return shard;
+    }
+
     private DispatchQueue newQueue(String shardId) {
         String prefix = members.self().id() + "@" + members.self().identity().incarnation() + "/" + shardId + "#";
         return new DispatchQueue(dispatchSettings, members.self().id(), prefix);
@@ -259,7 +309,8 @@
         offer(
                 request.getShardId(),
                 SlotMessages.queuedRequest(request, timeSource.monotonicMs()),
-                new Requester(message.getSender(), message.getIncarnation()));
+                new Requester(message.getSender(), message.getIncarnation()),
+                request.getOfferedBefore());
         return Optional.empty();
     }
 
--- a/cranberrybend-router/src/test/java/org/cranberrybend/router/FakeProcess.java
+++ b/cranberrybend-router/src/test/java/org/cranberrybend/router/FakeProcess.java
@@ -140,6 +140,11 @@
         return upstreams;
     }
 
+    @Override
+    public long upstreamsReadAtMs() {
+        return 1;
+    }
+
     @Override
     public void offerUpstreams(List<Upstream> offered, long readAtMs) {
         setUpstreams(offered);
--- a/cranberrybend-router/src/test/java/org/cranberrybend/router/route/ZoneCandidatesTest.java
+++ b/cranberrybend-router/src/test/java/org/cranberrybend/router/route/ZoneCandidatesTest.java
@@ -39,6 +39,11 @@
 
     private ZoneCandidates candidates(Upstream... upstreams) {
         UpstreamSource source = new UpstreamSource() {
+            @Override
+            public long upstreamsReadAtMs() {
+                return 1;
+            }
+
             @Override
             public List<Upstream> upstreams() {
                 return List.of(upstreams);
--- a/cranberrybend-router/src/test/java/org/cranberrybend/router/shard/FakeFleet.java
+++ b/cranberrybend-router/src/test/java/org/cranberrybend/router/shard/FakeFleet.java
@@ -9,8 +9,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.cranberrybend.core.event.HybridClock;
 import org.cranberrybend.core.event.ProcessIdentity;
 import org.cranberrybend.core.membership.Member;
@@ -18,6 +20,8 @@
 import org.cranberrybend.core.routing.Upstream;
 import org.cranberrybend.core.time.ManualTimeSource;
 import org.cranberrybend.runtime.event.EventLog;
+import org.cranberrybend.wire.generated.DemandAck;
+import org.cranberrybend.wire.generated.DemandReport;
 import org.cranberrybend.wire.generated.Envelope;
 import org.cranberrybend.wire.node.MemberDirectory;
 import org.cranberrybend.wire.node.UpstreamSource;
@@ -32,6 +36,16 @@
     private final Map<String, Node> nodes = new LinkedHashMap<>();
     private final List<Runnable> upstreamListeners = new CopyOnWriteArrayList<>();
     private volatile List<Upstream> upstreams;
+    private final Member controller = new Member(
+            new ProcessIdentity("szeged-1", "controller", 1, ZONE, "alfold"),
+            "szeged-1/controller",
+            "",
+            MemberState.ALIVE,
+            0);
+    private final Map<String, DemandReport> reports = new ConcurrentHashMap<>();
+    /** Answer of the order controller; reports are lost while it is null. */
+    private volatile DemandAck demandAck;
+
     private volatile Predicate<Envelope> lost = envelope -> false;
 
     FakeFleet(List<Upstream> upstreams, String... instances) {
@@ -55,6 +69,17 @@
                 .orElseThrow();
     }
 
+    void answerReports(DemandAck answer) {
+        demandAck = answer;
+    }
+
+    /** Lets every router report once and returns the reports that arrived, by instance. */
+    Map<String, DemandReport> reportDemand() {
+        reports.clear();
+        nodes.values().forEach(node -> node.broker.reportDemand().join());
+        return Map.copyOf(reports);
+    }
+
     void lose(Predicate<Envelope> messages) {
         lost = messages;
     }
@@ -69,6 +94,11 @@
         return upstreams;
     }
 
+    @Override
+    public long upstreamsReadAtMs() {
+        return 1;
+    }
+
     @Override
     public void offerUpstreams(List<Upstream> offered, long readAtMs) {
         upstreams = List.copyOf(offered);
@@ -105,7 +135,8 @@
 
         @Override
         public List<Member> members() {
-            return nodes.values().stream().map(node -> node.self).toList();
+            return Stream.concat(nodes.values().stream().map(node -> node.self), Stream.of(controller))
+                    .toList();
         }
 
         @Override
@@ -133,6 +164,14 @@
 
         private Optional<Envelope.Builder> deliver(String peerAddress, Envelope.Builder message) {
             Envelope envelope = message.setSender(self.id()).setIncarnation(1).build();
+            if (envelope.hasDemandReport()) {
+                DemandAck answer = demandAck;
+                if (answer == null || lost.test(envelope)) {
+                    return Optional.empty();
+                }
+                reports.put(self.identity().instance(), envelope.getDemandReport());
+                return Optional.of(Envelope.newBuilder().setDemandAck(answer));
+            }
             Node receiver = nodes.get(peerAddress);
             if (receiver == null || lost.test(envelope)) {
                 return Optional.empty();
--- /dev/null
+++ b/cranberrybend-wire/src/main/java/org/cranberrybend/wire/node/ControllerRanks.java
@@ -0,0 +1,53 @@
+package org.cranberrybend.wire.node;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import org.cranberrybend.core.membership.Member;
+
+/**
+ * Order of the controllers of an availability zone by rendezvous hashing, the same in every process that knows the same
+ * members. The first two do the zone's duties, among them its upstream orders.
+ */
+public final class ControllerRanks {
+    /** Role of controllers in their member identifier. */
+    public static final String ROLE = "controller";
+
+    /** Number of controllers that do the duties of a zone. */
+    public static final int RANKED = 2;
+
+    private ControllerRanks() {}
+
+    /** Returns the live controllers of a zone that do its duties, in order of rank. */
+    public static List<Member> ranked(String zone, Collection<Member> members) {
+        return sorted(
+                        zone,
+                        members.stream().filter(each -> isCandidate(each, zone)).toList())
+                .stream()
+                .limit(RANKED)
+                .toList();
+    }
+
+    /** Returns whether a member is a live controller of the zone. */
+    public static boolean isCandidate(Member member, String zone) {
+        return member.identity().role().equals(ROLE)
+                && member.identity().zone().equals(zone)
+                && member.state().mayOwnShards();
+    }
+
+    /** Returns all given members in order of their rank in a zone. */
+    public static List<Member> sorted(String zone, Collection<Member> candidates) {
+        return candidates.stream()
+                .sorted(Comparator.comparingLong((Member each) -> weight(zone, each.id()))
+                        .thenComparing(Member::id))
+                .toList();
+    }
+
+    private static long weight(String zone, String memberId) {
+        return Hashing.sha256()
+                .hashString(zone + "\n" + memberId, StandardCharsets.UTF_8)
+                .asLong();
+    }
+}
--- a/cranberrybend-wire/src/main/java/org/cranberrybend/wire/node/PeerNode.java
+++ b/cranberrybend-wire/src/main/java/org/cranberrybend/wire/node/PeerNode.java
@@ -230,6 +230,11 @@
         return upstreams.upstreams();
     }
 
+    @Override
+    public long upstreamsReadAtMs() {
+        return upstreams.readAtMs();
+    }
+
     @Override
     public void offerUpstreams(List<Upstream> offered, long readAtMs) {
         upstreams.offer(offered, readAtMs);
--- a/cranberrybend-wire/src/main/java/org/cranberrybend/wire/node/UpstreamReplication.java
+++ b/cranberrybend-wire/src/main/java/org/cranberrybend/wire/node/UpstreamReplication.java
@@ -42,6 +42,10 @@
         return table.upstreams();
     }
 
+    long readAtMs() {
+        return table.readAtMs();
+    }
+
     void offer(List<Upstream> upstreams, long readAtMs) {
         if (replace(upstreams, readAtMs) == Offer.CHANGED) {
             peers.sendToOwnZone(toWire(table));
--- a/cranberrybend-wire/src/main/java/org/cranberrybend/wire/node/UpstreamSource.java
+++ b/cranberrybend-wire/src/main/java/org/cranberrybend/wire/node/UpstreamSource.java
@@ -8,6 +8,9 @@
     /** Returns all listed upstreams. */
     List<Upstream> upstreams();
 
+    /** Returns the wall clock of the read that the list comes from, in milliseconds; 0 if there was none yet. */
+    long upstreamsReadAtMs();
+
     /** Offers a list read from the platform at the given wall clock; older lists are ignored. */
     void offerUpstreams(List<Upstream> upstreams, long readAtMs);
 
