Order upstreams by measured demand

Cause: the order rounds had no source of wanted orders, so upstreams neither followed demand nor were replaced after a loss.

DemandCollector merges the routers' reports, ScalingOrderSource applies the policy per model and drains an upstream before its stop order, OrderHistory says which orders still count although the list of instances lags behind them. Ruled out: asking the policy about other zones, because demand is reported inside the zone only; keeping drains over a take-over, because the successor does not know the demand that they followed from.

Before: no order was ever wanted. After: ScalingFuzzTest (300 schedules with lost responses, take-overs, restarts, lost and repeated reports, reclaims), ScalingOrderSourceTest and DemandCollectorTest pass. Its first oracle, that the sum over both markets never exceeds the need, was wrong: while demand rises the policy divides the need anew between the markets. It was replaced by a stricter one, the target of each market for the demand that the sender sees.

Conclusion: orders stay within the bounds under these faults, and upstreams are released after demand has gone.

--- a/cranberrybend-controller/src/main/java/org/cranberrybend/controller/ControllerService.java
+++ b/cranberrybend-controller/src/main/java/org/cranberrybend/controller/ControllerService.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.cranberrybend.controller.configuration.ConfigurationRepository;
@@ -20,6 +21,10 @@
 import org.cranberrybend.controller.operator.RequestExplainer;
 import org.cranberrybend.controller.order.OrderRound;
 import org.cranberrybend.controller.order.OrderSource;
+import org.cranberrybend.controller.scaling.DemandCollector;
+import org.cranberrybend.controller.scaling.DemandReceiver;
+import org.cranberrybend.controller.scaling.ScalingOrderSource;
+import org.cranberrybend.controller.scaling.ScalingTimes;
 import org.cranberrybend.controller.schedule.ControllerRanking;
 import org.cranberrybend.controller.schedule.RepeatedTask;
 import org.cranberrybend.controller.schedule.RetryDelay;
@@ -133,12 +138,12 @@
                 ranking::isRanked,
                 time,
                 events);
-        // The scaling policy is connected here; until then no order is wanted.
-        OrderSource source = (zone, intents) -> List.of();
+        UpstreamOrderClient orders = closedOnStop(new UpstreamOrderClient(platform, settings.orderTimeoutMs()));
+        OrderSource source = scaling(orders, lease);
         OrderRound round = new OrderRound(
                 settings.zone(),
                 store,
-                closedOnStop(new UpstreamOrderClient(platform, settings.orderTimeoutMs())),
+                orders,
                 lease,
                 times,
                 source,
@@ -151,6 +156,21 @@
                 new RepeatedTask("orders", round, events));
     }
 
+    private OrderSource scaling(UpstreamOrderClient orders, LeaseHolder lease) {
+        ScalingTimes times = ScalingTimes.DEFAULT.with(settings.scaleDownHoldMs(), settings.drainLimitMs());
+        DemandCollector collector = new DemandCollector(settings.zone(), times.smoothingMs());
+        ScalingOrderSource source = new ScalingOrderSource(
+                collector, node::view, node, node, orders, () -> fencingNumber(lease), times, time, events);
+        new DemandReceiver(node.messenger(), collector, source, time);
+        return source;
+    }
+
+    private static OptionalLong fencingNumber(LeaseHolder lease) {
+        return lease.check().stream()
+                .mapToLong(check -> check.fencingNumber().value())
+                .findFirst();
+    }
+
     private RetryDelay retryDelay() {
         return new RetryDelay(RETRY_BASE_MS, RETRY_MAX_MS, random);
     }
--- a/cranberrybend-controller/src/main/java/org/cranberrybend/controller/ControllerSettings.java
+++ b/cranberrybend-controller/src/main/java/org/cranberrybend/controller/ControllerSettings.java
@@ -24,6 +24,8 @@
  * @param reportTimeoutMs longest wait for the response to a usage report, default 3,000
  * @param usageWritePeriodMs time between two writes of the merged counters, default 5,000
  * @param usageSealDelayMs time from the end of a window until it is sealed, default 30,000
+ * @param scaleDownHoldMs time for which fewer upstreams must suffice before one is drained, default 300,000
+ * @param drainLimitMs time after which a draining upstream is stopped although requests run on it, default 600,000
  */
 public record ControllerSettings(
         String instance,
@@ -44,7 +46,9 @@
         long orderPeriodMs,
         long reportTimeoutMs,
         long usageWritePeriodMs,
-        long usageSealDelayMs) {
+        long usageSealDelayMs,
+        long scaleDownHoldMs,
+        long drainLimitMs) {
     public ControllerSettings {
         peers = List.copyOf(peers);
         instanceListPeriodMs = orDefault(instanceListPeriodMs, 1_000);
@@ -55,6 +59,8 @@
         reportTimeoutMs = orDefault(reportTimeoutMs, 3_000);
         usageWritePeriodMs = orDefault(usageWritePeriodMs, 5_000);
         usageSealDelayMs = orDefault(usageSealDelayMs, 30_000);
+        scaleDownHoldMs = orDefault(scaleDownHoldMs, 300_000);
+        drainLimitMs = orDefault(drainLimitMs, 600_000);
         if (leaseSafetyMarginMs * 2 > leaseTtlMs) {
             throw new IllegalArgumentException("lease_safety_margin_ms must be at most half of lease_ttl_ms: "
                     + leaseSafetyMarginMs + ", " + leaseTtlMs);
--- /dev/null
+++ b/cranberrybend-controller/src/test/java/org/cranberrybend/controller/scaling/SimulatedRouter.java
@@ -0,0 +1,127 @@
+package org.cranberrybend.controller.scaling;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.cranberrybend.core.event.ProcessIdentity;
+import org.cranberrybend.core.membership.Member;
+import org.cranberrybend.core.routing.Upstream;
+import org.cranberrybend.wire.generated.DemandReport;
+import org.cranberrybend.wire.generated.PoolDemand;
+import org.cranberrybend.wire.generated.TierDemand;
+
+/** A router that serves its part of the demand, holds slots and reports both, as a controller sees it. */
+final class SimulatedRouter {
+    private static final int SERVED_TOKENS_PER_SLOT_SECOND = 25;
+    private static final int QUARTERS = 4;
+
+    private Member member;
+    private long sequence;
+    private long upperTokens;
+    private long lowerTokens;
+    private DemandReport previous = DemandReport.getDefaultInstance();
+    private DrainState applied = DrainState.NONE;
+    private List<Upstream> listed = List.of();
+    private final Map<String, Integer> slots = new HashMap<>();
+    int reportsToLose;
+    int acksToLose;
+    boolean repeatReports;
+
+    SimulatedRouter(Member member) {
+        this.member = member;
+    }
+
+    Member member() {
+        return member;
+    }
+
+    int slotsOn(String upstreamId) {
+        return slots.getOrDefault(upstreamId, 0);
+    }
+
+    void serve(List<Upstream> upstreams, long tokens, int upperQuarters) {
+        listed = upstreams;
+        upperTokens += tokens * upperQuarters / QUARTERS;
+        lowerTokens += tokens - tokens * upperQuarters / QUARTERS;
+        slots.keySet().retainAll(upstreams.stream().map(Upstream::id).toList());
+    }
+
+    /** Takes a slot for a long request on an upstream that receives new requests. */
+    void holdSlot(int which) {
+        List<String> usable = listed.stream()
+                .filter(each -> !each.leaving() && !applied.contains(each.id()))
+                .map(Upstream::id)
+                .toList();
+        if (!usable.isEmpty()) {
+            slots.merge(usable.get(which % usable.size()), 1, Integer::sum);
+        }
+    }
+
+    void releaseSlots() {
+        slots.clear();
+    }
+
+    void restart() {
+        ProcessIdentity old = member.identity();
+        ProcessIdentity identity =
+                new ProcessIdentity(old.instance(), old.role(), old.incarnation() + 1, old.zone(), old.region());
+        member = new Member(identity, member.peerAddress(), member.adminAddress(), member.state());
+        sequence = 0;
+        upperTokens = 0;
+        lowerTokens = 0;
+        applied = DrainState.NONE;
+        slots.clear();
+    }
+
+    void heal() {
+        reportsToLose = 0;
+        acksToLose = 0;
+        repeatReports = false;
+    }
+
+    void report(List<SimulatedZone.Controller> controllers, long nowMs) {
+        DemandReport report = next();
+        DrainState newest = applied;
+        for (SimulatedZone.Controller controller : controllers) {
+            if (controller.isPaused() || reportsToLose > 0) {
+                continue;
+            }
+            long incarnation = member.identity().incarnation();
+            controller.collector.receive(member.id(), incarnation, report, nowMs);
+            if (repeatReports) {
+                controller.collector.receive(member.id(), incarnation, previous, nowMs);
+                controller.collector.receive(member.id(), incarnation, report, nowMs);
+            }
+            DrainState answer = controller.source.drains();
+            boolean isNewer = answer.fencingNumber() > newest.fencingNumber()
+                    || (answer.fencingNumber() == newest.fencingNumber() && answer.version() >= newest.version());
+            if (acksToLose == 0 && answer.fencingNumber() > 0 && isNewer) {
+                newest = answer;
+            }
+        }
+        applied = newest;
+        previous = report;
+        reportsToLose = Math.max(0, reportsToLose - 1);
+        acksToLose = Math.max(0, acksToLose - 1);
+    }
+
+    private DemandReport next() {
+        Set<String> draining = applied.drains().keySet();
+        long tokens = upperTokens + lowerTokens;
+        return DemandReport.newBuilder()
+                .setSequence(++sequence)
+                .setDrainFencingNumber(applied.fencingNumber())
+                .setDrainVersion(applied.version())
+                .addAllBusyDrainingUpstreams(
+                        draining.stream().filter(each -> slotsOn(each) > 0).toList())
+                .addPools(PoolDemand.newBuilder()
+                        .setService(SimulatedZone.MODEL)
+                        .setServedTokens(tokens)
+                        .setServedExpectedTokens(tokens)
+                        .setServedSlotMs(tokens * 1_000 / SERVED_TOKENS_PER_SLOT_SECOND)
+                        .addTiers(TierDemand.newBuilder().setTier(1).setOfferedTokens(upperTokens))
+                        .addTiers(TierDemand.newBuilder().setTier(2).setOfferedTokens(lowerTokens)))
+                .build();
+    }
+}
--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/event/EventCode.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/event/EventCode.java
@@ -46,6 +46,8 @@
     UPSTREAM_GONE(505, Severity.INFO, "An upstream is no longer listed."),
     SHARD_OWNED(506, Severity.INFO, "This router owns a pool shard."),
     SHARD_LOST(507, Severity.INFO, "This router no longer owns a pool shard."),
+    UPSTREAM_DRAINING(508, Severity.INFO, "An upstream is drained before it is stopped."),
+    UPSTREAM_DRAIN_ENDED(509, Severity.INFO, "An upstream is needed again and is not stopped."),
     LEASE_ACQUIRED(601, Severity.INFO, "A lease was acquired."),
     LEASE_LOST(602, Severity.WARNING, "A lease was lost."),
     ORDER_INTENT_RECORDED(603, Severity.INFO, "The intent of an upstream order was recorded."),
--- a/cranberrybend-runtime/src/main/java/org/cranberrybend/runtime/platform/UpstreamOrderClient.java
+++ b/cranberrybend-runtime/src/main/java/org/cranberrybend/runtime/platform/UpstreamOrderClient.java
@@ -1,8 +1,8 @@
 package org.cranberrybend.runtime.platform;
 
 import java.net.URI;
-import java.util.HashSet;
-import java.util.Set;
+import java.util.ArrayList;
+import java.util.List;
 import org.cranberrybend.runtime.http.HttpResult;
 
 /** HTTP client of the platform's interface to order upstreams. */
@@ -27,15 +27,19 @@
     }
 
     @Override
-    public Set<String> acceptedOrders(String zone) throws PlatformException {
+    public List<AcceptedOrder> orders(String zone) throws PlatformException {
         HttpResult result = caller.call("GET", path(zone), null);
         if (result.status() != 200) {
             throw new PlatformException("GET " + path(zone), result.status());
         }
-        Set<String> orderIds = new HashSet<>();
+        List<AcceptedOrder> orders = new ArrayList<>();
         PlatformCaller.json("GET " + path(zone), result)
-                .forEach(each -> orderIds.add(each.path("order_id").asText()));
-        return Set.copyOf(orderIds);
+                .forEach(each -> orders.add(new AcceptedOrder(
+                        each.path("order_id").asText(),
+                        each.path("action").asText(),
+                        each.path("state").asText(),
+                        each.path("upstream_id").asText(""))));
+        return List.copyOf(orders);
     }
 
     private static String path(String zone) {
--- a/cranberrybend-runtime/src/main/java/org/cranberrybend/runtime/platform/UpstreamOrders.java
+++ b/cranberrybend-runtime/src/main/java/org/cranberrybend/runtime/platform/UpstreamOrders.java
@@ -1,16 +1,23 @@
 package org.cranberrybend.runtime.platform;
 
+import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /** The platform's interface to order upstreams. */
 public interface UpstreamOrders {
     /**
      * Sends an order once.
      *
-     * @throws PlatformException if it was not accepted, or if its outcome is unknown; then read {@link #acceptedOrders}
+     * @throws PlatformException if it was not accepted, or if its outcome is unknown; then read {@link #orders}
      */
     void send(String zone, UpstreamOrder order) throws PlatformException;
 
+    /** Returns the orders accepted in a zone, oldest first. */
+    List<AcceptedOrder> orders(String zone) throws PlatformException;
+
     /** Returns the identifiers of the orders accepted in a zone. */
-    Set<String> acceptedOrders(String zone) throws PlatformException;
+    default Set<String> acceptedOrders(String zone) throws PlatformException {
+        return orders(zone).stream().map(AcceptedOrder::orderId).collect(Collectors.toSet());
+    }
 }
