Count traffic between regions per purpose and pace large messages

Before: no counter and no bound.

Conclusion: a burst of data uses at most the budget, and control passes it.

--- a/cranberrybend-wire/src/main/java/org/cranberrybend/wire/node/PeerNode.java
+++ b/cranberrybend-wire/src/main/java/org/cranberrybend/wire/node/PeerNode.java
@@ -2,9 +2,11 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.util.concurrent.ThreadFactoryBuilder;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -56,6 +58,8 @@
             .setDaemon(true)
             .build());
     private volatile CatchUp catchUp = CatchUp.DONE;
+    /** Identifiers and peer addresses of the members of other regions. */
+    private volatile Set<String> otherRegions = Set.of();
 
     /** Whether peers are being asked for newer configuration after a pause, and until when that is waited for. */
     private record CatchUp(boolean pending, long deadlineMs) {
@@ -93,6 +97,18 @@
                 new MembershipService.Collaborators(
                         this::digests, this::exchange, this::startCatchUp, this::synchronizedWith));
         membership.register();
+        listeners.add(this::updateRegions);
+    }
+
+    private void updateRegions() {
+        Set<String> changed = new HashSet<>();
+        for (Member member : members()) {
+            if (!member.identity().region().equals(identity.region())) {
+                changed.add(member.id());
+                changed.add(member.peerAddress());
+            }
+        }
+        otherRegions = Set.copyOf(changed);
     }
 
     @Override
@@ -266,5 +282,10 @@
             eventLog.clock().observe(new HybridTimestamp(frame.getHlcWallMs(), frame.getHlcCounter()));
             configuration.observe(frame);
         }
+
+        @Override
+        public boolean isInOtherRegion(String memberIdOrAddress) {
+            return otherRegions.contains(memberIdOrAddress);
+        }
     }
 }
--- a/cranberrybend-wire/src/main/java/org/cranberrybend/wire/transport/PeerChannel.java
+++ b/cranberrybend-wire/src/main/java/org/cranberrybend/wire/transport/PeerChannel.java
@@ -27,7 +27,11 @@
     private final Listener listener;
     private final AtomicLong bufferedBytes = new AtomicLong();
     private final AtomicLong receivedFrames = new AtomicLong();
+    private final LinkPacer pacer;
     private volatile Channel channel;
+    /** Member identifier of the peer; empty until it sent a frame. */
+    private volatile String sender = "";
+
     private volatile int keepAlivesInARow;
     private volatile boolean silent;
 
@@ -38,12 +42,16 @@
         void onClosed(PeerChannel source);
 
         Envelope keepAlive();
+
+        /** Returns whether the peer is in another region. */
+        boolean usesLink(PeerChannel source);
     }
 
-    PeerChannel(PeerTransportSettings settings, TransportMetrics metrics, Listener listener) {
+    PeerChannel(PeerTransportSettings settings, TransportMetrics metrics, LinkPacer pacer, Listener listener) {
         super(Envelope.class);
         this.settings = settings;
         this.metrics = metrics;
+        this.pacer = pacer;
         this.listener = listener;
     }
 
@@ -75,15 +83,33 @@
         if (frame.getBodyCase() != Envelope.BodyCase.BODY_NOT_SET) {
             keepAlivesInARow = 0;
         }
+        boolean usesLink = listener.usesLink(this);
+        Runnable write = () -> writeNow(frame, lengthBytes, usesLink);
+        if (!usesLink || !LinkPurpose.isCapped(frame.getBodyCase())) {
+            write.run();
+        } else if (pacer.submit(lengthBytes + TransportMetrics.PREFIX_BYTES, write)) {
+            metrics.delayedForLink(frame);
+        }
+        return true;
+    }
+
+    private void writeNow(Envelope frame, int lengthBytes, boolean usesLink) {
         channel.writeAndFlush(frame).addListener((ChannelFutureListener) written -> {
             bufferedBytes.addAndGet(-lengthBytes);
-            if (written.isSuccess()) {
-                metrics.sent(frame);
-            } else {
+            if (!written.isSuccess()) {
                 metrics.dropped(DropReason.NO_CONNECTION);
+                return;
+            }
+            metrics.sent(frame);
+            if (usesLink) {
+                metrics.sentOverLink(frame);
             }
         });
-        return true;
+    }
+
+    /** Returns the member identifier of the peer; empty until it sent a frame. */
+    String sender() {
+        return sender;
     }
 
     boolean isOpen() {
@@ -109,7 +135,11 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, Envelope frame) {
         receivedFrames.incrementAndGet();
+        sender = frame.getSender();
         metrics.received(frame);
+        if (listener.usesLink(this)) {
+            metrics.receivedOverLink(frame);
+        }
         listener.onFrame(this, frame);
     }
 
--- a/cranberrybend-wire/src/main/java/org/cranberrybend/wire/transport/PeerConnection.java
+++ b/cranberrybend-wire/src/main/java/org/cranberrybend/wire/transport/PeerConnection.java
@@ -24,6 +24,7 @@
     private final String address;
     private final PeerTransportSettings settings;
     private final TransportMetrics metrics;
+    private final LinkPacer pacer;
     private final PendingRequests pending;
     private final Owner owner;
     private final EventLoop loop;
@@ -38,18 +39,23 @@
     /** What a connection needs from the transport. */
     interface Owner extends PeerChannel.Listener {
         Envelope greeting();
+
+        /** Returns whether the peer at an address is in another region. */
+        boolean usesLinkTo(String address);
     }
 
     PeerConnection(
             String address,
             PeerTransportSettings settings,
             TransportMetrics metrics,
+            LinkPacer pacer,
             PendingRequests pending,
             Owner owner,
             EventLoop loop) {
         this.address = address;
         this.settings = settings;
         this.metrics = metrics;
+        this.pacer = pacer;
         this.pending = pending;
         this.owner = owner;
         this.loop = loop;
@@ -106,7 +112,7 @@
             return;
         }
         connecting = true;
-        PeerChannel channel = new PeerChannel(settings, metrics, new ChannelEvents());
+        PeerChannel channel = new PeerChannel(settings, metrics, pacer, new ChannelEvents());
         int colon = address.lastIndexOf(':');
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
@@ -226,5 +232,10 @@
         public Envelope keepAlive() {
             return owner.keepAlive();
         }
+
+        @Override
+        public boolean usesLink(PeerChannel source) {
+            return owner.usesLinkTo(address);
+        }
     }
 }
--- a/cranberrybend-wire/src/main/java/org/cranberrybend/wire/transport/PeerContext.java
+++ b/cranberrybend-wire/src/main/java/org/cranberrybend/wire/transport/PeerContext.java
@@ -12,4 +12,11 @@
 
     /** Called on a worker thread for each received frame, before its handler. */
     void observe(Envelope frame);
+
+    /**
+     * Returns whether a peer is known to be in another region.
+     *
+     * @param memberIdOrAddress member identifier or peer address
+     */
+    boolean isInOtherRegion(String memberIdOrAddress);
 }
--- a/cranberrybend-wire/src/main/java/org/cranberrybend/wire/transport/PeerTransport.java
+++ b/cranberrybend-wire/src/main/java/org/cranberrybend/wire/transport/PeerTransport.java
@@ -29,6 +29,7 @@
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.runtime.lifecycle.Service;
 import org.cranberrybend.runtime.lifecycle.ServiceException;
 import org.cranberrybend.wire.generated.Envelope;
@@ -40,6 +41,9 @@
  * <p>A response travels on the connection of its request, and is accepted on no other one. When a request times out
  * and the connection received nothing since, the next frame uses a new connection, because the network path may have
  * lost the state of the old one.
+ *
+ * <p>Large frames to other regions wait for the byte budget of the link. They use the connection for large messages, so
+ * control frames never wait behind them.
  */
 public final class PeerTransport implements PeerMessenger, Service {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -54,6 +58,7 @@
     private final PeerTransportSettings settings;
     private final PeerContext context;
     private final TransportMetrics metrics;
+    private final LinkPacer pacer;
     private final PendingRequests pending = new PendingRequests();
     private final Map<Envelope.BodyCase, PeerHandler> handlers = new ConcurrentHashMap<>();
     private final ConcurrentMap<ConnectionKey, PeerConnection> connections = new ConcurrentHashMap<>();
@@ -72,6 +77,8 @@
         this.context = context;
         this.metrics = new TransportMetrics(registry);
         this.ioGroup = new MultiThreadIoEventLoopGroup(IO_THREADS, daemonThreads("peer-io"), NioIoHandler.newFactory());
+        this.pacer = new LinkPacer(
+                settings.linkBytesPerSecond(), settings.linkBurstBytes(), TimeSource.system(), this::scheduleWrite);
         for (FrameLane lane : FrameLane.values()) {
             int threads = lane.threadCount();
             ThreadPoolExecutor executor = new ThreadPoolExecutor(
@@ -86,6 +93,14 @@
         }
     }
 
+    private void scheduleWrite(Runnable task, long delayMs) {
+        try {
+            ioGroup.schedule(task, delayMs, TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException ignored) {
+            // The transport is stopping; there is nothing to send any more.
+        }
+    }
+
     private static ThreadFactory daemonThreads(String prefix) {
         return new ThreadFactoryBuilder()
                 .setNameFormat(prefix + "-%d")
@@ -103,7 +118,7 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel target) {
-                        PeerChannel channel = new PeerChannel(settings, metrics, connectionEvents);
+                        PeerChannel channel = new PeerChannel(settings, metrics, pacer, connectionEvents);
                         accepted.add(channel);
                         channel.addTo(target);
                     }
@@ -182,7 +197,7 @@
         return Optional.of(connections.computeIfAbsent(
                 new ConnectionKey(peerAddress, bulk),
                 key -> new PeerConnection(
-                        key.address(), settings, metrics, pending, connectionEvents, ioGroup.next())));
+                        key.address(), settings, metrics, pacer, pending, connectionEvents, ioGroup.next())));
     }
 
     private Envelope stamped(Envelope.Builder message) {
@@ -278,5 +293,15 @@
         public Envelope greeting() {
             return stamped(context.greeting());
         }
+
+        @Override
+        public boolean usesLink(PeerChannel source) {
+            return context.isInOtherRegion(source.sender());
+        }
+
+        @Override
+        public boolean usesLinkTo(String address) {
+            return context.isInOtherRegion(address);
+        }
     }
 }
--- a/cranberrybend-wire/src/main/java/org/cranberrybend/wire/transport/TransportMetrics.java
+++ b/cranberrybend-wire/src/main/java/org/cranberrybend/wire/transport/TransportMetrics.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import org.cranberrybend.wire.generated.Envelope;
 
-/** Byte and frame counters per message type. */
+/** Byte and frame counters per message type, and per purpose for traffic between regions. */
 final class TransportMetrics {
     /** Length of the prefix that delimits a frame. */
     static final int PREFIX_BYTES = 4;
@@ -48,6 +48,26 @@
         type.bytesReceived().inc(frame.getSerializedSize() + PREFIX_BYTES);
     }
 
+    /** Counts a frame sent to another region. */
+    void sentOverLink(Envelope frame) {
+        linkCounter("peer_link_bytes_sent", frame).inc(frame.getSerializedSize() + PREFIX_BYTES);
+    }
+
+    /** Counts a frame received from another region. */
+    void receivedOverLink(Envelope frame) {
+        linkCounter("peer_link_bytes_received", frame).inc(frame.getSerializedSize() + PREFIX_BYTES);
+    }
+
+    /** Counts a frame that waits for the byte budget of the link. */
+    void delayedForLink(Envelope frame) {
+        linkCounter("peer_link_frames_delayed", frame).inc();
+    }
+
+    private Counter linkCounter(String name, Envelope frame) {
+        String purpose = LinkPurpose.of(frame.getBodyCase()).label();
+        return registry.counter(name + "{purpose=\"" + purpose + "\"}");
+    }
+
     void dropped(DropReason reason) {
         registry.counter("peer_frames_dropped{reason=\"" + reason.label() + "\"}")
                 .inc();
--- a/cranberrybend-wire/src/test/java/org/cranberrybend/wire/transport/PeerTransportTest.java
+++ b/cranberrybend-wire/src/test/java/org/cranberrybend/wire/transport/PeerTransportTest.java
@@ -11,11 +11,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.cranberrybend.wire.Await;
 import org.cranberrybend.wire.SilentPeer;
 import org.cranberrybend.wire.generated.Ack;
@@ -23,6 +26,8 @@
 import org.cranberrybend.wire.generated.Hello;
 import org.cranberrybend.wire.generated.Ping;
 import org.cranberrybend.wire.generated.SlotCancel;
+import org.cranberrybend.wire.generated.UpstreamInfo;
+import org.cranberrybend.wire.generated.UpstreamTable;
 import org.cranberrybend.wire.generated.UsageAck;
 import org.cranberrybend.wire.generated.UsageFlush;
 import org.junit.jupiter.api.AfterEach;
@@ -31,13 +36,15 @@
 class PeerTransportTest {
     private static final long LONG_MS = 60_000;
     private static final int MAX_FRAME_BYTES = 1 << 16;
+    private static final int LINK_BURST_BYTES = 1_000;
 
     private final List<PeerTransport> transports = new ArrayList<>();
     private final MetricRegistry metrics = new MetricRegistry();
 
-    private enum TestContext implements PeerContext {
-        INSTANCE;
+    /** Addresses and members of another region. */
+    private final Set<String> otherRegion = ConcurrentHashMap.newKeySet();
 
+    private final class TestContext implements PeerContext {
         @Override
         public void stamp(Envelope.Builder frame) {
             frame.setSender("entry-1/router");
@@ -50,12 +57,26 @@
 
         @Override
         public void observe(Envelope frame) {}
+
+        @Override
+        public boolean isInOtherRegion(String memberIdOrAddress) {
+            return otherRegion.contains(memberIdOrAddress);
+        }
     }
 
     private PeerTransport create(MetricRegistry registry, long keepAliveMs, long silenceMs) {
         PeerTransportSettings settings = new PeerTransportSettings(
-                "127.0.0.1", 0, keepAliveMs, silenceMs, 1_000, 0, MAX_FRAME_BYTES, 4 * MAX_FRAME_BYTES);
-        PeerTransport transport = new PeerTransport(settings, TestContext.INSTANCE, registry);
+                "127.0.0.1",
+                0,
+                keepAliveMs,
+                silenceMs,
+                1_000,
+                0,
+                MAX_FRAME_BYTES,
+                4 * MAX_FRAME_BYTES,
+                1,
+                LINK_BURST_BYTES);
+        PeerTransport transport = new PeerTransport(settings, new TestContext(), registry);
         transports.add(transport);
         return transport;
     }
@@ -233,6 +254,64 @@
         }
     }
 
+    private static Envelope.Builder largeTable() {
+        return Envelope.newBuilder()
+                .setUpstreamTable(UpstreamTable.newBuilder()
+                        .addUpstreams(UpstreamInfo.newBuilder().setId("e".repeat(LINK_BURST_BYTES * 3 / 4))));
+    }
+
+    // Guards against large messages that fill the link between regions, and against control frames that wait for them.
+    @Test
+    void largeFramesToOtherRegionWaitAndControlDoesNot() throws Exception {
+        PeerTransport responder = create(new MetricRegistry(), 20_000, LONG_MS);
+        AtomicInteger tables = new AtomicInteger();
+        responder.register(Envelope.BodyCase.PING, frame -> Optional.of(ack()));
+        responder.register(Envelope.BodyCase.UPSTREAM_TABLE, frame -> {
+            tables.incrementAndGet();
+            return Optional.empty();
+        });
+        responder.start();
+        otherRegion.add(address(responder));
+        PeerTransport client = startClient(LONG_MS);
+
+        // At one byte a second the second table waits for ten minutes.
+        client.send(address(responder), largeTable());
+        client.send(address(responder), largeTable());
+        Await.until("a table waits", () -> count("peer_link_frames_delayed{purpose=\"configuration\"}") == 1);
+        Await.until("the first table arrives", () -> tables.get() == 1);
+        for (int i = 0; i < 20; i++) {
+            client.request(address(responder), ping(), LONG_MS).get();
+        }
+
+        assertThat(tables.get()).isEqualTo(1);
+        assertThat(count("peer_link_bytes_sent{purpose=\"configuration\"}")).isGreaterThan(LINK_BURST_BYTES / 2);
+        assertThat(count("peer_link_bytes_sent{purpose=\"control\"}")).isGreaterThan(20);
+        assertThat(count("peer_link_bytes_received{purpose=\"control\"}")).isGreaterThan(20);
+        assertThat(metrics.getCounters().keySet().stream().filter(name -> name.startsWith("peer_frames_dropped")))
+                .isEmpty();
+    }
+
+    // Guards against a budget that also slows down the zones of this process's own region.
+    @Test
+    void framesInsideTheRegionAreNeitherCountedNorDelayed() throws Exception {
+        PeerTransport responder = create(new MetricRegistry(), 20_000, LONG_MS);
+        CountDownLatch received = new CountDownLatch(5);
+        responder.register(Envelope.BodyCase.UPSTREAM_TABLE, frame -> {
+            received.countDown();
+            return Optional.empty();
+        });
+        responder.start();
+        PeerTransport client = startClient(LONG_MS);
+
+        for (int i = 0; i < 5; i++) {
+            client.send(address(responder), largeTable());
+        }
+
+        assertThat(received.await(LONG_MS, TimeUnit.MILLISECONDS)).isTrue();
+        assertThat(metrics.getCounters().keySet().stream().filter(name -> name.startsWith("peer_link")))
+                .isEmpty();
+    }
+
     private static void awaitUninterrupted(CountDownLatch latch) {
         try {
             latch.await(LONG_MS, TimeUnit.MILLISECONDS);
