--- a/cranberrybend-controller/src/test/java/org/cranberrybend/controller/upstream/InstanceListPollerTest.java
+++ b/cranberrybend-controller/src/test/java/org/cranberrybend/controller/upstream/InstanceListPollerTest.java
@@ -33,6 +33,11 @@
         private final List<Upstream> last = new ArrayList<>();
         private long readAtMs = -1;
 
+        @Override
+        public long upstreamsReadAtMs() {
+            throw new AssertionError("not expected");
+        }
+
         @Override
         public List<Upstream> upstreams() {
             return last;
