--- a/cranberrybend-controller/src/test/java/org/cranberrybend/controller/scaling/ScalingOrderSourceTest.java
+++ b/cranberrybend-controller/src/test/java/org/cranberrybend/controller/scaling/ScalingOrderSourceTest.java
@@ -87,6 +87,7 @@
         zone.controllers.get(0).pausedUntilMs = zone.time.monotonicMs() + 1_000_000;
         zone.pass(300);
 
+        assertThat(zone.drainingCount()).isEqualTo(0);
         assertThat(running()).isEqualTo(2);
     }
 }
--- a/cranberrybend-router/src/test/java/org/cranberrybend/router/shard/DemandReporterTest.java
+++ b/cranberrybend-router/src/test/java/org/cranberrybend/router/shard/DemandReporterTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.cranberrybend.core.account.RequestClass;
 import org.cranberrybend.core.account.Tier;
 import org.cranberrybend.core.admission.QueuedRequest;
@@ -49,7 +50,10 @@
         long nowMs = fleet.clock.monotonicMs();
         QueuedRequest request =
                 new QueuedRequest(id, "stub-writer", requestClass, "acme", 1, 10, 20, nowMs, nowMs + 600_000, Set.of());
-        return fleet.broker(ENTRY).acquire(request, "szeged-a", () -> false);
+        return fleet.broker(ENTRY).acquire(request, "szeged-a", () -> {
+            fleet.clock.advanceMs(100);
+            return false;
+        });
     }
 
     private static DemandAck ack(long fencingNumber, long version, String... draining) {
@@ -73,7 +77,12 @@
     @Test
     void ownerReportsWhatWasOfferedAndServed() throws Exception {
         fleet.answerReports(ack(0, 0));
+        assertThat(fleet.owner()).isNotEqualTo(ENTRY);
+        AtomicInteger grants = new AtomicInteger();
+        // The owner is asked again after a second, which must not count as further demand.
+        fleet.lose(message -> message.hasSlotGrant() && grants.getAndIncrement() == 0);
         SlotGrant grant = acquire("a");
+        assertThat(grants.get()).isAtLeast(2);
         acquire("b");
         fleet.broker(ENTRY).release(grant, new SlotOutcome(SlotResult.COMPLETED, 10, 5, 5, 300));
 
