Await the counters of sent bytes in the transport test

Cause: PeerTransportTest read counters that the sender updates after the write, which may be after the receiver has the frame. Ruled out: counting before the write, because a frame that fails would be counted as sent.

Before: the counters were read at once. After: PeerTransportTest passes with them awaited. Conclusion: no result depends on which side is first.

--- a/cranberrybend-wire/src/test/java/org/cranberrybend/wire/transport/PeerTransportTest.java
+++ b/cranberrybend-wire/src/test/java/org/cranberrybend/wire/transport/PeerTransportTest.java
@@ -284,8 +284,11 @@
         }
 
         assertThat(tables.get()).isEqualTo(1);
-        assertThat(count("peer_link_bytes_sent{purpose=\"configuration\"}")).isGreaterThan(LINK_BURST_BYTES / 2);
-        assertThat(count("peer_link_bytes_sent{purpose=\"control\"}")).isGreaterThan(20);
+        // A sender counts a frame after it was written, which the receiver may see earlier.
+        Await.until(
+                "the table is counted",
+                () -> count("peer_link_bytes_sent{purpose=\"configuration\"}") > LINK_BURST_BYTES / 2);
+        Await.until("the pings are counted", () -> count("peer_link_bytes_sent{purpose=\"control\"}") > 20);
         assertThat(count("peer_link_bytes_received{purpose=\"control\"}")).isGreaterThan(20);
         assertThat(metrics.getCounters().keySet().stream().filter(name -> name.startsWith("peer_frames_dropped")))
                 .isEmpty();
