--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/routing/Rendezvous.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/routing/Rendezvous.java
@@ -7,11 +7,11 @@
 import java.util.Optional;
 
 /** Rendezvous hashing: of several candidates, each key prefers the one with the highest hash of the pair. */
-final class Rendezvous {
+public final class Rendezvous {
     private Rendezvous() {}
 
     /** Returns a hash that is the same in every process and build. */
-    static long hash(String key, String candidate) {
+    public static long hash(String key, String candidate) {
         return Hashing.murmur3_128()
                 .newHasher()
                 .putString(key, StandardCharsets.UTF_8)
@@ -22,7 +22,7 @@
     }
 
     /** Returns the preferred candidate, independent of the order of the collection. */
-    static Optional<String> choose(String key, Collection<String> candidates) {
+    public static Optional<String> choose(String key, Collection<String> candidates) {
         return candidates.stream()
                 .max(Comparator.<String>comparingLong(each -> hash(key, each))
                         .thenComparing(Comparator.naturalOrder()));
--- /dev/null
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntrySettings.java
@@ -0,0 +1,106 @@
+package org.cranberrybend.entry;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.cranberrybend.entry.json.Json;
+import org.cranberrybend.entry.json.JsonFormatException;
+import org.cranberrybend.entry.json.JsonObject;
+
+/**
+ * Settings of an entry instance, read from a JSON file.
+ *
+ * @param instance name of the instance
+ * @param zone availability zone
+ * @param regionsByZone region of each availability zone
+ * @param callerAddress address that serves callers
+ * @param readinessAddress address that answers whether the instance is ready
+ * @param controlAddress address that serves the other instances
+ * @param seeds control addresses of some instances; they may be stale
+ * @param storeAddress address of the key-value store
+ * @param dutyAddress address of the calls that one instance makes at a time; null if there are none
+ * @param dutyNames names of these calls
+ * @param memoryMb memory of the instance, in MB
+ * @param shutdownLimitMs time from the request to stop until the process is killed, in milliseconds
+ * @param retryRatio repeats allowed for each request
+ * @param retryAllowance repeats allowed besides in a window, for all instances together
+ * @param leaseMs shortest time between the acts of two holders of a duty that alternate, in milliseconds
+ * @param usageWindowMs length of a usage window, in milliseconds
+ * @param usageDueMs time after the end of a window at which its report is due, in milliseconds
+ */
+public record EntrySettings(
+        String instance,
+        String zone,
+        Map<String, String> regionsByZone,
+        InetSocketAddress callerAddress,
+        InetSocketAddress readinessAddress,
+        InetSocketAddress controlAddress,
+        List<InetSocketAddress> seeds,
+        InetSocketAddress storeAddress,
+        InetSocketAddress dutyAddress,
+        List<String> dutyNames,
+        int memoryMb,
+        long shutdownLimitMs,
+        double retryRatio,
+        double retryAllowance,
+        long leaseMs,
+        long usageWindowMs,
+        long usageDueMs) {
+    private static final double DEFAULT_RETRY_RATIO = 0.1;
+
+    public EntrySettings {
+        regionsByZone = Map.copyOf(regionsByZone);
+        seeds = List.copyOf(seeds);
+        dutyNames = List.copyOf(dutyNames);
+    }
+
+    /** Reads settings; the message of a failure names the field. */
+    public static EntrySettings parse(byte[] text) throws JsonFormatException {
+        JsonObject json = Json.readObject(text);
+        JsonObject listen = json.object("listen");
+        JsonObject duties = json.object("duties");
+        JsonObject retries = json.object("retry_budget");
+        JsonObject usage = json.object("usage");
+        String dutyAddress = duties.text("address", "");
+        Map<String, String> regions = new HashMap<>();
+        JsonObject zones = json.object("regions_by_zone");
+        for (String zone : zones.names()) {
+            regions.put(zone, zones.text(zone));
+        }
+        regions.putIfAbsent(json.text("availability_zone"), json.text("region"));
+        List<InetSocketAddress> seeds = new ArrayList<>();
+        for (String seed : json.texts("seeds")) {
+            seeds.add(address("seeds", seed));
+        }
+        return new EntrySettings(
+                json.text("instance"),
+                json.text("availability_zone"),
+                regions,
+                address("listen.callers", listen.text("callers")),
+                address("listen.readiness", listen.text("readiness")),
+                address("listen.control", listen.text("control")),
+                seeds,
+                address("store.address", json.object("store").text("address")),
+                dutyAddress.isEmpty() ? null : address("duties.address", dutyAddress),
+                duties.texts("names"),
+                (int) json.number("memory_mb"),
+                json.number("shutdown_limit_s") * 1_000,
+                retries.decimal("ratio", DEFAULT_RETRY_RATIO),
+                retries.decimal("allowance", 0),
+                json.number("lease_ms"),
+                usage.number("window_s") * 1_000,
+                usage.number("due_s") * 1_000);
+    }
+
+    private static InetSocketAddress address(String field, String text) throws JsonFormatException {
+        int colon = text.lastIndexOf(':');
+        try {
+            return new InetSocketAddress(
+                    text.substring(0, Math.max(0, colon)), Integer.parseInt(text.substring(colon + 1)));
+        } catch (IllegalArgumentException e) {
+            throw new JsonFormatException("field " + field + " must be an address with a port", e);
+        }
+    }
+}
--- /dev/null
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/configuration/Route.java
@@ -0,0 +1,67 @@
+package org.cranberrybend.entry.configuration;
+
+import java.util.List;
+
+/**
+ * A route: requests for a host whose path begins with a prefix.
+ *
+ * @param name name of the route
+ * @param host host name in lower case
+ * @param prefix prefix of the path, begins and ends with a slash
+ * @param repeatRule what may be repeated
+ * @param streaming whether the answer is a stream of events
+ * @param timeoutMs longest time until the final answer, in milliseconds
+ * @param targetLatencyMs time until the answer or its first event, in milliseconds
+ * @param eventGapTargetMs longest pause between two events, in milliseconds; 0 if none is set
+ * @param priority rank; 0 is the highest
+ * @param targets services with their share of the requests; never empty
+ * @param maxAttempts largest number of upstreams that one attempt of a caller is sent to
+ * @param open whether requests need no key
+ */
+public record Route(
+        String name,
+        String host,
+        String prefix,
+        RepeatRule repeatRule,
+        boolean streaming,
+        long timeoutMs,
+        long targetLatencyMs,
+        long eventGapTargetMs,
+        int priority,
+        List<Target> targets,
+        int maxAttempts,
+        boolean open) {
+    /**
+     * A service that receives part of a route's requests.
+     *
+     * @param service name of the service
+     * @param weight share, relative to the sum of all weights
+     */
+    public record Target(String service, int weight) {}
+
+    public Route {
+        targets = List.copyOf(targets);
+        if (targets.isEmpty()) {
+            throw new IllegalArgumentException("route " + name + " has no service");
+        }
+        if (!prefix.startsWith("/") || !prefix.endsWith("/")) {
+            throw new IllegalArgumentException("prefix of route " + name + " must begin and end with a slash");
+        }
+        if (timeoutMs < 1 || maxAttempts < 1) {
+            throw new IllegalArgumentException("route " + name + " needs a time limit and at least one attempt");
+        }
+    }
+
+    /** Returns the service of a request; the same number always gives the same service. */
+    public String serviceFor(long requestHash) {
+        int total = targets.stream().mapToInt(Target::weight).sum();
+        long position = total == 0 ? 0 : Math.floorMod(requestHash, (long) total);
+        for (Target target : targets) {
+            position -= target.weight();
+            if (position < 0) {
+                return target.service();
+            }
+        }
+        return targets.get(0).service();
+    }
+}
--- /dev/null
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/configuration/ScalingBounds.java
@@ -0,0 +1,22 @@
+package org.cranberrybend.entry.configuration;
+
+import java.util.Map;
+
+/**
+ * Bounds of the orders of one service.
+ *
+ * @param min smallest number of upstreams in a zone
+ * @param max largest number of upstreams in a zone
+ * @param startMs time until an ordered upstream serves, in milliseconds
+ * @param preemptiblePriceRatio price of a preemptible upstream relative to a guaranteed one; 0 if there are none
+ * @param zonePrices relative price of an upstream by availability zone
+ */
+public record ScalingBounds(
+        int min, int max, long startMs, double preemptiblePriceRatio, Map<String, Double> zonePrices) {
+    public ScalingBounds {
+        zonePrices = Map.copyOf(zonePrices);
+        if (min < 0 || max < min) {
+            throw new IllegalArgumentException("bounds of orders are not in order: " + min + ", " + max);
+        }
+    }
+}
--- /dev/null
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ApiReply.java
@@ -0,0 +1,10 @@
+package org.cranberrybend.entry.http;
+
+/**
+ * A whole response to a call of an API.
+ *
+ * @param status HTTP status
+ * @param body body
+ */
+@SuppressWarnings("ArrayRecordComponent")
+public record ApiReply(int status, byte[] body) {}
--- /dev/null
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/HttpConnector.java
@@ -0,0 +1,57 @@
+package org.cranberrybend.entry.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.function.Consumer;
+
+/** Opens connections to servers. All calls come on the event loop. */
+public final class HttpConnector {
+    private final EventLoopGroup loop;
+
+    /** Creates a connector whose connections run on the given loop. */
+    public HttpConnector(EventLoopGroup loop) {
+        this.loop = loop;
+    }
+
+    /** Receives the outcome of a connection attempt. */
+    public interface Listener {
+        /** The connection is established. */
+        void onConnected(ClientConnection connection);
+
+        /** No connection was established. */
+        void onFailure(String cause);
+    }
+
+    /**
+     * Opens a connection.
+     *
+     * @param onClosed called once after an established connection was closed
+     * @return a handle that abandons the attempt
+     */
+    public Runnable connect(
+            InetSocketAddress address, int timeoutMs, Consumer<ClientConnection> onClosed, Listener listener) {
+        ClientConnection[] created = new ClientConnection[1];
+        ClientConnection connection = new ClientConnection(() -> onClosed.accept(created[0]));
+        created[0] = connection;
+        ChannelFuture attempt = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_KEEPALIVE, false)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
+                .handler(connection)
+                .connect(address);
+        attempt.addListener(done -> {
+            if (done.isSuccess()) {
+                listener.onConnected(connection);
+            } else if (!done.isCancelled()) {
+                listener.onFailure(String.valueOf(done.cause().getMessage()));
+            }
+        });
+        return () -> attempt.cancel(false);
+    }
+}
--- /dev/null
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/HttpServer.java
@@ -0,0 +1,129 @@
+package org.cranberrybend.entry.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.cranberrybend.core.time.TimeSource;
+
+/** A listening address and its connections, confined to one event loop. */
+public final class HttpServer {
+    private static final int BACKLOG = 1024;
+    private static final long TIMEOUT_SCAN_MS = 500;
+
+    private final EventLoopGroup loop;
+    private final TimeSource timeSource;
+    private final RequestHandler handler;
+    private final Supplier<ServerLimits> limits;
+    private final BodyMemory bodyMemory;
+    private final Set<ServerConnection> connections = new LinkedHashSet<>();
+    private Channel channel;
+    private boolean draining;
+
+    /**
+     * Creates a server that does not listen yet.
+     *
+     * @param loop group of exactly one event loop
+     * @param limits limits in force when a connection is opened
+     */
+    public HttpServer(
+            EventLoopGroup loop,
+            TimeSource timeSource,
+            RequestHandler handler,
+            Supplier<ServerLimits> limits,
+            BodyMemory bodyMemory) {
+        this.loop = loop;
+        this.timeSource = timeSource;
+        this.handler = handler;
+        this.limits = limits;
+        this.bodyMemory = bodyMemory;
+    }
+
+    /** Listens on an address; returns the address in use. */
+    public InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
+        channel = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel accepted) {
+                        accepted.pipeline().addLast(new ServerConnection(HttpServer.this));
+                    }
+                })
+                .bind(address)
+                .sync()
+                .channel();
+        loop.scheduleWithFixedDelay(this::checkTimeouts, TIMEOUT_SCAN_MS, TIMEOUT_SCAN_MS, TimeUnit.MILLISECONDS);
+        return (InetSocketAddress) channel.localAddress();
+    }
+
+    private void checkTimeouts() {
+        long nowMs = nowMs();
+        new ArrayList<>(connections).forEach(each -> each.checkTimeouts(nowMs));
+    }
+
+    /** Makes each further answer the last of its connection. */
+    public void beginDrain() {
+        draining = true;
+    }
+
+    /** Closes the listening socket and the connections without a request. */
+    public void closeIdle() {
+        channel.close();
+        new ArrayList<>(connections).forEach(ServerConnection::closeIfIdle);
+    }
+
+    /** Returns the number of connections that have a request in progress. */
+    public int busyCount() {
+        return (int) connections.stream().filter(each -> !each.isIdle()).count();
+    }
+
+    /** Returns the number of open connections. */
+    public int connectionCount() {
+        return connections.size();
+    }
+
+    boolean isDraining() {
+        return draining;
+    }
+
+    ServerLimits limits() {
+        return limits.get();
+    }
+
+    BodyMemory bodyMemory() {
+        return bodyMemory;
+    }
+
+    RequestHandler handler() {
+        return handler;
+    }
+
+    long nowMs() {
+        return timeSource.monotonicMs();
+    }
+
+    void later(Runnable task, long delayMs) {
+        loop.schedule(task, delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    void opened(ServerConnection connection) {
+        connections.add(connection);
+    }
+
+    void closed(ServerConnection connection) {
+        connections.remove(connection);
+    }
+}
--- /dev/null
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ServerConnection.java
@@ -0,0 +1,352 @@
+package org.cranberrybend.entry.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.hc.core5.http.ContentLengthStrategy;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpVersion;
+import org.apache.hc.core5.http.MessageConstraintException;
+import org.apache.hc.core5.http.impl.DefaultContentLengthStrategy;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestFactory;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParser;
+import org.apache.hc.core5.http.message.BasicHeader;
+
+/**
+ * One connection of a caller. Requests are read whole and answered one at a time; the input is read on during an
+ * answer, so that a caller that disconnects is noticed at once.
+ */
+final class ServerConnection extends ChannelInboundHandlerAdapter implements ServerExchange {
+    /** Input that a caller may send ahead of the answer to its last request. */
+    private static final int MAX_UNREAD_BYTES = 256 * 1024;
+    /** Time for a caller to read the last answer before the connection is closed under it. */
+    private static final long CLOSE_LINGER_MS = 1_000;
+
+    private static final byte[] LAST_CHUNK = "0\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] LINE_END = "\r\n".getBytes(StandardCharsets.US_ASCII);
+
+    private enum Phase {
+        IDLE,
+        READING_HEAD,
+        READING_BODY,
+        ANSWERING,
+        CLOSING
+    }
+
+    private final HttpServer server;
+    private final MessageReader<HttpRequest> reader;
+    private ChannelHandlerContext context;
+    private Phase phase = Phase.IDLE;
+    private long phaseSinceMs;
+    private HttpRequest request;
+    private long requestReceivedMs;
+    private ByteArrayOutputStream body;
+    private long bodyBytesTaken;
+    private boolean keepAlive;
+    private boolean chunkedAnswer;
+    private Runnable callerGoneListener;
+
+    ServerConnection(HttpServer server) {
+        this.server = server;
+        this.reader = new MessageReader<>(
+                new DefaultHttpRequestParser<>(
+                        MessageReader.config(server.limits().maxHeadBytes()), DefaultHttpRequestFactory.INSTANCE),
+                MessageReader.config(server.limits().maxHeadBytes()));
+        this.phaseSinceMs = server.nowMs();
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext channelContext) {
+        context = channelContext;
+        server.opened(this);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext channelContext) {
+        disconnected();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext channelContext, Throwable cause) {
+        channelContext.close();
+        disconnected();
+    }
+
+    private void disconnected() {
+        boolean answering = phase == Phase.ANSWERING;
+        phase = Phase.CLOSING;
+        server.closed(this);
+        releaseBody();
+        if (answering && callerGoneListener != null) {
+            Runnable listener = callerGoneListener;
+            callerGoneListener = null;
+            listener.run();
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext channelContext, Object message) {
+        ByteBuf received = (ByteBuf) message;
+        try {
+            if (phase == Phase.CLOSING) {
+                return;
+            }
+            reader.append(received);
+        } finally {
+            received.release();
+        }
+        process();
+        if (phase == Phase.ANSWERING && reader.unreadBytes() > MAX_UNREAD_BYTES) {
+            context.channel().config().setAutoRead(false);
+        }
+    }
+
+    private void process() {
+        try {
+            while (phase != Phase.ANSWERING && phase != Phase.CLOSING) {
+                if (!advance()) {
+                    return;
+                }
+            }
+        } catch (MessageConstraintException e) {
+            refuse(431, "Request Header Fields Too Large");
+        } catch (HttpException | IOException e) {
+            refuse(400, "Bad Request");
+        }
+    }
+
+    private boolean advance() throws HttpException, IOException {
+        if (phase == Phase.IDLE) {
+            if (reader.unreadBytes() == 0) {
+                return false;
+            }
+            enter(Phase.READING_HEAD);
+        }
+        if (phase == Phase.READING_HEAD) {
+            request = reader.readHead();
+            return request != null && beginBody();
+        }
+        return readBody();
+    }
+
+    private boolean beginBody() throws HttpException {
+        requestReceivedMs = server.nowMs();
+        keepAlive = !HeaderRules.announcesClose(request)
+                && (request.getVersion() == null || request.getVersion().greaterEquals(HttpVersion.HTTP_1_1));
+        long length = bodyLength();
+        if (length > server.limits().maxBodyBytes()) {
+            refuse(413, "Content Too Large");
+            return false;
+        }
+        body = new ByteArrayOutputStream(length > 0 ? (int) length : 0);
+        if (length > 0 && !takeMemory(length)) {
+            return false;
+        }
+        reader.beginBody(length);
+        enter(Phase.READING_BODY);
+        Header expect = request.getFirstHeader(HttpHeaders.EXPECT);
+        if (expect != null && length != 0) {
+            context.writeAndFlush(HeadFormatter.response(100, "Continue", List.of()));
+        }
+        return true;
+    }
+
+    /** Returns the length of the body, and refuses framing that two parsers could understand in two ways. */
+    private long bodyLength() throws HttpException {
+        int codings = request.countHeaders(HttpHeaders.TRANSFER_ENCODING);
+        int lengths = request.countHeaders(HttpHeaders.CONTENT_LENGTH);
+        if (!HeaderRules.areWellFormed(request) || codings + lengths > 1) {
+            throw new HttpException("ambiguous or malformed headers");
+        }
+        if (codings + lengths == 0) {
+            return 0;
+        }
+        if (codings == 1
+                && !request.getFirstHeader(HttpHeaders.TRANSFER_ENCODING)
+                        .getValue()
+                        .trim()
+                        .equalsIgnoreCase("chunked")) {
+            throw new HttpException("unknown transfer coding");
+        }
+        long length = DefaultContentLengthStrategy.INSTANCE.determineLength(request);
+        if (length < 0 && length != ContentLengthStrategy.CHUNKED) {
+            throw new HttpException("undefined length of the body");
+        }
+        return length;
+    }
+
+    private boolean takeMemory(long bytes) {
+        if (!server.bodyMemory().tryTake(bytes)) {
+            refuse(503, "Service Unavailable");
+            return false;
+        }
+        bodyBytesTaken += bytes;
+        return true;
+    }
+
+    private boolean readBody() throws IOException {
+        ByteBuffer piece = reader.readBody();
+        int count = piece.remaining();
+        if (body.size() + (long) count > server.limits().maxBodyBytes()) {
+            refuse(413, "Content Too Large");
+            return false;
+        }
+        if (body.size() + count > bodyBytesTaken && !takeMemory(body.size() + count - bodyBytesTaken)) {
+            return false;
+        }
+        body.write(piece.array(), piece.position(), count);
+        if (!reader.isBodyComplete()) {
+            return count > 0;
+        }
+        ReceivedRequest received = new ReceivedRequest(request, body.toByteArray(), requestReceivedMs);
+        body = null;
+        enter(Phase.ANSWERING);
+        server.handler().handle(received, this);
+        return true;
+    }
+
+    /** Answers a request that was not read to its end, and closes the connection. */
+    private void refuse(int status, String reason) {
+        keepAlive = false;
+        enter(Phase.ANSWERING);
+        respond(status, reason, List.of(), new byte[0]);
+    }
+
+    private void enter(Phase next) {
+        phase = next;
+        phaseSinceMs = server.nowMs();
+    }
+
+    private void releaseBody() {
+        server.bodyMemory().release(bodyBytesTaken);
+        bodyBytesTaken = 0;
+        body = null;
+    }
+
+    @Override
+    public void onCallerGone(Runnable listener) {
+        callerGoneListener = listener;
+    }
+
+    @Override
+    public void respond(int status, String reason, List<Header> headers, byte[] content) {
+        begin(status, reason, headers, content.length);
+        if (content.length > 0) {
+            write(Unpooled.wrappedBuffer(content));
+        }
+        end();
+    }
+
+    @Override
+    public void begin(int status, String reason, List<Header> headers, long length) {
+        if (!isOpen()) {
+            return;
+        }
+        if (server.isDraining()) {
+            keepAlive = false;
+        }
+        List<Header> all = new ArrayList<>(headers);
+        chunkedAnswer = length == CHUNKED;
+        if (chunkedAnswer) {
+            all.add(new BasicHeader(HttpHeaders.TRANSFER_ENCODING, "chunked"));
+        } else {
+            all.add(new BasicHeader(HttpHeaders.CONTENT_LENGTH, length));
+        }
+        if (!keepAlive) {
+            all.add(new BasicHeader(HttpHeaders.CONNECTION, "close"));
+        }
+        context.write(HeadFormatter.response(status, reason, all), context.voidPromise());
+    }
+
+    @Override
+    public void write(ByteBuf piece) {
+        if (!isOpen() || !piece.isReadable()) {
+            piece.release();
+            return;
+        }
+        if (chunkedAnswer) {
+            byte[] size = (Integer.toHexString(piece.readableBytes()) + "\r\n").getBytes(StandardCharsets.US_ASCII);
+            context.writeAndFlush(
+                    Unpooled.wrappedBuffer(Unpooled.wrappedBuffer(size), piece, Unpooled.wrappedBuffer(LINE_END)),
+                    context.voidPromise());
+        } else {
+            context.write(piece, context.voidPromise());
+        }
+    }
+
+    @Override
+    public void end() {
+        if (!isOpen()) {
+            return;
+        }
+        callerGoneListener = null;
+        releaseBody();
+        if (chunkedAnswer) {
+            context.write(Unpooled.wrappedBuffer(LAST_CHUNK), context.voidPromise());
+        }
+        context.flush();
+        if (!keepAlive) {
+            closeAfterAnswer();
+            return;
+        }
+        enter(Phase.IDLE);
+        context.channel().config().setAutoRead(true);
+        // A caller that sends ahead must not grow the stack: its next request is read in a task of its own.
+        if (reader.unreadBytes() > 0) {
+            context.executor().execute(this::process);
+        }
+    }
+
+    /** Ends the output and waits for the caller to close: unread input would reset the connection under the answer. */
+    private void closeAfterAnswer() {
+        enter(Phase.CLOSING);
+        context.channel().config().setAutoRead(true);
+        context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> {
+            ((io.netty.channel.socket.SocketChannel) context.channel()).shutdownOutput();
+        });
+        server.later(() -> context.close(), CLOSE_LINGER_MS);
+    }
+
+    @Override
+    public void abort() {
+        callerGoneListener = null;
+        phase = Phase.CLOSING;
+        context.flush();
+        context.close();
+    }
+
+    @Override
+    public boolean isOpen() {
+        return phase == Phase.ANSWERING && context.channel().isActive();
+    }
+
+    boolean isIdle() {
+        return phase == Phase.IDLE && reader.unreadBytes() == 0;
+    }
+
+    void closeIfIdle() {
+        if (isIdle()) {
+            context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
+    void checkTimeouts(long nowMs) {
+        long elapsedMs = nowMs - phaseSinceMs;
+        boolean reading = phase == Phase.READING_HEAD || phase == Phase.READING_BODY;
+        if (phase == Phase.IDLE && elapsedMs > server.limits().idleTimeoutMs()
+                || reading && elapsedMs > server.limits().headTimeoutMs()) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/json/package-info.java
@@ -0,0 +1,2 @@
+/** Reading and writing of JSON values. */
+package org.cranberrybend.entry.json;
--- /dev/null
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/log/DecisionLog.java
@@ -0,0 +1,157 @@
+package org.cranberrybend.entry.log;
+
+import com.google.common.annotations.VisibleForTesting;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.cranberrybend.core.error.Severity;
+import org.cranberrybend.core.event.EventCode;
+import org.cranberrybend.core.time.TimeSource;
+import org.cranberrybend.entry.json.Json;
+
+/**
+ * Writes one JSON line for each decision to standard output.
+ *
+ * <p>Recording never blocks: lines wait in a bounded queue that one thread empties, and a full queue or a spent line
+ * rate drops and counts them. Lines of requests that went well are sampled by their identifier, with the same outcome
+ * on every instance, so that a failed or refused request keeps its lines under load.
+ */
+public final class DecisionLog {
+    private static final int QUEUE_LINES = 4096;
+    private static final int MAX_LINES_PER_SECOND = 400;
+    /** One in this many requests that go well is logged. */
+    private static final int SAMPLE_DIVISOR = 16;
+
+    private static final long FLUSH_INTERVAL_MS = 250;
+
+    private final String instance;
+    private final long incarnation;
+    private final TimeSource timeSource;
+    private final OutputStream output;
+    private final BlockingQueue<byte[]> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
+    private final AtomicLong dropped = new AtomicLong();
+    private long sequence;
+    private long secondStartMs;
+    private int linesInSecond;
+    private Thread writer;
+
+    /** Creates the log of one process; {@link #start} begins to write. */
+    public DecisionLog(String instance, long incarnation, TimeSource timeSource, OutputStream output) {
+        this.instance = instance;
+        this.incarnation = incarnation;
+        this.timeSource = timeSource;
+        this.output = output;
+    }
+
+    /** Starts the writing thread. */
+    public void start() {
+        writer = new Thread(this::writeLines, "log-writer");
+        writer.setDaemon(true);
+        writer.start();
+    }
+
+    /** Returns whether lines of a request that goes well are kept. */
+    public static boolean isSampled(String requestId) {
+        return requestId.hashCode() % SAMPLE_DIVISOR == 0;
+    }
+
+    /** Records an event about a subject. Fields come as names and values in turn. Called on the event loop only. */
+    public void record(EventCode code, String subject, Object... fields) {
+        long nowMs = timeSource.monotonicMs();
+        if (nowMs - secondStartMs >= 1_000) {
+            secondStartMs = nowMs;
+            linesInSecond = 0;
+        }
+        linesInSecond++;
+        boolean kept = code.severity() == Severity.INFO
+                ? linesInSecond <= MAX_LINES_PER_SECOND / 2
+                : linesInSecond <= MAX_LINES_PER_SECOND;
+        sequence++;
+        if (!kept || !queue.offer(line(code, subject, fields))) {
+            dropped.incrementAndGet();
+        }
+    }
+
+    private byte[] line(EventCode code, String subject, Object... fields) {
+        Map<String, Object> line = new LinkedHashMap<>();
+        line.put("event", code.number());
+        line.put("name", code.name());
+        line.put("severity", code.severity().name());
+        line.put("wall_ms", timeSource.wallMs());
+        line.put("instance", instance);
+        line.put("incarnation", incarnation);
+        line.put("sequence", sequence);
+        line.put("subject", subject);
+        Map<String, Object> details = new LinkedHashMap<>();
+        for (int i = 0; i + 1 < fields.length; i += 2) {
+            details.put((String) fields[i], fields[i + 1]);
+        }
+        line.put("fields", details);
+        return Json.write(line);
+    }
+
+    /** Returns the number of lines that were dropped. */
+    public long droppedLines() {
+        return dropped.get();
+    }
+
+    private void writeLines() {
+        long reportedDrops = 0;
+        try {
+            while (true) {
+                List<byte[]> lines = new ArrayList<>();
+                lines.add(queue.take());
+                // Lines are gathered, because each wake-up and each system call is charged.
+                TimeUnit.MILLISECONDS.sleep(FLUSH_INTERVAL_MS);
+                queue.drainTo(lines);
+                long drops = dropped.get();
+                if (drops > reportedDrops) {
+                    lines.add(("{\"dropped_lines\":" + drops + "}").getBytes(StandardCharsets.UTF_8));
+                    reportedDrops = drops;
+                }
+                write(lines);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (IOException e) {
+            dropped.incrementAndGet();
+        }
+    }
+
+    @VisibleForTesting
+    void write(List<byte[]> lines) throws IOException {
+        int length = 0;
+        for (byte[] line : lines) {
+            length += line.length + 1;
+        }
+        byte[] text = new byte[length];
+        int position = 0;
+        for (byte[] line : lines) {
+            System.arraycopy(line, 0, text, position, line.length);
+            position += line.length;
+            text[position++] = '\n';
+        }
+        output.write(text);
+        output.flush();
+    }
+
+    /** Writes what is queued, for at most the given time. */
+    public void stop(long limitMs) {
+        try {
+            long endMs = timeSource.monotonicMs() + limitMs;
+            while (!queue.isEmpty() && timeSource.monotonicMs() < endMs) {
+                TimeUnit.MILLISECONDS.sleep(10);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/port/KeyValueStore.java
@@ -0,0 +1,31 @@
+package org.cranberrybend.entry.port;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * The platform's key-value store. Futures complete on the event loop, exceptionally with a {@link StoreException}.
+ * Reads are linearizable.
+ */
+public interface KeyValueStore {
+    /** Reads one item. */
+    CompletableFuture<Optional<StoreItem>> get(String key);
+
+    /** Reads all items under a prefix, page by page. */
+    CompletableFuture<StoreSnapshot> list(String prefix);
+
+    /** Waits for changes under a prefix after a revision, for at most the given time. */
+    CompletableFuture<StoreChanges> watch(String prefix, long afterRevision, long waitMs);
+
+    /** Applies a write; returns the revision of the change. */
+    CompletableFuture<Long> write(StoreWrite write);
+
+    /** Grants a lease and returns its identifier. */
+    CompletableFuture<Long> grantLease(long ttlMs);
+
+    /** Renews a lease. */
+    CompletableFuture<Void> renewLease(long leaseId);
+
+    /** Ends a lease; its keys are deleted. */
+    CompletableFuture<Void> endLease(long leaseId);
+}
--- /dev/null
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/port/StoreChange.java
@@ -0,0 +1,12 @@
+package org.cranberrybend.entry.port;
+
+import java.util.Optional;
+
+/**
+ * A change of one key.
+ *
+ * @param key key
+ * @param revision revision of the change
+ * @param item item as written; empty if the key was deleted
+ */
+public record StoreChange(String key, long revision, Optional<StoreItem> item) {}
--- /dev/null
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/port/StoreChanges.java
@@ -0,0 +1,15 @@
+package org.cranberrybend.entry.port;
+
+import java.util.List;
+
+/**
+ * Changes under a prefix.
+ *
+ * @param changes changes in the order of their revisions; may be empty
+ * @param revision revision of the store from which to watch on
+ */
+public record StoreChanges(List<StoreChange> changes, long revision) {
+    public StoreChanges {
+        changes = List.copyOf(changes);
+    }
+}
--- /dev/null
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RoutedRequest.java
@@ -0,0 +1,68 @@
+package org.cranberrybend.entry.request;
+
+import java.util.List;
+import java.util.Optional;
+import org.apache.hc.core5.http.Header;
+import org.cranberrybend.entry.configuration.AccountEntry;
+import org.cranberrybend.entry.configuration.RepeatRule;
+import org.cranberrybend.entry.configuration.Route;
+
+/**
+ * A request whose route and client account are known. Times are readings of the monotonic clock in milliseconds.
+ *
+ * @param attemptId identifier of the caller's attempt
+ * @param method HTTP method
+ * @param target path and query as received
+ * @param headers headers that are forwarded
+ * @param body body
+ * @param route route
+ * @param service service chosen among those of the route
+ * @param account account of the key; empty on an open route without a known key
+ * @param priority rank in force; 0 is the highest
+ * @param prompt parts of the prompt; empty if the request has none
+ * @param outputTokens largest number of output tokens; 0 if not stated
+ * @param receivedMs time at which the request was received
+ * @param endMs time at which the request must have its final answer
+ * @param resumeAfter event after which the caller resumes a stream; empty if from its beginning
+ */
+@SuppressWarnings("ArrayRecordComponent")
+record RoutedRequest(
+        String attemptId,
+        String method,
+        String target,
+        List<Header> headers,
+        byte[] body,
+        Route route,
+        String service,
+        Optional<AccountEntry> account,
+        int priority,
+        List<PromptPart> prompt,
+        int outputTokens,
+        long receivedMs,
+        long endMs,
+        String resumeAfter) {
+    RoutedRequest {
+        headers = List.copyOf(headers);
+        prompt = List.copyOf(prompt);
+    }
+
+    RepeatRule repeatRule() {
+        return route.repeatRule();
+    }
+
+    /** Returns what prompts with the same shared parts have in common; empty without a prompt. */
+    String promptKey() {
+        StringBuilder key = new StringBuilder();
+        // The last part belongs to the request or its session; alone it is all there is to go by.
+        int shared = prompt.size() > 1 ? prompt.size() - 1 : prompt.size();
+        for (int i = 0; i < shared; i++) {
+            key.append(prompt.get(i).id()).append('/');
+        }
+        return key.toString();
+    }
+
+    /** Returns the tokens that are certainly not in an engine's cache. */
+    int ownTokens() {
+        return prompt.isEmpty() ? 0 : prompt.get(prompt.size() - 1).tokens();
+    }
+}
--- /dev/null
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/package-info.java
@@ -0,0 +1,2 @@
+/** The way of a request: route and account, choice of an upstream, attempts, and one final answer. */
+package org.cranberrybend.entry.request;
--- /dev/null
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamSelector.java
@@ -0,0 +1,98 @@
+package org.cranberrybend.entry.upstream;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.cranberrybend.core.routing.Rendezvous;
+
+/**
+ * Chooses the upstream of a request.
+ *
+ * <p>A plain service: the least loaded upstream, where another availability zone or region counts as load. A model
+ * engine: prompts that begin alike go to the same engine of the region, which then has read their shared parts; the
+ * next engine in the order of the prompt's hash takes over when that one has clearly more to do than the others.
+ */
+public final class UpstreamSelector {
+    /** Load that an upstream in another availability zone of the region counts more, in requests per slot. */
+    private static final double OTHER_ZONE_LOAD = 0.15;
+    /** Load that an upstream in another region counts more, in requests per slot. */
+    private static final double OTHER_REGION_LOAD = 0.8;
+    /** Requests in progress by which an engine may exceed the mean of its region before a prompt goes to the next. */
+    private static final double ENGINE_LEAD_REQUESTS = 8;
+    /** Factor by which an engine may exceed the mean of its region. */
+    private static final double ENGINE_LEAD_RATIO = 1.6;
+
+    private final UpstreamTable table;
+    private final String zone;
+    private final Map<String, String> regionsByZone;
+
+    /** Creates a selector for an instance in the given zone. */
+    public UpstreamSelector(UpstreamTable table, String zone, Map<String, String> regionsByZone) {
+        this.table = table;
+        this.zone = zone;
+        this.regionsByZone = Map.copyOf(regionsByZone);
+    }
+
+    /**
+     * Returns the upstream for a request.
+     *
+     * @param promptKey what prompts with the same shared parts have in common; empty for a plain service
+     * @param excluded upstreams that the request was sent to before
+     */
+    public Optional<Upstream> choose(String service, String promptKey, Set<String> excluded, long nowMs) {
+        List<Upstream> listed = table.ofService(service).stream()
+                .filter(Upstream::isListedReady)
+                .filter(each -> !excluded.contains(each.entry().id()))
+                .collect(Collectors.toList());
+        List<Upstream> usable =
+                listed.stream().filter(each -> each.accepts(nowMs)).collect(Collectors.toList());
+        // With all set aside, the judgement on them is more likely wrong than all of them being broken.
+        List<Upstream> candidates = usable.isEmpty() ? listed : usable;
+        return promptKey.isEmpty() ? leastLoaded(candidates, nowMs) : byPrompt(candidates, promptKey, nowMs);
+    }
+
+    private Optional<Upstream> leastLoaded(List<Upstream> candidates, long nowMs) {
+        return candidates.stream()
+                .min(Comparator.<Upstream>comparingDouble(each -> loadOf(each, nowMs))
+                        .thenComparing(each -> each.entry().id()));
+    }
+
+    private double loadOf(Upstream upstream, long nowMs) {
+        double load = upstream.estimatedRequests(nowMs)
+                / (double) Math.max(1, upstream.entry().slots());
+        String otherZone = upstream.entry().zone();
+        if (otherZone.equals(zone)) {
+            return load;
+        }
+        return load + (isSameRegion(otherZone) ? OTHER_ZONE_LOAD : OTHER_REGION_LOAD);
+    }
+
+    private boolean isSameRegion(String otherZone) {
+        String region = regionsByZone.getOrDefault(zone, zone);
+        return region.equals(regionsByZone.getOrDefault(otherZone, otherZone));
+    }
+
+    private Optional<Upstream> byPrompt(List<Upstream> candidates, String promptKey, long nowMs) {
+        List<Upstream> near = candidates.stream()
+                .filter(each -> isSameRegion(each.entry().zone()))
+                .collect(Collectors.toList());
+        List<Upstream> pool = near.isEmpty() ? candidates : near;
+        double mean = pool.stream()
+                .mapToInt(each -> each.estimatedRequests(nowMs))
+                .average()
+                .orElse(0);
+        double bound = Math.max(mean + ENGINE_LEAD_REQUESTS, mean * ENGINE_LEAD_RATIO);
+        List<Upstream> order = pool.stream()
+                .sorted(Comparator.<Upstream>comparingLong(
+                                each -> Rendezvous.hash(promptKey, each.entry().id()))
+                        .reversed())
+                .collect(Collectors.toList());
+        return order.stream()
+                .filter(each -> each.estimatedRequests(nowMs) <= bound)
+                .findFirst()
+                .or(() -> order.stream().findFirst());
+    }
+}
