Report usage and order upstreams under one lease

One instance holds a lease in the store and does both. Window figures are sealed by a create-only write before they are sent; a successor waits for the full lease; preemptible upstreams replace guaranteed ones while available.

Ruled out: one lease per duty (twice the renewals, no gain at 8 instances).

The wanted number of upstreams is fixed per zone so far.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -4,11 +4,19 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.cranberrybend.core.event.EventCode;
 import org.cranberrybend.core.time.TimeSource;
+import org.cranberrybend.entry.duty.DutyLease;
+import org.cranberrybend.entry.duty.FleetDirectory;
+import org.cranberrybend.entry.duty.FleetDuties;
+import org.cranberrybend.entry.duty.FleetKeys;
+import org.cranberrybend.entry.duty.OrderDuty;
+import org.cranberrybend.entry.duty.UsageDuty;
+import org.cranberrybend.entry.duty.UsageFlusher;
 import org.cranberrybend.entry.http.BodyMemory;
 import org.cranberrybend.entry.http.HttpConnector;
 import org.cranberrybend.entry.http.HttpServer;
@@ -35,7 +43,13 @@
     /** Limits before the first configuration; no request is served then. */
     private static final ServerLimits FIRST_LIMITS = new ServerLimits(16 * 1024, 4 * 1024 * 1024, 3_000, 15_000);
 
+    /** Time for which changes gather at the store before they are read. */
     private static final long UPSTREAM_GATHER_MS = 300;
+
+    private static final long FLEET_GATHER_MS = 300;
+    /** Time for the last counts to reach the store before the process ends. */
+    private static final long LAST_WRITE_MS = 120;
+
     private static final long MAINTENANCE_INTERVAL_MS = 250;
     /** Share of the instance's memory that bodies of requests may take at the same time. */
     private static final double BODY_MEMORY_SHARE = 0.08;
@@ -51,6 +65,9 @@
     private final UpstreamTable upstreams;
     private final PrefixWatch configurationWatch;
     private final PrefixWatch upstreamWatch;
+    private final PrefixWatch fleetWatch;
+    private final FleetDirectory directory;
+    private final FleetDuties duties;
     private final CountDownLatch drained = new CountDownLatch(1);
     private boolean stopping;
 
@@ -66,14 +83,52 @@
         configurationWatch =
                 new PrefixWatch(store, keys.configurationKey(), 0, loop, timeSource, configurationListener());
         upstreamWatch = new PrefixWatch(store, keys.upstreamPrefix(), UPSTREAM_GATHER_MS, loop, timeSource, upstreams);
-        UsageCounter usage = new UsageCounter(settings.usageWindowMs(), new TrueClock(timeSource));
+        directory = new FleetDirectory(
+                store,
+                settings.instance(),
+                settings.zone(),
+                settings.controlAddress(),
+                settings.seeds(),
+                timeSource,
+                log);
+        fleetWatch = new PrefixWatch(store, FleetKeys.FLEET, FLEET_GATHER_MS, loop, timeSource, directory);
+        TrueClock clock = new TrueClock(timeSource);
+        UsageCounter usage = new UsageCounter(settings.usageWindowMs(), clock);
         BodyMemory bodyMemory = new BodyMemory((long) (settings.memoryMb() * 1024L * 1024L * BODY_MEMORY_SHARE));
+        duties = duties(ports, store, connector, usage, clock);
         RequestPath path = new RequestPath(
                 settings, loop, timeSource, ports.headerNames(), configuration, upstreams, usage, log, metrics);
         callers = new HttpServer(loop, timeSource, path.handler(), this::callerLimits, bodyMemory);
         readiness = new HttpServer(loop, timeSource, this::answerReadiness, () -> FIRST_LIMITS, bodyMemory);
     }
 
+    private FleetDuties duties(
+            EntryPorts ports, KeyValueStore store, HttpConnector connector, UsageCounter usage, TrueClock clock) {
+        DutyLease lease = new DutyLease(store, settings.instance(), settings.leaseMs(), timeSource, log);
+        List<Runnable> tasks = new ArrayList<>();
+        ports.openUsageReports(loop, connector, settings)
+                .ifPresent(reports -> tasks.add(new UsageDuty(
+                        store,
+                        reports,
+                        lease,
+                        clock,
+                        settings.usageWindowMs(),
+                        settings.usageDueMs(),
+                        directory::liveInstances,
+                        log)::tick));
+        ports.openUpstreamOrders(loop, connector, settings)
+                .ifPresent(orders -> tasks.add(new OrderDuty(
+                        orders,
+                        lease,
+                        configuration,
+                        upstreams,
+                        settings.regionsByZone().keySet(),
+                        timeSource,
+                        log)::tick));
+        UsageFlusher flusher = new UsageFlusher(store, usage, settings.instance(), timeSource.wallMs(), timeSource);
+        return new FleetDuties(directory, lease, flusher, tasks);
+    }
+
     private ServerLimits callerLimits() {
         return configuration.current().map(each -> each.callerLimits()).orElse(FIRST_LIMITS);
     }
@@ -115,6 +170,7 @@
     public void start() throws InterruptedException {
         loop.execute(configurationWatch::start);
         loop.execute(upstreamWatch::start);
+        loop.execute(fleetWatch::start);
         callers.listen(settings.callerAddress());
         readiness.listen(settings.readinessAddress());
         loop.scheduleWithFixedDelay(
@@ -124,6 +180,7 @@
 
     private void maintain() {
         upstreams.removeLapsed(timeSource.monotonicMs());
+        duties.tick();
     }
 
     /**
@@ -134,6 +191,7 @@
         loop.execute(() -> {
             stopping = true;
             callers.beginDrain();
+            duties.handOver();
             log.record(EventCode.PROCESS_STOPPING, settings.instance(), "busy", callers.busyCount());
         });
         DrainMonitor monitor = new DrainMonitor(callers, timeSource, settings.shutdownLimitMs(), drained::countDown);
--- /dev/null
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/OrderDuty.java
@@ -0,0 +1,167 @@
+package org.cranberrybend.entry.duty;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.cranberrybend.core.event.EventCode;
+import org.cranberrybend.core.routing.Market;
+import org.cranberrybend.core.time.TimeSource;
+import org.cranberrybend.entry.configuration.RoutingConfiguration;
+import org.cranberrybend.entry.configuration.ScalingBounds;
+import org.cranberrybend.entry.configuration.ServiceDefinition;
+import org.cranberrybend.entry.log.DecisionLog;
+import org.cranberrybend.entry.port.DutyException;
+import org.cranberrybend.entry.port.DutyStamp;
+import org.cranberrybend.entry.port.UpstreamOrders;
+import org.cranberrybend.entry.port.UpstreamOrders.Order;
+import org.cranberrybend.entry.store.ConfigurationHolder;
+import org.cranberrybend.entry.upstream.Upstream;
+import org.cranberrybend.entry.upstream.UpstreamTable;
+
+/** Orders upstreams for all services that may be scaled. Confined to the event loop; one order is sent at a time. */
+public final class OrderDuty {
+    /** Upstreams per zone that carry the usual load of one of today's deployments. */
+    private static final int WANTED_PER_ZONE = 2;
+
+    private static final long FAILURE_PAUSE_MS = 1_000;
+
+    private final UpstreamOrders orders;
+    private final DutyLease lease;
+    private final ConfigurationHolder configuration;
+    private final UpstreamTable upstreams;
+    private final Set<String> zones;
+    private final TimeSource timeSource;
+    private final DecisionLog log;
+    private final Map<String, OrderPlanner> planners = new LinkedHashMap<>();
+    private boolean pending;
+    private long notBeforeMs;
+    private long lastFencingNumber;
+
+    /**
+     * Creates the duty.
+     *
+     * @param zones availability zones in which upstreams may run
+     */
+    public OrderDuty(
+            UpstreamOrders orders,
+            DutyLease lease,
+            ConfigurationHolder configuration,
+            UpstreamTable upstreams,
+            Set<String> zones,
+            TimeSource timeSource,
+            DecisionLog log) {
+        this.orders = orders;
+        this.lease = lease;
+        this.configuration = configuration;
+        this.upstreams = upstreams;
+        this.zones = Set.copyOf(zones);
+        this.timeSource = timeSource;
+        this.log = log;
+    }
+
+    /** Places the next order if one is due. */
+    public void tick() {
+        long nowMs = timeSource.monotonicMs();
+        Optional<RoutingConfiguration> current = configuration.current();
+        if (pending || nowMs < notBeforeMs || current.isEmpty() || !upstreams.isLoaded()) {
+            return;
+        }
+        Optional<DutyStamp> stamp = lease.stamp();
+        if (stamp.isEmpty()) {
+            return;
+        }
+        if (stamp.get().fencingNumber() != lastFencingNumber) {
+            lastFencingNumber = stamp.get().fencingNumber();
+            planners.values().forEach(OrderPlanner::forget);
+        }
+        for (ServiceDefinition service : current.get().services()) {
+            if (service.scaling().isEmpty()) {
+                continue;
+            }
+            for (String zone : zones) {
+                if (place(service.name(), zone, service.scaling().get(), stamp.get(), nowMs)) {
+                    return;
+                }
+            }
+        }
+    }
+
+    private boolean place(String service, String zone, ScalingBounds bounds, DutyStamp stamp, long nowMs) {
+        String key = service + "/" + zone;
+        OrderPlanner.Listed listed = listed(service, zone);
+        boolean runsThere = listed.guaranteed() + listed.preemptible() > 0;
+        if (!runsThere && !planners.containsKey(key)) {
+            // Only where a service runs can more of it be ordered.
+            return false;
+        }
+        OrderPlanner planner = planners.computeIfAbsent(key, name -> new OrderPlanner(service, zone));
+        List<Order> due = planner.plan(bounds, WANTED_PER_ZONE, listed, nowMs);
+        if (due.isEmpty()) {
+            return false;
+        }
+        send(planner, due.get(0), stamp, listed);
+        return true;
+    }
+
+    private OrderPlanner.Listed listed(String service, String zone) {
+        int guaranteed = 0;
+        int preemptible = 0;
+        boolean leaving = false;
+        for (Upstream upstream : upstreams.ofService(service)) {
+            if (!upstream.entry().zone().equals(zone)) {
+                continue;
+            }
+            boolean isPreemptible = upstream.entry().market() == Market.PREEMPTIBLE;
+            if (upstream.entry().leaving()) {
+                leaving |= isPreemptible;
+            } else if (isPreemptible) {
+                preemptible++;
+            } else {
+                guaranteed++;
+            }
+        }
+        return new OrderPlanner.Listed(guaranteed, preemptible, leaving);
+    }
+
+    private void send(OrderPlanner planner, Order order, DutyStamp stamp, OrderPlanner.Listed listed) {
+        pending = true;
+        log.record(
+                EventCode.ORDER_SENT,
+                order.service() + "/" + order.zone(),
+                "market",
+                order.market(),
+                "count",
+                order.count(),
+                "listed_guaranteed",
+                listed.guaranteed(),
+                "listed_preemptible",
+                listed.preemptible(),
+                "fencing_number",
+                stamp.fencingNumber());
+        orders.order(stamp, order).whenComplete((done, failure) -> {
+            pending = false;
+            long nowMs = timeSource.monotonicMs();
+            if (failure == null) {
+                planner.placed(order, nowMs);
+                return;
+            }
+            Throwable cause = failure.getCause() == null ? failure : failure.getCause();
+            log.record(
+                    EventCode.ORDER_ABANDONED,
+                    order.service() + "/" + order.zone(),
+                    "market",
+                    order.market(),
+                    "count",
+                    order.count(),
+                    "cause",
+                    String.valueOf(cause.getMessage()));
+            if (cause instanceof DutyException && ((DutyException) cause).kind() == DutyException.Kind.UNAVAILABLE) {
+                planner.unavailable(order, nowMs);
+            } else {
+                notBeforeMs = nowMs + FAILURE_PAUSE_MS;
+            }
+        });
+    }
+}
--- /dev/null
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/OrderPlanner.java
@@ -0,0 +1,88 @@
+package org.cranberrybend.entry.duty;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.cranberrybend.core.routing.Market;
+import org.cranberrybend.entry.configuration.ScalingBounds;
+import org.cranberrybend.entry.port.UpstreamOrders.Order;
+
+/**
+ * Decides how many upstreams of one service and zone are ordered in each market.
+ *
+ * <p>Preemptible upstreams carry the load while they are to be had. Guaranteed ones are ordered for what is missing, at
+ * the latest when the platform announces that it takes the others away, and given back when the preemptible ones serve
+ * again. All times are readings of one monotonic clock in milliseconds.
+ */
+final class OrderPlanner {
+    /** Time after a refusal for which a market is taken as unavailable. */
+    private static final long UNAVAILABLE_MS = 3_000;
+    /** Time beyond the announced start after which an ordered upstream that is not listed does not come. */
+    private static final long START_SLACK_MS = 2_500;
+
+    /**
+     * What is listed of one service in one zone.
+     *
+     * @param guaranteed guaranteed upstreams that serve
+     * @param preemptible preemptible upstreams that serve
+     * @param leaving whether a preemptible upstream was announced to leave
+     */
+    record Listed(int guaranteed, int preemptible, boolean leaving) {}
+
+    private record Placed(int count, long atMs) {}
+
+    private final String service;
+    private final String zone;
+    private final Map<Market, Placed> placed = new HashMap<>();
+    private long preemptibleUnavailableUntilMs = Long.MIN_VALUE / 2;
+
+    OrderPlanner(String service, String zone) {
+        this.service = service;
+        this.zone = zone;
+    }
+
+    /** Returns the orders that are to be placed now, for a wanted number of upstreams. */
+    List<Order> plan(ScalingBounds bounds, int wanted, Listed listed, long nowMs) {
+        int total = Math.max(bounds.min(), Math.min(bounds.max(), wanted));
+        boolean preemptibleToBeHad = bounds.preemptiblePriceRatio() > 0 && nowMs >= preemptibleUnavailableUntilMs;
+        int preemptible = preemptibleToBeHad ? total : 0;
+        int serving = Math.min(listed.preemptible(), preemptible);
+        int guaranteed = Math.min(total - serving, bounds.max() - preemptible);
+        if (!preemptibleToBeHad) {
+            guaranteed = Math.max(0, total - listed.preemptible());
+        }
+        List<Order> orders = new ArrayList<>();
+        if (preemptibleToBeHad) {
+            add(orders, Market.PREEMPTIBLE, preemptible, listed.preemptible(), bounds, nowMs);
+        }
+        add(orders, Market.GUARANTEED, Math.max(0, guaranteed), listed.guaranteed(), bounds, nowMs);
+        return orders;
+    }
+
+    private void add(List<Order> orders, Market market, int count, int listed, ScalingBounds bounds, long nowMs) {
+        Placed last = placed.get(market);
+        boolean missing = last != null && listed < count && nowMs - last.atMs > bounds.startMs() + START_SLACK_MS;
+        if (last == null || last.count != count || missing) {
+            orders.add(new Order(service, zone, market, count));
+        }
+    }
+
+    /** Takes note that the platform took an order. */
+    void placed(Order order, long nowMs) {
+        placed.put(order.market(), new Placed(order.count(), nowMs));
+    }
+
+    /** Takes note that the platform has no upstreams of the ordered kind at the moment. */
+    void unavailable(Order order, long nowMs) {
+        placed.remove(order.market());
+        if (order.market() == Market.PREEMPTIBLE) {
+            preemptibleUnavailableUntilMs = nowMs + UNAVAILABLE_MS;
+        }
+    }
+
+    /** Forgets which orders were placed, because another instance may have placed others. */
+    void forget() {
+        placed.clear();
+    }
+}
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/usage/UsageCounter.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/usage/UsageCounter.java
@@ -31,16 +31,16 @@
         return Math.floorDiv(clock.nowMs(), windowMs);
     }
 
+    /** Returns the window of the time that lies the given time back. */
+    public long windowBefore(long backMs) {
+        return Math.floorDiv(clock.nowMs() - backMs, windowMs);
+    }
+
     /** Returns the counts of a window. */
     public Map<String, Long> counts(long window) {
         return Map.copyOf(countsByWindow.getOrDefault(window, Map.of()));
     }
 
-    /** Returns the windows with counts, oldest first. */
-    public java.util.List<Long> windows() {
-        return java.util.List.copyOf(countsByWindow.keySet());
-    }
-
     /** Forgets the windows before the given one. */
     public void forgetBefore(long window) {
         countsByWindow.headMap(window).clear();
