Separate urgent from patient streams on the engines

Engines of a region are divided into an urgent and a patient lane by a hash of their identifiers; four engines per zone are ordered instead of two.

Ruled out: priorities at the engine alone (they order admission, not the steps that streams share).

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/configuration/RoutingConfiguration.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/configuration/RoutingConfiguration.java
@@ -11,8 +11,12 @@
 
 /** One version of the configuration. Immutable; a request keeps the version that it began with. */
 public final class RoutingConfiguration {
+    /** Factor to the tightest target of a service up to which a target is tight too. */
+    private static final double URGENT_RATIO = 2;
+
     private final long version;
     private final Map<String, List<Route>> routesByHost;
+    private final Map<String, Long> tightestTargetMs;
     private final Map<String, ServiceDefinition> services;
     private final Map<String, AccountEntry> accountsByKey;
     private final boolean keysRequired;
@@ -38,6 +42,14 @@
                     .computeIfAbsent(route.host(), host -> new ArrayList<>())
                     .add(route);
         }
+        this.tightestTargetMs = new HashMap<>();
+        for (Route route : routes) {
+            if (route.streaming()) {
+                route.targets()
+                        .forEach(
+                                target -> tightestTargetMs.merge(target.service(), route.targetLatencyMs(), Math::min));
+            }
+        }
         Comparator<Route> longestFirst = Comparator.comparingInt(
                         (Route route) -> route.prefix().length())
                 .reversed();
@@ -79,6 +91,11 @@
                 .findFirst();
     }
 
+    /** Returns whether a route's target is tight among those of the streaming routes of a service. */
+    public boolean isUrgent(Route route, String service) {
+        return route.targetLatencyMs() <= URGENT_RATIO * tightestTargetMs.getOrDefault(service, 0L);
+    }
+
     /** Returns a service. */
     public Optional<ServiceDefinition> service(String name) {
         return Optional.ofNullable(services.get(name));
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/OrderDuty.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/OrderDuty.java
@@ -23,7 +23,7 @@
 /** Orders upstreams for all services that may be scaled. Confined to the event loop; one order is sent at a time. */
 public final class OrderDuty {
     /** Upstreams per zone that carry the usual load of one of today's deployments. */
-    private static final int WANTED_PER_ZONE = 2;
+    private static final int WANTED_PER_ZONE = 4;
 
     private static final long FAILURE_PAUSE_MS = 1_000;
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -64,7 +64,8 @@
 
     private void tryNext(String reason) {
         long nowMs = services.timeSource().monotonicMs();
-        Optional<Upstream> chosen = services.selector().choose(request.service(), request.promptKey(), tried, nowMs);
+        Optional<Upstream> chosen =
+                services.selector().choose(request.service(), request.promptKey(), request.urgent(), tried, nowMs);
         if (chosen.isEmpty()) {
             giveUp("no upstream: " + reason);
             return;
@@ -101,6 +102,7 @@
                 .choose(
                         request.service(),
                         request.promptKey(),
+                        request.urgent(),
                         tried,
                         services.timeSource().monotonicMs())
                 .isPresent();
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestRouter.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestRouter.java
@@ -59,7 +59,7 @@
             refuse(caller, attemptId, version.version(), OwnAnswer.notRun(ErrorCode.KEY_UNKNOWN, 0));
             return;
         }
-        RoutedRequest request = routed(received, attemptId, route.get(), account);
+        RoutedRequest request = routed(received, attemptId, version, route.get(), account);
         if (request.endMs() <= services.timeSource().monotonicMs()) {
             refuse(caller, attemptId, version.version(), OwnAnswer.notRun(ErrorCode.NO_UPSTREAM, 0, request.service()));
             return;
@@ -68,7 +68,11 @@
     }
 
     private RoutedRequest routed(
-            ReceivedRequest received, String attemptId, Route route, Optional<AccountEntry> account) {
+            ReceivedRequest received,
+            String attemptId,
+            RoutingConfiguration version,
+            Route route,
+            Optional<AccountEntry> account) {
         HttpRequest head = received.head();
         HeaderNames names = services.names();
         List<Header> headers = new ArrayList<>();
@@ -77,6 +81,7 @@
                 headers.add(header);
             }
         }
+        String service = route.serviceFor(attemptId.hashCode());
         long limitMs = Math.min(route.timeoutMs(), number(value(head, names.deadlineMs()), route.timeoutMs()));
         int priority = account.map(AccountEntry::priority)
                 .filter(rank -> rank != AccountEntry.ROUTE_PRIORITY)
@@ -88,9 +93,10 @@
                 headers,
                 received.body(),
                 route,
-                route.serviceFor(attemptId.hashCode()),
+                service,
                 account,
                 priority,
+                version.isUrgent(route, service),
                 promptParts(value(head, names.promptParts())),
                 outputTokens(value(head, names.tokenCount())),
                 received.receivedMs(),
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RoutedRequest.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RoutedRequest.java
@@ -19,6 +19,7 @@
  * @param service service chosen among those of the route
  * @param account account of the key; empty on an open route without a known key
  * @param priority rank in force; 0 is the highest
+ * @param urgent whether the route has a tight target among those of its service
  * @param prompt parts of the prompt; empty if the request has none
  * @param outputTokens largest number of output tokens; 0 if not stated
  * @param receivedMs time at which the request was received
@@ -36,6 +37,7 @@
         String service,
         Optional<AccountEntry> account,
         int priority,
+        boolean urgent,
         List<PromptPart> prompt,
         int outputTokens,
         long receivedMs,
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamSelector.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamSelector.java
@@ -40,9 +40,11 @@
      * Returns the upstream for a request.
      *
      * @param promptKey what prompts with the same shared parts have in common; empty for a plain service
+     * @param urgent whether the request has a tight target among those of its service
      * @param excluded upstreams that the request was sent to before
      */
-    public Optional<Upstream> choose(String service, String promptKey, Set<String> excluded, long nowMs) {
+    public Optional<Upstream> choose(
+            String service, String promptKey, boolean urgent, Set<String> excluded, long nowMs) {
         List<Upstream> listed = table.ofService(service).stream()
                 .filter(Upstream::isListedReady)
                 .filter(each -> !excluded.contains(each.entry().id()))
@@ -51,7 +53,7 @@
                 listed.stream().filter(each -> each.accepts(nowMs)).collect(Collectors.toList());
         // With all set aside, the judgement on them is more likely wrong than all of them being broken.
         List<Upstream> candidates = usable.isEmpty() ? listed : usable;
-        return promptKey.isEmpty() ? leastLoaded(candidates, nowMs) : byPrompt(candidates, promptKey, nowMs);
+        return promptKey.isEmpty() ? leastLoaded(candidates, nowMs) : byPrompt(candidates, promptKey, urgent, nowMs);
     }
 
     private Optional<Upstream> leastLoaded(List<Upstream> candidates, long nowMs) {
@@ -75,11 +77,11 @@
         return region.equals(regionsByZone.getOrDefault(otherZone, otherZone));
     }
 
-    private Optional<Upstream> byPrompt(List<Upstream> candidates, String promptKey, long nowMs) {
+    private Optional<Upstream> byPrompt(List<Upstream> candidates, String promptKey, boolean urgent, long nowMs) {
         List<Upstream> near = candidates.stream()
                 .filter(each -> isSameRegion(each.entry().zone()))
                 .collect(Collectors.toList());
-        List<Upstream> pool = near.isEmpty() ? candidates : near;
+        List<Upstream> pool = EngineLanes.lane(near.isEmpty() ? candidates : near, urgent);
         double mean = pool.stream()
                 .mapToInt(each -> each.estimatedRequests(nowMs))
                 .average()
