--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/OrderPlanner.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/OrderPlanner.java
@@ -46,20 +46,37 @@
     List<Order> plan(ScalingBounds bounds, int wanted, Listed listed, long nowMs) {
         int total = Math.max(bounds.min(), Math.min(bounds.max(), wanted));
         boolean preemptibleToBeHad = bounds.preemptiblePriceRatio() > 0 && nowMs >= preemptibleUnavailableUntilMs;
-        int preemptible = preemptibleToBeHad ? total : 0;
-        int serving = Math.min(listed.preemptible(), preemptible);
-        int guaranteed = Math.min(total - serving, bounds.max() - preemptible);
-        if (!preemptibleToBeHad) {
-            guaranteed = Math.max(0, total - listed.preemptible());
-        }
         List<Order> orders = new ArrayList<>();
         if (preemptibleToBeHad) {
+            int guaranteed = keptGuaranteed(bounds, total, listed);
+            int preemptible = Math.min(total, bounds.max() - guaranteed);
+            add(orders, Market.GUARANTEED, guaranteed, listed.guaranteed(), bounds, nowMs);
             add(orders, Market.PREEMPTIBLE, preemptible, listed.preemptible(), bounds, nowMs);
+        } else {
+            int guaranteed = Math.max(0, total - listed.preemptible());
+            add(orders, Market.GUARANTEED, guaranteed, listed.guaranteed(), bounds, nowMs);
         }
-        add(orders, Market.GUARANTEED, Math.max(0, guaranteed), listed.guaranteed(), bounds, nowMs);
         return orders;
     }
 
+    /**
+     * Returns how many guaranteed upstreams stay while preemptible ones are to be had. Both kinds share the upper bound,
+     * so guaranteed ones are given back in steps, each after the preemptible ones ordered before it serve.
+     */
+    private int keptGuaranteed(ScalingBounds bounds, int total, Listed listed) {
+        Placed placedGuaranteed = placed.get(Market.GUARANTEED);
+        int guaranteed = placedGuaranteed == null ? listed.guaranteed() : placedGuaranteed.count;
+        Placed placedPreemptible = placed.get(Market.PREEMPTIBLE);
+        int ordered = placedPreemptible == null ? 0 : placedPreemptible.count;
+        int step = (bounds.max() + 1) / 2;
+        boolean noRoom = guaranteed > bounds.max() - step && ordered == 0;
+        boolean replaced = ordered > 0 && listed.preemptible() >= Math.min(ordered, total);
+        if (noRoom) {
+            return bounds.max() - step;
+        }
+        return replaced ? Math.max(0, guaranteed - step) : guaranteed;
+    }
+
     private void add(List<Order> orders, Market market, int count, int listed, ScalingBounds bounds, long nowMs) {
         Placed last = placed.get(market);
         boolean missing = last != null && listed < count && nowMs - last.atMs > bounds.startMs() + START_SLACK_MS;
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamSelector.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamSelector.java
@@ -22,6 +22,10 @@
     private static final double OTHER_REGION_LOAD = 0.8;
     /** Requests in progress by which an engine may exceed the mean of its region before a prompt goes to the next. */
     private static final double ENGINE_LEAD_REQUESTS = 8;
+    /** Requests in progress from which an engine takes none of its lane if another engine of the region has fewer. */
+    private static final double ENGINE_LOADED_REQUESTS = 24;
+    /** Requests in progress from which a request goes to another region rather than to an engine. */
+    private static final int ENGINE_OVERLOADED_REQUESTS = 40;
     /** Factor by which an engine may exceed the mean of its region. */
     private static final double ENGINE_LEAD_RATIO = 1.6;
 
@@ -77,24 +81,39 @@
         return region.equals(regionsByZone.getOrDefault(otherZone, otherZone));
     }
 
+    /**
+     * Chooses an engine of the request's lane. When all of the lane are loaded, the least loaded engine of the region
+     * takes the request, and when that is overloaded too, the least loaded engine anywhere.
+     */
     private Optional<Upstream> byPrompt(List<Upstream> candidates, String promptKey, boolean urgent, long nowMs) {
         List<Upstream> near = candidates.stream()
                 .filter(each -> isSameRegion(each.entry().zone()))
                 .collect(Collectors.toList());
-        List<Upstream> pool = EngineLanes.lane(near.isEmpty() ? candidates : near, urgent);
-        double mean = pool.stream()
+        List<Upstream> region = near.isEmpty() ? candidates : near;
+        List<Upstream> lane = EngineLanes.lane(region, urgent);
+        double mean = lane.stream()
                 .mapToInt(each -> each.estimatedRequests(nowMs))
                 .average()
                 .orElse(0);
-        double bound = Math.max(mean + ENGINE_LEAD_REQUESTS, mean * ENGINE_LEAD_RATIO);
-        List<Upstream> order = pool.stream()
-                .sorted(Comparator.<Upstream>comparingLong(
-                                each -> Rendezvous.hash(promptKey, each.entry().id()))
-                        .reversed())
-                .collect(Collectors.toList());
-        return order.stream()
+        double bound =
+                Math.min(ENGINE_LOADED_REQUESTS, Math.max(mean + ENGINE_LEAD_REQUESTS, mean * ENGINE_LEAD_RATIO));
+        Optional<Upstream> preferred = lane.stream()
                 .filter(each -> each.estimatedRequests(nowMs) <= bound)
-                .findFirst()
-                .or(() -> order.stream().findFirst());
+                .max(Comparator.comparingLong(
+                        each -> Rendezvous.hash(promptKey, each.entry().id())));
+        if (preferred.isPresent()) {
+            return preferred;
+        }
+        Optional<Upstream> leastNear = leastRequests(region, nowMs);
+        boolean nearOverloaded = leastNear
+                .map(each -> each.estimatedRequests(nowMs) > ENGINE_OVERLOADED_REQUESTS)
+                .orElse(true);
+        return nearOverloaded ? leastRequests(candidates, nowMs) : leastNear;
+    }
+
+    private static Optional<Upstream> leastRequests(List<Upstream> engines, long nowMs) {
+        return engines.stream()
+                .min(Comparator.<Upstream>comparingInt(each -> each.estimatedRequests(nowMs))
+                        .thenComparing(each -> each.entry().id()));
     }
 }
