--- a/cranberrybend-daemon/src/main/java/org/cranberrybend/daemon/EntryDaemon.java
+++ b/cranberrybend-daemon/src/main/java/org/cranberrybend/daemon/EntryDaemon.java
@@ -18,6 +18,7 @@
     private static final String VALIDATE = "--validate";
     private static final int EXIT_USAGE = 2;
     private static final int EXIT_SETTINGS = 3;
+    private static final int EXIT_START = 4;
     private static final long LOG_FLUSH_LIMIT_MS = 300;
 
     private EntryDaemon() {}
@@ -45,7 +46,12 @@
         log.start();
         EntryService service = new EntryService(settings, new PlatformPorts(), log);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(service, log), "shutdown"));
-        service.start();
+        try {
+            service.start();
+        } catch (IOException e) {
+            System.err.println(e.getMessage());
+            System.exit(EXIT_START);
+        }
     }
 
     private static void stop(EntryService service, DecisionLog log) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -1,12 +1,16 @@
 package org.cranberrybend.entry;
 
 import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.cranberrybend.core.event.EventCode;
 import org.cranberrybend.core.time.TimeSource;
@@ -166,16 +170,38 @@
         exchange.respond(ready ? 200 : 503, ready ? "OK" : "Service Unavailable", List.of(), new byte[0]);
     }
 
-    /** Starts to read the configuration, and listens. */
-    public void start() throws InterruptedException {
-        loop.execute(configurationWatch::start);
-        loop.execute(upstreamWatch::start);
-        loop.execute(fleetWatch::start);
-        callers.listen(settings.callerAddress());
-        readiness.listen(settings.readinessAddress());
+    /**
+     * Starts to read the configuration, and listens. All of it runs on the event loop, so that only one thread loads
+     * classes and reads files at a time.
+     */
+    public void start() throws InterruptedException, IOException {
+        CompletableFuture<Void> started = new CompletableFuture<>();
+        loop.execute(() -> startOnLoop(started));
+        try {
+            started.get();
+        } catch (ExecutionException e) {
+            throw new IOException("cannot listen: " + e.getCause().getMessage(), e);
+        }
+    }
+
+    private void startOnLoop(CompletableFuture<Void> started) {
+        configurationWatch.start();
+        upstreamWatch.start();
+        fleetWatch.start();
+        List<ChannelFuture> listening =
+                List.of(callers.listen(settings.callerAddress()), readiness.listen(settings.readinessAddress()));
+        for (ChannelFuture each : listening) {
+            each.addListener(done -> {
+                if (!done.isSuccess()) {
+                    started.completeExceptionally(done.cause());
+                } else if (listening.stream().allMatch(ChannelFuture::isSuccess)) {
+                    started.complete(null);
+                }
+            });
+        }
         loop.scheduleWithFixedDelay(
                 this::maintain, MAINTENANCE_INTERVAL_MS, MAINTENANCE_INTERVAL_MS, TimeUnit.MILLISECONDS);
-        loop.execute(() -> log.record(EventCode.PROCESS_STARTED, settings.instance(), "zone", settings.zone()));
+        log.record(EventCode.PROCESS_STARTED, settings.instance(), "zone", settings.zone());
     }
 
     private void maintain() {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/DutyLease.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/DutyLease.java
@@ -1,6 +1,7 @@
 package org.cranberrybend.entry.duty;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,8 +23,9 @@
  *
  * <p>The platform does not check fencing numbers, so the order in which holders act must be right by itself. A holder
  * acts only while its lease lasts on its own clock, counted from before the last renewal was sent, with room for the
- * longest call. A holder that follows another one waits for the full lease before its first act, so that two holders
- * never alternate within it. The fencing number is the revision of the write that took the lease, and only grows.
+ * longest call; its predecessor has stopped by then. Two holders must not alternate within a given time either, so an
+ * instance that held the lease shortly before its predecessor waits for that time before its first act. The fencing
+ * number is the revision of the write that took the lease, and only grows.
  */
 public final class DutyLease {
     private static final long TTL_MS = 2_600;
@@ -35,6 +37,8 @@
     private static final long ACQUIRE_STEP_MS = 120;
 
     private static final int ACQUIRE_STEPS = 8;
+    /** Holders that are remembered, the last one first. */
+    private static final int RECENT_HOLDERS = 6;
     /** Time after an attempt to take the lease before the next one. */
     private static final long ACQUIRE_RETRY_MS = 1_000;
     /** Shift of the time of day against the monotonic clock that may be a suspension of the process. */
@@ -48,12 +52,13 @@
     private final long alternationMs;
     private long storeLease;
     private FencingNumber number;
-    private boolean followsAnother;
+    private boolean alternates;
     private long acquiredMs;
     private long nextAcquireMs;
     private long nextRenewMs;
     private boolean callPending;
     private boolean released;
+    private long releaseAtMs;
     private long wallOffsetMs;
     private boolean offsetKnown;
 
@@ -75,7 +80,7 @@
     public Optional<DutyStamp> stamp() {
         long nowMs = timeSource.monotonicMs();
         noteSuspension();
-        boolean waitOver = !followsAnother || nowMs >= acquiredMs + alternationMs + SAFETY_MARGIN_MS;
+        boolean waitOver = !alternates || nowMs >= acquiredMs + alternationMs + SAFETY_MARGIN_MS;
         if (released || number == null || !waitOver || guard.check(nowMs).isEmpty()) {
             return Optional.empty();
         }
@@ -99,11 +104,14 @@
 
     /** Does what is due. {@code holderSeen} tells whether the store is known to hold the lease of some instance. */
     public void tick(boolean holderSeen) {
+        long nowMs = timeSource.monotonicMs();
         if (released) {
+            if (number != null && nowMs >= releaseAtMs) {
+                giveBack();
+            }
             return;
         }
         noteSuspension();
-        long nowMs = timeSource.monotonicMs();
         if (number != null && !guard.isHeld(nowMs)) {
             drop("not renewed in time");
         }
@@ -146,7 +154,7 @@
     private void acquire() {
         callPending = true;
         long sentMs = timeSource.monotonicMs();
-        store.get(FleetKeys.LAST_HOLDER)
+        store.get(FleetKeys.RECENT_HOLDERS)
                 .thenCombine(store.grantLease(TTL_MS), (last, lease) -> take(last, lease, sentMs))
                 .whenComplete((done, failure) -> {
                     if (failure != null) {
@@ -156,22 +164,26 @@
     }
 
     private Void take(Optional<StoreItem> last, long lease, long sentMs) {
+        List<String> before = last.map(item -> holders(item.value())).orElse(List.of());
+        List<String> holders = new ArrayList<>(before);
+        holders.remove(instance);
+        holders.add(0, instance);
         byte[] self = instance.getBytes(StandardCharsets.UTF_8);
+        byte[] recent = String.join(",", holders.subList(0, Math.min(holders.size(), RECENT_HOLDERS)))
+                .getBytes(StandardCharsets.UTF_8);
         Map<String, Long> conditions = new LinkedHashMap<>();
         conditions.put(FleetKeys.HOLDER, 0L);
-        conditions.put(FleetKeys.LAST_HOLDER, last.map(StoreItem::revision).orElse(0L));
+        conditions.put(FleetKeys.RECENT_HOLDERS, last.map(StoreItem::revision).orElse(0L));
         StoreWrite write = new StoreWrite(
                 conditions,
                 List.of(
                         new StoreWrite.Put(FleetKeys.HOLDER, self, lease),
-                        new StoreWrite.Put(FleetKeys.LAST_HOLDER, self, 0)),
+                        new StoreWrite.Put(FleetKeys.RECENT_HOLDERS, recent, 0)),
                 List.of());
-        String previous = last.map(item -> new String(item.value(), StandardCharsets.UTF_8))
-                .orElse("");
         store.write(write).whenComplete((revision, failure) -> {
             callPending = false;
             if (failure == null) {
-                taken(revision, lease, sentMs, previous);
+                taken(revision, lease, sentMs, before);
             } else {
                 // A write without an answer may still take the lease; it then ends with this lease.
                 store.endLease(lease);
@@ -180,12 +192,16 @@
         return null;
     }
 
-    private void taken(long revision, long lease, long sentMs, String previous) {
+    private static List<String> holders(byte[] value) {
+        return List.of(new String(value, StandardCharsets.UTF_8).split(","));
+    }
+
+    private void taken(long revision, long lease, long sentMs, List<String> before) {
         long nowMs = timeSource.monotonicMs();
         number = new FencingNumber(revision);
         storeLease = lease;
         acquiredMs = nowMs;
-        followsAnother = !previous.isEmpty() && !previous.equals(instance);
+        alternates = before.indexOf(instance) > 0;
         guard.acquired(number, sentMs, nowMs);
         nextRenewMs = nowMs;
         log.record(
@@ -193,10 +209,10 @@
                 FleetKeys.HOLDER,
                 "fencing_number",
                 revision,
-                "previous_holder",
-                previous,
+                "recent_holders",
+                String.join(",", before),
                 "waits",
-                followsAnother);
+                alternates);
     }
 
     private void drop(String cause) {
@@ -206,14 +222,18 @@
         nextAcquireMs = timeSource.monotonicMs() + ACQUIRE_RETRY_MS + acquireDelayMs();
     }
 
-    /** Gives the lease back and takes it no more, because the process stops. */
+    /** Makes no more calls, and gives the lease back when the last one has certainly ended. */
     public void release() {
-        released = true;
-        if (number != null) {
-            log.record(EventCode.LEASE_LOST, FleetKeys.HOLDER, "cause", "released", "fencing_number", number.value());
-            number = null;
-            guard.lost();
-            store.endLease(storeLease);
+        if (!released) {
+            released = true;
+            releaseAtMs = timeSource.monotonicMs() + SAFETY_MARGIN_MS;
         }
     }
+
+    private void giveBack() {
+        log.record(EventCode.LEASE_LOST, FleetKeys.HOLDER, "cause", "released", "fencing_number", number.value());
+        number = null;
+        guard.lost();
+        store.endLease(storeLease);
+    }
 }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetDuties.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetDuties.java
@@ -22,9 +22,9 @@
     /** Does what is due. */
     public void tick() {
         flusher.tick();
+        lease.tick(directory.isHolderSeen());
         if (!stopping) {
             directory.tick();
-            lease.tick(directory.isHolderSeen());
             duties.forEach(Runnable::run);
         }
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetKeys.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetKeys.java
@@ -10,8 +10,8 @@
     public static final String INSTANCES = FLEET + "instances/";
     /** Instance that holds the duties at present; ends with its lease. */
     static final String HOLDER = FLEET + "duty/holder";
-    /** Instance that took the duties last; stays. */
-    static final String LAST_HOLDER = FLEET + "duty/last-holder";
+    /** Instances that took the duties last, the latest first; stays. */
+    static final String RECENT_HOLDERS = FLEET + "duty/recent-holders";
 
     /** Last window whose report the platform has taken. */
     static final String REPORTED = "cranberrybend/usage/reported";
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/OrderDuty.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/OrderDuty.java
@@ -81,7 +81,9 @@
                 continue;
             }
             for (String zone : zones) {
-                if (place(service.name(), zone, service.scaling().get(), stamp.get(), nowMs)) {
+                // The prices name the zones in which the service may run.
+                boolean mayRun = service.scaling().get().zonePrices().containsKey(zone);
+                if (mayRun && place(service.name(), zone, service.scaling().get(), stamp.get(), nowMs)) {
                     return;
                 }
             }
@@ -89,14 +91,8 @@
     }
 
     private boolean place(String service, String zone, ScalingBounds bounds, DutyStamp stamp, long nowMs) {
-        String key = service + "/" + zone;
+        OrderPlanner planner = planners.computeIfAbsent(service + "/" + zone, name -> new OrderPlanner(service, zone));
         OrderPlanner.Listed listed = listed(service, zone);
-        boolean runsThere = listed.guaranteed() + listed.preemptible() > 0;
-        if (!runsThere && !planners.containsKey(key)) {
-            // Only where a service runs can more of it be ordered.
-            return false;
-        }
-        OrderPlanner planner = planners.computeIfAbsent(key, name -> new OrderPlanner(service, zone));
         List<Order> due = planner.plan(bounds, WANTED_PER_ZONE, listed, nowMs);
         if (due.isEmpty()) {
             return false;
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/OrderPlanner.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/OrderPlanner.java
@@ -21,6 +21,9 @@
     /** Time beyond the announced start after which an ordered upstream that is not listed does not come. */
     private static final long START_SLACK_MS = 2_500;
 
+    /** Guaranteed upstreams that replace the preemptible ones of a zone while those are not to be had. */
+    private static final int SUBSTITUTES = 3;
+
     /**
      * What is listed of one service in one zone.
      *
@@ -45,6 +48,10 @@
     /** Returns the orders that are to be placed now, for a wanted number of upstreams. */
     List<Order> plan(ScalingBounds bounds, int wanted, Listed listed, long nowMs) {
         int total = Math.max(bounds.min(), Math.min(bounds.max(), wanted));
+        if (listed.leaving()) {
+            // The platform takes all of a zone at a time and has no others there for a while.
+            preemptibleUnavailableUntilMs = nowMs + UNAVAILABLE_MS;
+        }
         boolean preemptibleToBeHad = bounds.preemptiblePriceRatio() > 0 && nowMs >= preemptibleUnavailableUntilMs;
         List<Order> orders = new ArrayList<>();
         if (preemptibleToBeHad) {
@@ -53,7 +60,8 @@
             add(orders, Market.GUARANTEED, guaranteed, listed.guaranteed(), bounds, nowMs);
             add(orders, Market.PREEMPTIBLE, preemptible, listed.preemptible(), bounds, nowMs);
         } else {
-            int guaranteed = Math.max(0, total - listed.preemptible());
+            int substitutes = Math.max(bounds.min(), Math.min(total, SUBSTITUTES));
+            int guaranteed = Math.max(0, substitutes - listed.preemptible());
             add(orders, Market.GUARANTEED, guaranteed, listed.guaranteed(), bounds, nowMs);
         }
         return orders;
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/HttpServer.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/HttpServer.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -28,6 +29,7 @@
     private final Set<ServerConnection> connections = new LinkedHashSet<>();
     private Channel channel;
     private boolean draining;
+    private boolean closing;
 
     /**
      * Creates a server that does not listen yet.
@@ -48,9 +50,9 @@
         this.bodyMemory = bodyMemory;
     }
 
-    /** Listens on an address; returns the address in use. */
-    public InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
-        channel = new ServerBootstrap()
+    /** Begins to listen on an address; the future's channel has the address in use. */
+    public ChannelFuture listen(InetSocketAddress address) {
+        ChannelFuture bound = new ServerBootstrap()
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
@@ -62,11 +64,10 @@
                         accepted.pipeline().addLast(new ServerConnection(HttpServer.this));
                     }
                 })
-                .bind(address)
-                .sync()
-                .channel();
+                .bind(address);
+        channel = bound.channel();
         loop.scheduleWithFixedDelay(this::checkTimeouts, TIMEOUT_SCAN_MS, TIMEOUT_SCAN_MS, TimeUnit.MILLISECONDS);
-        return (InetSocketAddress) channel.localAddress();
+        return bound;
     }
 
     private void checkTimeouts() {
@@ -79,8 +80,9 @@
         draining = true;
     }
 
-    /** Closes the listening socket and the connections without a request. */
+    /** Closes the listening socket, the connections without a request, and each other one after its answer. */
     public void closeIdle() {
+        closing = true;
         channel.close();
         new ArrayList<>(connections).forEach(ServerConnection::closeIfIdle);
     }
@@ -99,6 +101,10 @@
         return draining;
     }
 
+    boolean isClosing() {
+        return closing;
+    }
+
     ServerLimits limits() {
         return limits.get();
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ServerConnection.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ServerConnection.java
@@ -296,7 +296,7 @@
             context.write(Unpooled.wrappedBuffer(LAST_CHUNK), context.voidPromise());
         }
         context.flush();
-        if (!keepAlive) {
+        if (!keepAlive || server.isClosing()) {
             closeAfterAnswer();
             return;
         }
