Bring configuration and upstreams from peers while the store is away

An instance that does not hear the store asks two others every 400 ms; without an outage nothing is exchanged.

Ruled out: a gossip of configuration at all times (bytes and wake-ups on every instance for a rare case).

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -21,6 +21,7 @@
 import org.cranberrybend.entry.duty.OrderDuty;
 import org.cranberrybend.entry.duty.UsageDuty;
 import org.cranberrybend.entry.duty.UsageFlusher;
+import org.cranberrybend.entry.fleet.FleetRelay;
 import org.cranberrybend.entry.http.BodyMemory;
 import org.cranberrybend.entry.http.HttpConnector;
 import org.cranberrybend.entry.http.HttpServer;
@@ -72,6 +73,8 @@
     private final PrefixWatch fleetWatch;
     private final FleetDirectory directory;
     private final FleetDuties duties;
+    private final FleetRelay relay;
+    private final HttpServer control;
     private final CountDownLatch drained = new CountDownLatch(1);
     private boolean stopping;
 
@@ -102,6 +105,8 @@
         duties = duties(ports, store, connector, usage, clock);
         RequestPath path = new RequestPath(
                 settings, loop, timeSource, ports.headerNames(), configuration, upstreams, usage, log, metrics);
+        relay = new FleetRelay(loop, connector, configuration, upstreams, directory::peerAddresses, timeSource, log);
+        control = new HttpServer(loop, timeSource, relay, () -> FIRST_LIMITS, bodyMemory);
         callers = new HttpServer(loop, timeSource, path.handler(), this::callerLimits, bodyMemory);
         readiness = new HttpServer(loop, timeSource, this::answerReadiness, () -> FIRST_LIMITS, bodyMemory);
     }
@@ -150,7 +155,7 @@
             }
 
             @Override
-            public void onHeard() {
+            public void onHeard(long revision) {
                 // The age of the configuration is that of the table of upstreams, which is watched alongside.
             }
 
@@ -188,8 +193,10 @@
         configurationWatch.start();
         upstreamWatch.start();
         fleetWatch.start();
-        List<ChannelFuture> listening =
-                List.of(callers.listen(settings.callerAddress()), readiness.listen(settings.readinessAddress()));
+        List<ChannelFuture> listening = List.of(
+                control.listen(settings.controlAddress()),
+                callers.listen(settings.callerAddress()),
+                readiness.listen(settings.readinessAddress()));
         for (ChannelFuture each : listening) {
             each.addListener(done -> {
                 if (!done.isSuccess()) {
@@ -207,6 +214,7 @@
     private void maintain() {
         upstreams.removeLapsed(timeSource.monotonicMs());
         duties.tick();
+        relay.tick();
     }
 
     /**
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetDirectory.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetDirectory.java
@@ -196,7 +196,7 @@
     }
 
     @Override
-    public void onHeard() {
+    public void onHeard(long revision) {
         heard = true;
     }
 
--- /dev/null
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FleetRelay.java
@@ -0,0 +1,139 @@
+package org.cranberrybend.entry.fleet;
+
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.message.BasicHeader;
+import org.cranberrybend.core.event.EventCode;
+import org.cranberrybend.core.time.TimeSource;
+import org.cranberrybend.entry.http.ApiClient;
+import org.cranberrybend.entry.http.ApiReply;
+import org.cranberrybend.entry.http.HttpConnector;
+import org.cranberrybend.entry.http.ReceivedRequest;
+import org.cranberrybend.entry.http.RequestHandler;
+import org.cranberrybend.entry.http.ServerExchange;
+import org.cranberrybend.entry.json.JsonFormatException;
+import org.cranberrybend.entry.log.DecisionLog;
+import org.cranberrybend.entry.store.ConfigurationHolder;
+import org.cranberrybend.entry.upstream.UpstreamTable;
+
+/**
+ * Brings configuration and upstreams from other instances while the store does not answer this one, and answers other
+ * instances that ask. Without an outage the instances exchange nothing. Confined to the event loop.
+ */
+public final class FleetRelay implements RequestHandler {
+    private static final String PATH = "/fleet/state?version=";
+    private static final long ASK_INTERVAL_MS = 400;
+    /** Pause after no asked instance knew more, because the store is probably away for all. */
+    private static final long IDLE_INTERVAL_MS = 1_000;
+
+    private static final long CALL_TIMEOUT_MS = 600;
+    /** Instances asked at the same time. */
+    private static final int FAN_OUT = 2;
+    /** Time without a word of the store after which others are asked, longer than a quiet watch lasts. */
+    private static final long QUIET_LIMIT_MS = 5_500;
+    /** Age from which what another instance knows is not taken as the store's present state. */
+    private static final long FRESH_MS = 6_000;
+
+    private final EventLoopGroup loop;
+    private final HttpConnector connector;
+    private final ConfigurationHolder configuration;
+    private final UpstreamTable upstreams;
+    private final Supplier<Set<InetSocketAddress>> peers;
+    private final TimeSource timeSource;
+    private final DecisionLog log;
+    private final Map<InetSocketAddress, ApiClient> clients = new HashMap<>();
+    private long nextAskMs;
+    private int nextPeer;
+
+    /** Creates a relay between an instance's own state and its peers. */
+    public FleetRelay(
+            EventLoopGroup loop,
+            HttpConnector connector,
+            ConfigurationHolder configuration,
+            UpstreamTable upstreams,
+            Supplier<Set<InetSocketAddress>> peers,
+            TimeSource timeSource,
+            DecisionLog log) {
+        this.loop = loop;
+        this.connector = connector;
+        this.configuration = configuration;
+        this.upstreams = upstreams;
+        this.peers = peers;
+        this.timeSource = timeSource;
+        this.log = log;
+    }
+
+    @Override
+    public void handle(ReceivedRequest request, ServerExchange exchange) {
+        String target = request.head().getRequestUri();
+        if (!target.startsWith(PATH)) {
+            exchange.respond(404, "Not Found", List.of(), new byte[0]);
+            return;
+        }
+        long version;
+        try {
+            version = Long.parseLong(target.substring(PATH.length()));
+        } catch (NumberFormatException e) {
+            exchange.respond(400, "Bad Request", List.of(), new byte[0]);
+            return;
+        }
+        byte[] newer = configuration.version() > version ? configuration.currentText() : new byte[0];
+        FleetState state = new FleetState(newer, upstreams.items(), upstreams.revision(), upstreams.ageMs());
+        exchange.respond(
+                200, "OK", List.of(new BasicHeader(HttpHeaders.CONTENT_TYPE, "application/json")), state.encode());
+    }
+
+    /** Asks other instances if the store does not answer. */
+    public void tick() {
+        long nowMs = timeSource.monotonicMs();
+        boolean away = upstreams.isStoreLost() || upstreams.ageMs() > QUIET_LIMIT_MS;
+        if (!away || nowMs < nextAskMs) {
+            return;
+        }
+        nextAskMs = nowMs + IDLE_INTERVAL_MS;
+        List<InetSocketAddress> known = new ArrayList<>(peers.get());
+        for (int i = 0; i < Math.min(FAN_OUT, known.size()); i++) {
+            ask(known.get(Math.floorMod(nextPeer++, known.size())));
+        }
+    }
+
+    private void ask(InetSocketAddress peer) {
+        ApiClient client = clients.computeIfAbsent(peer, address -> new ApiClient(loop, connector, address));
+        client.call("GET", PATH + configuration.version(), List.of(), new byte[0], CALL_TIMEOUT_MS)
+                .whenComplete((reply, failure) -> {
+                    if (failure == null && reply.status() == 200) {
+                        take(peer, reply);
+                    } else {
+                        nextAskMs = Math.min(nextAskMs, timeSource.monotonicMs() + ASK_INTERVAL_MS);
+                    }
+                });
+    }
+
+    private void take(InetSocketAddress peer, ApiReply reply) {
+        FleetState state;
+        try {
+            state = FleetState.decode(reply.body());
+        } catch (JsonFormatException e) {
+            log.record(EventCode.CONFIGURATION_UNREADABLE, peer.toString(), "cause", e.getMessage());
+            return;
+        }
+        if (state.configuration().length > 0) {
+            configuration.offer("instance " + peer, state.configuration());
+        }
+        if (state.ageMs() <= FRESH_MS) {
+            nextAskMs = Math.min(nextAskMs, timeSource.monotonicMs() + ASK_INTERVAL_MS);
+            if (upstreams.isStoreLost() || !upstreams.isLoaded()) {
+                upstreams.offer(state.upstreams(), state.revision());
+            }
+        } else if (!upstreams.isLoaded()) {
+            upstreams.offer(state.upstreams(), state.revision());
+        }
+    }
+}
--- /dev/null
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FleetState.java
@@ -0,0 +1,68 @@
+package org.cranberrybend.entry.fleet;
+
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.cranberrybend.entry.json.Json;
+import org.cranberrybend.entry.json.JsonFormatException;
+import org.cranberrybend.entry.json.JsonObject;
+import org.cranberrybend.entry.port.StoreItem;
+
+/**
+ * What one instance knows from the store, as it tells it to another one.
+ *
+ * @param configuration configuration in force as it was read; empty if the other instance has it already
+ * @param upstreams entries of upstreams as they were read
+ * @param revision revision of the store up to which the entries are known
+ * @param ageMs time since the store was heard, in milliseconds
+ */
+@SuppressWarnings("ArrayRecordComponent")
+public record FleetState(byte[] configuration, List<StoreItem> upstreams, long revision, long ageMs) {
+    public FleetState {
+        upstreams = List.copyOf(upstreams);
+    }
+
+    byte[] encode() {
+        List<Object> rows = new ArrayList<>();
+        for (StoreItem item : upstreams) {
+            rows.add(Map.of(
+                    "key",
+                    item.key(),
+                    "value",
+                    Base64.getEncoder().encodeToString(item.value()),
+                    "revision",
+                    item.revision()));
+        }
+        Map<String, Object> state = new LinkedHashMap<>();
+        state.put("configuration", Base64.getEncoder().encodeToString(configuration));
+        state.put("upstreams", rows);
+        state.put("revision", revision);
+        state.put("age_ms", ageMs);
+        return Json.write(state);
+    }
+
+    static FleetState decode(byte[] text) throws JsonFormatException {
+        JsonObject state = Json.readObject(text);
+        List<StoreItem> items = new ArrayList<>();
+        try {
+            for (JsonObject row : state.objects("upstreams")) {
+                long revision = row.number("revision");
+                byte[] value = Base64.getDecoder().decode(row.text("value"));
+                items.add(new StoreItem(row.text("key"), value, revision, revision, 0));
+            }
+            return new FleetState(
+                    state.has("configuration") ? Base64.getDecoder().decode(rawText(state)) : new byte[0],
+                    items,
+                    state.number("revision"),
+                    state.number("age_ms"));
+        } catch (IllegalArgumentException e) {
+            throw new JsonFormatException("a value is not base64 text", e);
+        }
+    }
+
+    private static String rawText(JsonObject state) throws JsonFormatException {
+        return state.isEmptyText("configuration") ? "" : state.text("configuration");
+    }
+}
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/json/JsonObject.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/json/JsonObject.java
@@ -40,6 +40,11 @@
         return has(name) ? text(name) : absent;
     }
 
+    /** Returns whether the field is an empty text. */
+    public boolean isEmptyText(String name) {
+        return "".equals(fields.get(name));
+    }
+
     /** Returns a whole number that must be present. */
     public long number(String name) throws JsonFormatException {
         Object value = fields.get(name);
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/store/PrefixWatch.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/store/PrefixWatch.java
@@ -31,8 +31,8 @@
         /** Takes one change. */
         void onChange(StoreChange change);
 
-        /** The store was heard; what was taken so far is in force there at this time. */
-        void onHeard();
+        /** The store was heard; what was taken so far is its state up to the given revision. */
+        void onHeard(long revision);
 
         /** The first call failed since the store was heard, or at all. */
         void onLost(String cause);
@@ -87,7 +87,7 @@
         heard();
         revision = snapshot.revision();
         listener.onSnapshot(snapshot, outageMs);
-        listener.onHeard();
+        listener.onHeard(revision);
         start();
     }
 
@@ -110,7 +110,7 @@
         heard();
         revision = Math.max(revision, changes.revision());
         changes.changes().forEach(listener::onChange);
-        listener.onHeard();
+        listener.onHeard(revision);
         if (changes.changes().isEmpty() || gatherMs == 0) {
             start();
         } else {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
@@ -38,11 +38,15 @@
     private final TimeSource timeSource;
     private final DecisionLog log;
     private final Map<String, Upstream> byId = new TreeMap<>();
+    /** Entries of the upstreams in {@link #byId} as they were read. */
+    private final Map<String, StoreItem> itemsById = new TreeMap<>();
     /** Monotonic time until which an upstream without an entry is kept. */
     private final Map<String, Long> lapsedUntilMs = new HashMap<>();
 
     private long graceEndMs = Long.MIN_VALUE;
     private long heardMs = Long.MIN_VALUE / 2;
+    private long revision = -1;
+    private boolean storeLost;
     private boolean loaded;
 
     /** Creates an empty table of the entries under a prefix. */
@@ -69,6 +73,42 @@
         return timeSource.monotonicMs() - heardMs;
     }
 
+    /** Returns whether a call of the store failed since it was last heard. */
+    public boolean isStoreLost() {
+        return storeLost;
+    }
+
+    /** Returns the revision of the store up to which the entries are known; negative before the first reading. */
+    public long revision() {
+        return revision;
+    }
+
+    /** Returns the entries as they were read. */
+    public List<StoreItem> items() {
+        return List.copyOf(itemsById.values());
+    }
+
+    /** Takes entries that another instance has read, if it knows a later state of the store. */
+    public void offer(List<StoreItem> items, long laterRevision) {
+        if (laterRevision <= revision) {
+            return;
+        }
+        Set<String> listed = items.stream().map(StoreItem::key).collect(Collectors.toSet());
+        for (String id : new ArrayList<>(byId.keySet())) {
+            if (!listed.contains(prefix + id)) {
+                remove(id, "not listed by another instance");
+            }
+        }
+        for (StoreItem item : items) {
+            StoreItem known = itemsById.get(item.key().substring(prefix.length()));
+            if (known == null || known.revision() < item.revision()) {
+                written(item);
+            }
+        }
+        revision = laterRevision;
+        loaded = true;
+    }
+
     @Override
     public void onSnapshot(StoreSnapshot snapshot, long outageMs) {
         long nowMs = timeSource.monotonicMs();
@@ -96,13 +136,16 @@
     }
 
     @Override
-    public void onHeard() {
+    public void onHeard(long storeRevision) {
+        revision = storeRevision;
+        storeLost = false;
         heardMs = timeSource.monotonicMs();
         removeLapsed(heardMs);
     }
 
     @Override
     public void onLost(String cause) {
+        storeLost = true;
         log.record(EventCode.STORE_UNAVAILABLE, prefix, "cause", cause);
     }
 
@@ -129,6 +172,7 @@
 
     private void remove(String id, String cause) {
         Upstream upstream = byId.remove(id);
+        itemsById.remove(id);
         if (upstream != null) {
             upstream.markGone();
             log.record(
@@ -152,6 +196,7 @@
             remove(id, "entry is not readable");
             return;
         }
+        itemsById.put(id, item);
         Upstream known = byId.get(id);
         boolean sameProcess = known != null
                 && known.entry().address().equals(record.address())
@@ -159,6 +204,7 @@
         if (!sameProcess) {
             if (known != null) {
                 remove(id, "started again");
+                itemsById.put(id, item);
             }
             byId.put(id, new Upstream(record, new ConnectionPool(connector, record.address(), timeSource)));
             log.record(
--- /dev/null
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/UsageDutyTest.java
@@ -0,0 +1,164 @@
+package org.cranberrybend.entry.duty;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.OutputStream;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.cranberrybend.entry.log.DecisionLog;
+import org.cranberrybend.entry.port.DutyException;
+import org.cranberrybend.entry.port.DutyStamp;
+import org.cranberrybend.entry.port.UsageReports;
+import org.cranberrybend.entry.testing.MemoryStore;
+import org.cranberrybend.entry.testing.TestClock;
+import org.cranberrybend.entry.usage.TrueClock;
+import org.cranberrybend.entry.usage.UsageCounter;
+import org.junit.jupiter.api.Test;
+
+class UsageDutyTest {
+    private static final long WINDOW_MS = 5_000;
+    private static final long DUE_MS = 10_000;
+    private static final long TICK_MS = 250;
+
+    private record Report(long window, Map<String, Long> counts) {}
+
+    private final TestClock clock = new TestClock();
+    private final MemoryStore store = new MemoryStore(clock);
+    private final List<Report> reports = new ArrayList<>();
+    private final Set<String> live = new HashSet<>(Set.of("instance-a"));
+    private boolean loseReportReplies;
+
+    /** One run of one instance. */
+    private final class Run {
+        private final UsageCounter counter = new UsageCounter(WINDOW_MS, new TrueClock(clock));
+        private final UsageFlusher flusher;
+        private final DutyLease lease;
+        private final UsageDuty duty;
+
+        Run(String instance, long incarnation) {
+            DecisionLog log = new DecisionLog(instance, incarnation, clock, OutputStream.nullOutputStream());
+            flusher = new UsageFlusher(store, counter, instance, incarnation, clock);
+            lease = new DutyLease(store, instance, 3_000, clock, log);
+            UsageReports platform = this::report;
+            duty = new UsageDuty(store, platform, lease, new TrueClock(clock), WINDOW_MS, DUE_MS, () -> live, log);
+        }
+
+        private CompletableFuture<Void> report(DutyStamp stamp, long window, Map<String, Long> counts) {
+            reports.add(new Report(window, Map.copyOf(counts)));
+            return loseReportReplies
+                    ? CompletableFuture.failedFuture(new DutyException(DutyException.Kind.UNKNOWN, "lost"))
+                    : CompletableFuture.completedFuture(null);
+        }
+
+        void tick() {
+            flusher.tick();
+            lease.tick(store.text(FleetKeys.HOLDER).isPresent());
+            duty.tick();
+        }
+    }
+
+    private void run(long ms, Run... runs) {
+        for (long passed = 0; passed < ms; passed += TICK_MS) {
+            for (Run each : runs) {
+                each.tick();
+            }
+            clock.advance(TICK_MS);
+        }
+    }
+
+    private long reportedOf(long window, String account) {
+        return reports.stream()
+                .filter(report -> report.window == window)
+                .map(report -> report.counts.getOrDefault(account, 0L))
+                .reduce((one, other) -> other)
+                .orElse(-1L);
+    }
+
+    // Guards against a window that is reported late, twice, or with the counts of one instance only.
+    @Test
+    void windowIsReportedOnceWithTheCountsOfAllInstances() {
+        live.add("instance-b");
+        Run a = new Run("instance-a", 1);
+        Run b = new Run("instance-b", 1);
+        run(500, a, b);
+        long window = a.counter.window();
+        a.counter.began("alpha");
+        a.counter.began("alpha");
+        b.counter.began("alpha");
+        run(WINDOW_MS + DUE_MS - 1_000, a, b);
+        assertThat(reports.stream().filter(report -> report.window == window).count())
+                .isEqualTo(1);
+        assertThat(reportedOf(window, "alpha")).isEqualTo(3);
+    }
+
+    // Guards against two reports of one window with different figures after a lost reply.
+    @Test
+    void repeatedReportHasTheSealedFigures() {
+        Run a = new Run("instance-a", 1);
+        run(500, a);
+        long window = a.counter.window();
+        a.counter.began("alpha");
+        loseReportReplies = true;
+        run(WINDOW_MS + 3_000, a);
+        a.flusher.flushNow();
+        run(2_000, a);
+        Set<Map<String, Long>> figures = new HashSet<>();
+        reports.stream().filter(report -> report.window == window).forEach(report -> figures.add(report.counts));
+        assertThat(reports.size()).isGreaterThan(1);
+        assertThat(figures).containsExactly(Map.of("alpha", 1L));
+    }
+
+    // Guards against counts that are lost with the instance that was killed within a window.
+    @Test
+    void countsOfAKilledInstanceAreReported() {
+        live.add("instance-b");
+        Run a = new Run("instance-a", 1);
+        Run b = new Run("instance-b", 1);
+        run(500, a, b);
+        long window = a.counter.window();
+        b.counter.began("alpha");
+        run(1_750, a, b);
+        run(WINDOW_MS + DUE_MS, a);
+        assertThat(reportedOf(window, "alpha")).isEqualTo(1);
+    }
+
+    // Guards against a late write of older counts over newer ones.
+    @Test
+    void writeThatIsCarriedOutLateDoesNotReduceTheCounts() {
+        Run a = new Run("instance-a", 1);
+        run(500, a);
+        long window = a.counter.window();
+        a.counter.began("alpha");
+        store.loseReplies(1, true);
+        run(2_000, a);
+        a.counter.began("alpha");
+        run(1_750, a);
+        store.runDelayedWrites();
+        run(WINDOW_MS + DUE_MS, a);
+        assertThat(reportedOf(window, "alpha")).isEqualTo(2);
+    }
+
+    // Guards against a successor that reports other figures than its predecessor has sealed.
+    @Test
+    void successorReportsWhatItsPredecessorSealed() {
+        Run a = new Run("instance-a", 1);
+        run(500, a);
+        long window = a.counter.window();
+        a.counter.began("alpha");
+        loseReportReplies = true;
+        run(WINDOW_MS + 2_500, a);
+        loseReportReplies = false;
+        live.clear();
+        live.add("instance-b");
+        Run b = new Run("instance-b", 1);
+        b.counter.began("alpha");
+        run(12_000, b);
+        Set<Map<String, Long>> figures = new HashSet<>();
+        reports.stream().filter(report -> report.window == window).forEach(report -> figures.add(report.counts));
+        assertThat(figures).containsExactly(Map.of("alpha", 1L));
+    }
+}
--- /dev/null
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/MemoryStore.java
@@ -0,0 +1,176 @@
+package org.cranberrybend.entry.testing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.cranberrybend.core.time.TimeSource;
+import org.cranberrybend.entry.port.KeyValueStore;
+import org.cranberrybend.entry.port.StoreChanges;
+import org.cranberrybend.entry.port.StoreException;
+import org.cranberrybend.entry.port.StoreItem;
+import org.cranberrybend.entry.port.StoreSnapshot;
+import org.cranberrybend.entry.port.StoreWrite;
+
+/** A key-value store in memory that completes each call at once and can misbehave. */
+public final class MemoryStore implements KeyValueStore {
+    private final TimeSource timeSource;
+    private final TreeMap<String, StoreItem> items = new TreeMap<>();
+    private final Map<Long, Long> leaseTtls = new HashMap<>();
+    private final Map<Long, Long> leaseEnds = new HashMap<>();
+    private final List<StoreWrite> delayedWrites = new ArrayList<>();
+    private long revision = 1;
+    private long lastLease;
+    private boolean down;
+    private int repliesToLose;
+    private boolean delayLostWrites;
+
+    /** Creates an empty store whose leases end by the given clock. */
+    public MemoryStore(TimeSource timeSource) {
+        this.timeSource = timeSource;
+    }
+
+    /** Makes every call fail without being done, or ends that. */
+    public void setDown(boolean isDown) {
+        down = isDown;
+    }
+
+    /** Loses the replies of the next writes; they are done at once, or only by {@link #runDelayedWrites}. */
+    public void loseReplies(int count, boolean delayed) {
+        repliesToLose = count;
+        delayLostWrites = delayed;
+    }
+
+    /** Carries out the writes that were delayed. */
+    public void runDelayedWrites() {
+        delayedWrites.forEach(this::apply);
+        delayedWrites.clear();
+    }
+
+    /** Returns the text stored under a key. */
+    public Optional<String> text(String key) {
+        expire();
+        return Optional.ofNullable(items.get(key)).map(item -> new String(item.value()));
+    }
+
+    /** Returns the keys under a prefix. */
+    public List<String> keys(String prefix) {
+        expire();
+        return new ArrayList<>(
+                items.subMap(prefix, prefix + Character.MAX_VALUE).keySet());
+    }
+
+    private void expire() {
+        long nowMs = timeSource.monotonicMs();
+        items.values()
+                .removeIf(
+                        item -> item.leaseId() != 0 && leaseEnds.getOrDefault(item.leaseId(), Long.MIN_VALUE) <= nowMs);
+        leaseEnds.values().removeIf(end -> end <= nowMs);
+    }
+
+    private static <T> CompletableFuture<T> failed(StoreException.Kind kind) {
+        return CompletableFuture.failedFuture(new StoreException(kind, kind.name()));
+    }
+
+    @Override
+    public CompletableFuture<Optional<StoreItem>> get(String key) {
+        expire();
+        return down
+                ? failed(StoreException.Kind.NOT_DONE)
+                : CompletableFuture.completedFuture(Optional.ofNullable(items.get(key)));
+    }
+
+    @Override
+    public CompletableFuture<StoreSnapshot> list(String prefix) {
+        expire();
+        return down
+                ? failed(StoreException.Kind.NOT_DONE)
+                : CompletableFuture.completedFuture(new StoreSnapshot(
+                        new ArrayList<>(items.subMap(prefix, prefix + Character.MAX_VALUE)
+                                .values()),
+                        revision));
+    }
+
+    @Override
+    public CompletableFuture<StoreChanges> watch(String prefix, long afterRevision, long waitMs) {
+        return failed(StoreException.Kind.NOT_DONE);
+    }
+
+    private boolean holds(StoreWrite write) {
+        for (Map.Entry<String, Long> condition : write.expectedRevisions().entrySet()) {
+            StoreItem item = items.get(condition.getKey());
+            if ((item == null ? 0 : item.revision()) != condition.getValue()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private boolean apply(StoreWrite write) {
+        expire();
+        if (!holds(write)) {
+            return false;
+        }
+        revision++;
+        for (StoreWrite.Put put : write.puts()) {
+            StoreItem old = items.get(put.key());
+            long created = old == null ? revision : old.createdRevision();
+            items.put(put.key(), new StoreItem(put.key(), put.value(), revision, created, put.leaseId()));
+        }
+        write.deletes().forEach(items::remove);
+        return true;
+    }
+
+    @Override
+    public CompletableFuture<Long> write(StoreWrite write) {
+        if (down) {
+            return failed(StoreException.Kind.NOT_DONE);
+        }
+        if (repliesToLose > 0) {
+            repliesToLose--;
+            if (delayLostWrites) {
+                delayedWrites.add(write);
+            } else {
+                apply(write);
+            }
+            return failed(StoreException.Kind.UNKNOWN);
+        }
+        return apply(write)
+                ? CompletableFuture.completedFuture(revision)
+                : failed(StoreException.Kind.CONDITION_FAILED);
+    }
+
+    @Override
+    public CompletableFuture<Long> grantLease(long ttlMs) {
+        if (down) {
+            return failed(StoreException.Kind.NOT_DONE);
+        }
+        lastLease++;
+        leaseTtls.put(lastLease, ttlMs);
+        leaseEnds.put(lastLease, timeSource.monotonicMs() + ttlMs);
+        return CompletableFuture.completedFuture(lastLease);
+    }
+
+    @Override
+    public CompletableFuture<Void> renewLease(long leaseId) {
+        expire();
+        if (down) {
+            return failed(StoreException.Kind.NOT_DONE);
+        }
+        if (!leaseEnds.containsKey(leaseId)) {
+            return failed(StoreException.Kind.NOT_FOUND);
+        }
+        leaseEnds.put(leaseId, timeSource.monotonicMs() + leaseTtls.get(leaseId));
+        return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public CompletableFuture<Void> endLease(long leaseId) {
+        leaseEnds.remove(leaseId);
+        expire();
+        return CompletableFuture.completedFuture(null);
+    }
+}
--- /dev/null
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/package-info.java
@@ -0,0 +1,2 @@
+/** Fakes of the ports for tests. */
+package org.cranberrybend.entry.testing;
