--- /dev/null
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
@@ -0,0 +1,177 @@
+package org.cranberrybend.entry.testing;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import org.cranberrybend.core.routing.Market;
+import org.cranberrybend.core.time.TimeSource;
+import org.cranberrybend.entry.EntrySettings;
+import org.cranberrybend.entry.configuration.AccountEntry;
+import org.cranberrybend.entry.configuration.RepeatRule;
+import org.cranberrybend.entry.configuration.Route;
+import org.cranberrybend.entry.configuration.RoutingConfiguration;
+import org.cranberrybend.entry.configuration.ServiceDefinition;
+import org.cranberrybend.entry.http.BodyMemory;
+import org.cranberrybend.entry.http.HttpConnector;
+import org.cranberrybend.entry.http.HttpServer;
+import org.cranberrybend.entry.http.ServerLimits;
+import org.cranberrybend.entry.log.DecisionLog;
+import org.cranberrybend.entry.port.HeaderNames;
+import org.cranberrybend.entry.port.StoreItem;
+import org.cranberrybend.entry.port.StoreSnapshot;
+import org.cranberrybend.entry.request.RequestPath;
+import org.cranberrybend.entry.store.ConfigurationHolder;
+import org.cranberrybend.entry.upstream.UpstreamRecord;
+import org.cranberrybend.entry.upstream.UpstreamTable;
+import org.cranberrybend.entry.usage.TrueClock;
+import org.cranberrybend.entry.usage.UsageCounter;
+
+/** The data path of an entry instance on loopback, with routes of each kind and upstreams of the test. */
+public final class EntryFixture implements AutoCloseable {
+    /** Header names of the tests. */
+    public static final HeaderNames NAMES = new HeaderNames(
+            "Attempt",
+            "Signature",
+            "Meant-For",
+            "Not-Run",
+            "Deadline",
+            "Account",
+            "Urgency",
+            "Model",
+            "Tokens",
+            "Prompt",
+            "Load",
+            "Last-Event-Id",
+            Set.of("authorization", "meant-for", "account", "deadline", "urgency"));
+
+    private static final ServerLimits LIMITS = new ServerLimits(8_192, 100_000, 2_000, 10_000);
+    private static final String PREFIX = "upstreams/";
+
+    private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final TimeSource timeSource = TimeSource.system();
+    private final UpstreamTable table;
+    private final HttpServer server;
+    private final UsageCounter usage = new UsageCounter(3_600_000, new TrueClock(timeSource));
+    private final int port;
+
+    /** Starts the data path with one upstream of the service {@code work} for each given one, in their order. */
+    public EntryFixture(ScriptedUpstream... upstreams) throws Exception {
+        DecisionLog log = new DecisionLog("instance", 1, timeSource, OutputStream.nullOutputStream());
+        ConfigurationHolder configuration = new ConfigurationHolder((name, value) -> configuration(), log);
+        configuration.offer("test", new byte[0]);
+        table = new UpstreamTable(PREFIX, EntryFixture::record, new HttpConnector(loop), timeSource, log);
+        List<StoreItem> items = new ArrayList<>();
+        for (ScriptedUpstream upstream : upstreams) {
+            String id = "u" + items.size();
+            items.add(new StoreItem(
+                    PREFIX + id, Integer.toString(upstream.port()).getBytes(StandardCharsets.UTF_8), 1, 1, 0));
+        }
+        table.onSnapshot(new StoreSnapshot(items, 1), 0);
+        RequestPath path = new RequestPath(
+                settings(), loop, timeSource, NAMES, configuration, table, usage, log, new MetricRegistry());
+        server = new HttpServer(loop, timeSource, path.handler(), () -> LIMITS, new BodyMemory(1_000_000));
+        port = ((InetSocketAddress) server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                        .sync()
+                        .channel()
+                        .localAddress())
+                .getPort();
+    }
+
+    private static EntrySettings settings() throws Exception {
+        String json = "{\"instance\":\"instance\",\"availability_zone\":\"zone-a\",\"region\":\"region-a\","
+                + "\"regions_by_zone\":{\"zone-a\":\"region-a\"},\"listen\":{\"callers\":\"127.0.0.1:1\","
+                + "\"readiness\":\"127.0.0.1:1\",\"control\":\"127.0.0.1:1\"},\"store\":{\"address\":\"127.0.0.1:1\"},"
+                + "\"duties\":{},\"memory_mb\":100,\"shutdown_limit_s\":8,"
+                + "\"retry_budget\":{\"ratio\":0.2,\"allowance\":50},\"lease_ms\":3000,"
+                + "\"usage\":{\"window_s\":5,\"due_s\":10}}";
+        return EntrySettings.parse(json.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static RoutingConfiguration configuration() {
+        List<Route> routes = List.of(
+                route("safe", RepeatRule.IDEMPOTENT, false, 2, false),
+                route("once", RepeatRule.ONCE, false, 2, false),
+                route("stream", RepeatRule.RESUMABLE, true, 2, false),
+                route("single", RepeatRule.ONCE, true, 2, false),
+                route("open", RepeatRule.IDEMPOTENT, false, 2, true));
+        return new RoutingConfiguration(
+                1,
+                routes,
+                List.of(new ServiceDefinition("work", 100, java.util.Optional.empty(), java.util.Optional.empty())),
+                Map.of("good-key", new AccountEntry("alpha", AccountEntry.ROUTE_PRIORITY)),
+                true,
+                LIMITS);
+    }
+
+    private static Route route(String name, RepeatRule rule, boolean streaming, int attempts, boolean open) {
+        return new Route(
+                name,
+                "site.example",
+                "/" + name + "/",
+                rule,
+                streaming,
+                1_500,
+                500,
+                200,
+                1,
+                List.of(new Route.Target("work", 1)),
+                attempts,
+                open);
+    }
+
+    private static UpstreamRecord record(String id, byte[] value) {
+        int port = Integer.parseInt(new String(value, StandardCharsets.UTF_8));
+        return new UpstreamRecord(
+                id,
+                "work",
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
+                "zone-a",
+                8,
+                false,
+                Market.GUARANTEED,
+                1,
+                0);
+    }
+
+    /** Returns a new caller. */
+    public RawCaller caller() throws Exception {
+        return new RawCaller(port);
+    }
+
+    /** Runs a task on the event loop and returns its result. */
+    public <T> T onLoop(Callable<T> task) throws Exception {
+        return loop.submit(task).get();
+    }
+
+    /** Returns the server of callers. */
+    public HttpServer server() {
+        return server;
+    }
+
+    /** Returns the requests that were counted for an account. */
+    public long counted(String account) throws Exception {
+        return onLoop(() -> usage.counts(usage.window()).getOrDefault(account, 0L));
+    }
+
+    /** Returns a request of a caller. */
+    public static String request(String method, String path, String attempt, String body) {
+        return method + " " + path + " HTTP/1.1\nHost: site.example\nAttempt: " + attempt
+                + "\nAuthorization: Bearer good-key\nDeadline: 1400\n"
+                + (body.isEmpty() ? "" : "Content-Length: " + body.length() + "\n") + "\n" + body;
+    }
+
+    @Override
+    public void close() {
+        loop.shutdownGracefully(0, 100, java.util.concurrent.TimeUnit.MILLISECONDS);
+    }
+}
