--- /dev/null
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/store/PrefixWatchTest.java
@@ -0,0 +1,150 @@
+package org.cranberrybend.entry.store;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.cranberrybend.entry.port.KeyValueStore;
+import org.cranberrybend.entry.port.StoreChange;
+import org.cranberrybend.entry.port.StoreChanges;
+import org.cranberrybend.entry.port.StoreException;
+import org.cranberrybend.entry.port.StoreItem;
+import org.cranberrybend.entry.port.StoreSnapshot;
+import org.cranberrybend.entry.port.StoreWrite;
+import org.cranberrybend.entry.testing.TestClock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class PrefixWatchTest {
+    private final TestClock clock = new TestClock();
+    private final Deque<Runnable> scheduled = new ArrayDeque<>();
+    private final Deque<CompletableFuture<StoreSnapshot>> lists = new ArrayDeque<>();
+    private final Deque<CompletableFuture<StoreChanges>> watches = new ArrayDeque<>();
+    private final List<String> seen = new ArrayList<>();
+    private final ScheduledExecutorService loop = new ScheduledThreadPoolExecutor(1, Executors.defaultThreadFactory()) {
+        @Override
+        public ScheduledFuture<?> schedule(Runnable task, long delay, TimeUnit unit) {
+            scheduled.add(task);
+            return null;
+        }
+    };
+
+    private final KeyValueStore store = new KeyValueStore() {
+        @Override
+        public CompletableFuture<Optional<StoreItem>> get(String key) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<StoreSnapshot> list(String prefix) {
+            lists.add(new CompletableFuture<>());
+            return lists.getLast();
+        }
+
+        @Override
+        public CompletableFuture<StoreChanges> watch(String prefix, long afterRevision, long waitMs) {
+            seen.add("watch after " + afterRevision);
+            watches.add(new CompletableFuture<>());
+            return watches.getLast();
+        }
+
+        @Override
+        public CompletableFuture<Long> write(StoreWrite write) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Long> grantLease(long ttlMs) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Void> renewLease(long leaseId) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Void> endLease(long leaseId) {
+            return new CompletableFuture<>();
+        }
+    };
+
+    private final PrefixWatch watch = new PrefixWatch(store, "p/", 0, loop, clock, new PrefixWatch.Listener() {
+        @Override
+        public void onSnapshot(StoreSnapshot snapshot, long outageMs) {
+            seen.add("snapshot at " + snapshot.revision() + " outage " + outageMs);
+        }
+
+        @Override
+        public void onChange(StoreChange change) {
+            seen.add("change at " + change.revision());
+        }
+
+        @Override
+        public void onHeard(long revision) {
+            seen.add("heard " + revision);
+        }
+
+        @Override
+        public void onLost(String cause) {
+            seen.add("lost");
+        }
+    });
+
+    @AfterEach
+    void stopLoop() {
+        loop.shutdownNow();
+    }
+
+    private static <T> void fail(CompletableFuture<T> call, StoreException.Kind kind) {
+        call.completeExceptionally(new StoreException(kind, kind.name()));
+    }
+
+    // Guards against changes that are missed between the reading and the first watch.
+    @Test
+    void changesAreWatchedFromTheRevisionOfTheReading() {
+        watch.start();
+        lists.poll().complete(new StoreSnapshot(List.of(), 5));
+        watches.poll().complete(new StoreChanges(List.of(new StoreChange("p/a", 7, Optional.empty())), 8));
+        assertThat(seen)
+                .containsExactly(
+                        "snapshot at 5 outage 0", "heard 5", "watch after 5", "change at 7", "heard 8", "watch after 8")
+                .inOrder();
+    }
+
+    // Guards against a watch that goes on although the store has dropped changes that it had not sent.
+    @Test
+    void lostHistoryIsReadAgain() {
+        watch.start();
+        lists.poll().complete(new StoreSnapshot(List.of(), 5));
+        fail(watches.poll(), StoreException.Kind.HISTORY_LOST);
+        lists.poll().complete(new StoreSnapshot(List.of(), 9));
+        assertThat(seen).contains("snapshot at 9 outage 0");
+        assertThat(seen.get(seen.size() - 1)).isEqualTo("watch after 9");
+    }
+
+    // Guards against an outage that goes unnoticed: what lapsed in it is told from what was deleted by a new reading.
+    @Test
+    void outageIsReportedOnceAndFollowedByANewReading() {
+        watch.start();
+        lists.poll().complete(new StoreSnapshot(List.of(), 5));
+        fail(watches.poll(), StoreException.Kind.UNKNOWN);
+        scheduled.poll().run();
+        clock.advance(4_000);
+        fail(watches.poll(), StoreException.Kind.NOT_DONE);
+        scheduled.poll().run();
+        watches.poll().complete(new StoreChanges(List.of(), 6));
+        lists.poll().complete(new StoreSnapshot(List.of(), 6));
+        assertThat(seen.stream().filter("lost"::equals).count()).isEqualTo(1);
+        assertThat(seen).contains("snapshot at 6 outage 4000");
+    }
+}
--- /dev/null
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamSelectorTest.java
@@ -0,0 +1,138 @@
+package org.cranberrybend.entry.upstream;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.cranberrybend.core.routing.Market;
+import org.cranberrybend.entry.http.HttpConnector;
+import org.cranberrybend.entry.log.DecisionLog;
+import org.cranberrybend.entry.port.StoreItem;
+import org.cranberrybend.entry.port.StoreSnapshot;
+import org.cranberrybend.entry.testing.TestClock;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class UpstreamSelectorTest {
+    private static final Map<String, String> REGIONS =
+            Map.of("zone-a", "region-1", "zone-b", "region-1", "zone-c", "region-2");
+    private static final String SERVICE = "model";
+
+    private final TestClock clock = new TestClock();
+    private final UpstreamTable table = new UpstreamTable(
+            "upstreams/",
+            (id, value) -> new UpstreamRecord(
+                    id,
+                    SERVICE,
+                    new InetSocketAddress("127.0.0.1", 9),
+                    new String(value),
+                    6,
+                    false,
+                    Market.GUARANTEED,
+                    1,
+                    0),
+            new HttpConnector(null),
+            clock,
+            new DecisionLog("instance", 1, clock, OutputStream.nullOutputStream()));
+    private final UpstreamSelector selector = new UpstreamSelector(table, "zone-a", REGIONS);
+    private final UpstreamSelector neighbour = new UpstreamSelector(table, "zone-b", REGIONS);
+
+    @BeforeEach
+    void listUpstreams() {
+        List<StoreItem> items = new ArrayList<>();
+        for (String zone : List.of("zone-a", "zone-b", "zone-c")) {
+            for (int i = 0; i < 4; i++) {
+                items.add(new StoreItem("upstreams/" + zone + "-" + i, zone.getBytes(), 1, 1, 0));
+            }
+        }
+        table.onSnapshot(new StoreSnapshot(items, 1), 0);
+    }
+
+    private String choose(UpstreamSelector from, String promptKey, boolean urgent) {
+        return from.choose(SERVICE, promptKey, urgent, Set.of(), clock.monotonicMs())
+                .get()
+                .entry()
+                .id();
+    }
+
+    private void load(String id, int requests) {
+        for (int i = 0; i < requests; i++) {
+            table.find(id).get().begin(0);
+        }
+    }
+
+    // Guards against the same prompt being read by several engines of a region.
+    @Test
+    void instancesOfARegionChooseTheSameEngineForAPrompt() {
+        for (int i = 0; i < 50; i++) {
+            assertThat(choose(selector, "prompt-" + i, false)).isEqualTo(choose(neighbour, "prompt-" + i, false));
+        }
+    }
+
+    // Guards against long prompts on the engines of urgent streams.
+    @Test
+    void urgentAndPatientRequestsRunOnDifferentEngines() {
+        Set<String> urgent = new HashSet<>();
+        Set<String> patient = new HashSet<>();
+        for (int i = 0; i < 200; i++) {
+            urgent.add(choose(selector, "prompt-" + i, true));
+            patient.add(choose(selector, "prompt-" + i, false));
+        }
+        assertThat(urgent.size()).isAtLeast(2);
+        assertThat(patient.size()).isAtLeast(3);
+        urgent.retainAll(patient);
+        assertThat(urgent).isEmpty();
+    }
+
+    // Guards against traffic between regions while the own region has room.
+    @Test
+    void enginesOfTheOwnRegionGoFirst() {
+        for (int i = 0; i < 50; i++) {
+            assertThat(choose(selector, "prompt-" + i, i % 2 == 0)).doesNotContain("zone-c");
+        }
+    }
+
+    // Guards against an engine that collects requests while others of its region have few.
+    @Test
+    void loadedEnginePassesItsPromptsOn() {
+        String preferred = choose(selector, "prompt", true);
+        load(preferred, 30);
+        assertThat(choose(selector, "prompt", true)).isNotEqualTo(preferred);
+    }
+
+    // Guards against a region that queues while another one is idle.
+    @Test
+    void overloadedRegionUsesTheOtherOne() {
+        table.all().stream()
+                .filter(each -> !each.entry().zone().equals("zone-c"))
+                .forEach(each -> load(each.entry().id(), 45));
+        assertThat(choose(selector, "prompt", true)).contains("zone-c");
+    }
+
+    // Guards against a plain service whose near upstream is full while one in the next zone is idle.
+    @Test
+    void plainRequestsStayNearUntilTheNearUpstreamsAreBusy() {
+        assertThat(choose(selector, "", false)).contains("zone-a");
+        for (int i = 0; i < 4; i++) {
+            load("zone-a-" + i, 2);
+        }
+        assertThat(choose(selector, "", false)).contains("zone-b");
+    }
+
+    // Guards against a refusal while all upstreams are set aside after failures.
+    @Test
+    void withAllSetAsideOneIsStillChosen() {
+        table.all().forEach(each -> {
+            for (int i = 0; i < 3; i++) {
+                each.failed(clock.monotonicMs());
+            }
+        });
+        assertThat(selector.choose(SERVICE, "", false, Set.of(), clock.monotonicMs()))
+                .isPresent();
+    }
+}
--- /dev/null
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamTableTest.java
@@ -0,0 +1,150 @@
+package org.cranberrybend.entry.upstream;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.cranberrybend.core.routing.Market;
+import org.cranberrybend.entry.http.HttpConnector;
+import org.cranberrybend.entry.json.JsonFormatException;
+import org.cranberrybend.entry.log.DecisionLog;
+import org.cranberrybend.entry.port.StoreChange;
+import org.cranberrybend.entry.port.StoreItem;
+import org.cranberrybend.entry.port.StoreSnapshot;
+import org.cranberrybend.entry.testing.TestClock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class UpstreamTableTest {
+    private static final String PREFIX = "upstreams/";
+
+    private final TestClock clock = new TestClock();
+    private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final UpstreamTable table = new UpstreamTable(
+            PREFIX,
+            UpstreamTableTest::decode,
+            new HttpConnector(loop),
+            clock,
+            new DecisionLog("instance", 1, clock, OutputStream.nullOutputStream()));
+
+    @AfterEach
+    void stopLoop() {
+        loop.shutdownGracefully(0, 10, java.util.concurrent.TimeUnit.MILLISECONDS);
+    }
+
+    /** Decodes values of the form {@code born:ready} or {@code born:leaving}. */
+    private static UpstreamRecord decode(String id, byte[] value) throws JsonFormatException {
+        String[] parts = new String(value).split(":");
+        if (parts.length != 2) {
+            throw new JsonFormatException("two parts expected");
+        }
+        return new UpstreamRecord(
+                id,
+                "work",
+                new InetSocketAddress("127.0.0.1", 9),
+                "zone-a",
+                8,
+                parts[1].equals("leaving"),
+                Market.GUARANTEED,
+                Long.parseLong(parts[0]),
+                0);
+    }
+
+    private static StoreItem item(String id, String value, long revision) {
+        return new StoreItem(PREFIX + id, value.getBytes(), revision, revision, 0);
+    }
+
+    private static StoreSnapshot snapshot(long revision, StoreItem... items) {
+        return new StoreSnapshot(List.of(items), revision);
+    }
+
+    private List<String> usable() {
+        return table.all().stream()
+                .filter(each -> each.accepts(clock.monotonicMs()))
+                .map(each -> each.entry().id())
+                .collect(Collectors.toList());
+    }
+
+    // Guards against requests to an upstream that has announced its end.
+    @Test
+    void leavingUpstreamTakesNoRequests() {
+        table.onSnapshot(snapshot(2, item("a", "1:ready", 1), item("b", "1:ready", 2)), 0);
+        table.onChange(new StoreChange(PREFIX + "a", 3, Optional.of(item("a", "1:leaving", 3))));
+        assertThat(usable()).containsExactly("b");
+    }
+
+    // Guards against an entry of another writer that takes usable upstreams away.
+    @Test
+    void unreadableEntryNamesNoUpstreamAndHarmsNoOther() {
+        table.onSnapshot(snapshot(2, item("a", "1:ready", 1), item("x", "what", 2)), 0);
+        assertThat(usable()).containsExactly("a");
+    }
+
+    // Guards against the loss of all upstreams when their entries lapse in an outage of the store.
+    @Test
+    void entriesThatLapseInAnOutageAreKeptForAWhile() {
+        table.onSnapshot(snapshot(2, item("a", "1:ready", 1), item("b", "1:ready", 2)), 0);
+        clock.advance(8_000);
+        table.onSnapshot(snapshot(9), 8_000);
+        table.onHeard(9);
+        assertThat(usable()).containsExactly("a", "b");
+        table.onChange(new StoreChange(PREFIX + "a", 10, Optional.of(item("a", "1:ready", 10))));
+        clock.advance(2_300);
+        table.removeLapsed(clock.monotonicMs());
+        assertThat(usable()).containsExactly("a");
+    }
+
+    // Guards against an upstream that was removed in calm times and is kept as if it had lapsed.
+    @Test
+    void removedEntryIsGoneAtOnce() {
+        table.onSnapshot(snapshot(2, item("a", "1:ready", 1), item("b", "1:ready", 2)), 0);
+        table.onChange(new StoreChange(PREFIX + "a", 3, Optional.empty()));
+        assertThat(usable()).containsExactly("b");
+    }
+
+    // Guards against counts and connections of a process that has ended and started again under its name.
+    @Test
+    void upstreamThatStartedAgainIsAnotherOne() {
+        table.onSnapshot(snapshot(1, item("a", "1:ready", 1)), 0);
+        Upstream before = table.find("a").get();
+        before.begin(100);
+        table.onChange(new StoreChange(PREFIX + "a", 2, Optional.of(item("a", "2:ready", 2))));
+        Upstream after = table.find("a").get();
+        assertThat(after).isNotSameInstanceAs(before);
+        assertThat(after.running()).isEqualTo(0);
+        assertThat(before.accepts(clock.monotonicMs())).isFalse();
+    }
+
+    // Guards against an older state of a peer that undoes what this instance knows.
+    @Test
+    void peersStateCountsOnlyIfItIsLater() {
+        table.onSnapshot(snapshot(5, item("a", "1:leaving", 5)), 0);
+        table.onHeard(5);
+        table.offer(List.of(item("a", "1:ready", 3), item("b", "1:ready", 2)), 4);
+        assertThat(usable()).isEmpty();
+        table.offer(List.of(item("a", "1:leaving", 5), item("b", "1:ready", 7)), 7);
+        assertThat(usable()).containsExactly("b");
+    }
+
+    // Guards against an upstream that fails each request and still gets its share.
+    @Test
+    void failingUpstreamIsSetAsideAndTriedAgain() {
+        table.onSnapshot(snapshot(2, item("a", "1:ready", 1), item("b", "1:ready", 2)), 0);
+        Upstream a = table.find("a").get();
+        List<Boolean> ejected = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            ejected.add(a.failed(clock.monotonicMs()));
+        }
+        assertThat(ejected).containsExactly(false, false, true).inOrder();
+        assertThat(usable()).containsExactly("b");
+        clock.advance(1_000);
+        assertThat(usable()).containsExactly("a", "b");
+    }
+}
