Start from a class archive, hold requests while starting, reload on a signal

SIGHUP would have ended the JVM.

The build runs the program once on loopback and archives its classes.

Ruled out: binding the address before the configuration is asked for (it is bound in the same task already).

--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/event/EventCode.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/event/EventCode.java
@@ -15,6 +15,8 @@
     PAUSE_DETECTED(104, Severity.WARNING, "Process was paused."),
     DRAIN_INTERRUPTED(105, Severity.WARNING, "Drain ended before all requests finished."),
     INTERNAL_FAILURE(106, Severity.ERROR, "Unexpected failure."),
+    SETTINGS_RELOADED(107, Severity.INFO, "The settings file was read again."),
+    SETTINGS_UNREADABLE(108, Severity.WARNING, "The settings file cannot be used; the process goes on with its own."),
     CONFIGURATION_ACCEPTED(201, Severity.INFO, "Configuration revision is in force."),
     CONFIGURATION_OLDER_REFUSED(202, Severity.WARNING, "An older configuration was refused."),
     CONFIGURATION_DIVERGED(203, Severity.ERROR, "A configuration with a different history was refused."),
--- a/cranberrybend-daemon/src/main/java/org/cranberrybend/daemon/EntryDaemon.java
+++ b/cranberrybend-daemon/src/main/java/org/cranberrybend/daemon/EntryDaemon.java
@@ -11,11 +11,13 @@
 import org.cranberrybend.entry.json.JsonFormatException;
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.platform.PlatformPorts;
+import sun.misc.Signal;
 
-/** Starts an entry instance from its settings file, or checks such a file. */
+/** Starts an entry instance from its settings file, checks such a file, or runs for the class archive of the build. */
 public final class EntryDaemon {
     private static final String SETTINGS_VARIABLE = "CRANBERRYBEND_NODE_FILE";
     private static final String VALIDATE = "--validate";
+    private static final String TRAIN = "--train-class-archive";
     private static final int EXIT_USAGE = 2;
     private static final int EXIT_SETTINGS = 3;
     private static final int EXIT_START = 4;
@@ -30,21 +32,37 @@
             System.out.println("settings are valid");
             return;
         }
+        if (arguments.length == 1 && arguments[0].equals(TRAIN)) {
+            train();
+            return;
+        }
         String file = System.getenv(SETTINGS_VARIABLE);
         if (arguments.length > 0 || file == null) {
-            System.err.println("usage: [" + VALIDATE + " FILE]; the variable " + SETTINGS_VARIABLE
+            System.err.println("usage: [" + VALIDATE + " FILE | " + TRAIN + "]; the variable " + SETTINGS_VARIABLE
                     + " names the settings file of a start");
             System.exit(EXIT_USAGE);
         }
-        run(load(Path.of(file)));
+        run(Path.of(file));
+    }
+
+    private static void train() throws InterruptedException {
+        try {
+            InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+            new ClassArchiveTraining().run();
+        } catch (IOException | JsonFormatException e) {
+            System.err.println("training for the class archive failed: " + e.getMessage());
+            System.exit(EXIT_START);
+        }
     }
 
-    private static void run(EntrySettings settings) throws InterruptedException {
+    private static void run(Path file) throws InterruptedException {
+        EntrySettings settings = load(file);
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         TimeSource timeSource = TimeSource.system();
         DecisionLog log = new DecisionLog(settings.instance(), timeSource.wallMs(), timeSource, System.out);
         log.start();
         EntryService service = new EntryService(settings, new PlatformPorts(), log);
+        Signal.handle(new Signal("HUP"), signal -> service.reload(file));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(service, log), "shutdown"));
         try {
             service.start();
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -6,6 +6,8 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -28,6 +30,7 @@
 import org.cranberrybend.entry.http.ReceivedRequest;
 import org.cranberrybend.entry.http.ServerExchange;
 import org.cranberrybend.entry.http.ServerLimits;
+import org.cranberrybend.entry.json.JsonFormatException;
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.port.KeyValueStore;
 import org.cranberrybend.entry.port.StoreChange;
@@ -217,6 +220,21 @@
         relay.tick();
     }
 
+    /**
+     * Reads the settings file again after a signal and says whether it can be used. Its values come into force at the
+     * next start: addresses and bounds hold for the life of a process.
+     */
+    public void reload(Path file) {
+        loop.execute(() -> {
+            try {
+                boolean changed = !EntrySettings.parse(Files.readAllBytes(file)).equals(settings);
+                log.record(EventCode.SETTINGS_RELOADED, settings.instance(), "changed", changed);
+            } catch (IOException | JsonFormatException e) {
+                log.record(EventCode.SETTINGS_UNREADABLE, settings.instance(), "cause", String.valueOf(e.getMessage()));
+            }
+        });
+    }
+
     /**
      * Stops: the instance reports itself as not ready, serves its connections on for the time that the balancer needs to
      * notice, and ends when all requests are answered or the limit is reached.
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestRouter.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestRouter.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpRequest;
@@ -25,6 +26,10 @@
 public final class RequestRouter implements RequestHandler {
     private static final String BEARER = "bearer ";
     private static final long NO_CONFIGURATION_RETRY_MS = 500;
+    /** Time for which a request waits for the first configuration and the first list of upstreams. */
+    private static final long START_WAIT_MS = 300;
+
+    private static final long START_POLL_MS = 25;
 
     private final ConfigurationHolder configuration;
     private final RequestServices services;
@@ -41,8 +46,8 @@
         HttpRequest head = received.head();
         String attemptId = value(head, services.names().attemptId());
         RoutingConfiguration version = configuration.current().orElse(null);
-        if (version == null) {
-            refuse(caller, attemptId, 0, OwnAnswer.notRun(ErrorCode.CONFIGURATION_MISSING, NO_CONFIGURATION_RETRY_MS));
+        if (version == null || !services.table().isLoaded()) {
+            awaitStart(received, caller, attemptId);
             return;
         }
         Optional<Route> route = version.route(hostOf(head), targetOf(head));
@@ -67,6 +72,15 @@
         new Exchange(request, caller, services).start();
     }
 
+    /** Holds a request that arrives while the process starts, until it can be routed or a short time has passed. */
+    private void awaitStart(ReceivedRequest received, ServerExchange caller, String attemptId) {
+        if (services.timeSource().monotonicMs() - received.receivedMs() < START_WAIT_MS && caller.isOpen()) {
+            services.loop().schedule(() -> handle(received, caller), START_POLL_MS, TimeUnit.MILLISECONDS);
+        } else {
+            refuse(caller, attemptId, 0, OwnAnswer.notRun(ErrorCode.CONFIGURATION_MISSING, NO_CONFIGURATION_RETRY_MS));
+        }
+    }
+
     private RoutedRequest routed(
             ReceivedRequest received,
             String attemptId,
