Write usage counts through a peer while the store is away, and serve metrics

Cause: with a third of the instances turned away by the store for 9 s, their counts came after the report was due (window off by 74 of 229 requests).

An instance that does not hear the store sends its counts to another one, which writes them under the same keys. Metrics are served on an address of the settings; store calls are counted by kind and result.

Ruled out: sealing later (the report is due 10 s after the window).

--- a/cranberrybend-daemon/src/main/java/org/cranberrybend/daemon/ClassArchiveTraining.java
+++ b/cranberrybend-daemon/src/main/java/org/cranberrybend/daemon/ClassArchiveTraining.java
@@ -117,7 +117,8 @@
         String json = "{\"instance\":\"training\",\"availability_zone\":\"z\",\"region\":\"g\","
                 + "\"regions_by_zone\":{\"z\":\"g\"},\"listen\":{\"callers\":\"127.0.0.1:" + callers
                 + "\",\"readiness\":\"127.0.0.1:" + freePort() + "\",\"control\":\"127.0.0.1:" + freePort()
-                + "\"},\"seeds\":[\"" + store + "\"],\"store\":{\"address\":\"" + store
+                + "\",\"metrics\":\"127.0.0.1:" + freePort() + "\"},\"seeds\":[\"" + store
+                + "\"],\"store\":{\"address\":\"" + store
                 + "\"},\"duties\":{\"address\":\"" + store
                 + "\",\"names\":[\"usage_report\",\"autoscale\"]},\"memory_mb\":200,\"shutdown_limit_s\":1,"
                 + "\"retry_budget\":{\"ratio\":0.2,\"allowance\":50},\"lease_ms\":3000,"
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -6,6 +6,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -14,6 +15,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.message.BasicHeader;
 import org.cranberrybend.core.event.EventCode;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.duty.DutyLease;
@@ -38,10 +41,12 @@
 import org.cranberrybend.entry.port.StoreSnapshot;
 import org.cranberrybend.entry.request.RequestPath;
 import org.cranberrybend.entry.store.ConfigurationHolder;
+import org.cranberrybend.entry.store.CountedStore;
 import org.cranberrybend.entry.store.PrefixWatch;
 import org.cranberrybend.entry.upstream.UpstreamTable;
 import org.cranberrybend.entry.usage.TrueClock;
 import org.cranberrybend.entry.usage.UsageCounter;
+import org.cranberrybend.runtime.admin.MetricsText;
 
 /**
  * All services of an entry instance on one event loop. The loop is the only thread that touches their state, so there
@@ -78,6 +83,7 @@
     private final FleetDuties duties;
     private final FleetRelay relay;
     private final HttpServer control;
+    private final HttpServer metricsServer;
     private final CountDownLatch drained = new CountDownLatch(1);
     private boolean stopping;
 
@@ -86,7 +92,7 @@
         this.settings = settings;
         this.log = log;
         HttpConnector connector = new HttpConnector(loop);
-        KeyValueStore store = ports.openStore(loop, connector, settings.storeAddress());
+        KeyValueStore store = new CountedStore(ports.openStore(loop, connector, settings.storeAddress()), metrics);
         StoreKeys keys = ports.storeKeys();
         configuration = new ConfigurationHolder(ports.configurationDecoder(), log);
         upstreams = new UpstreamTable(keys.upstreamPrefix(), ports.upstreamDecoder(), connector, timeSource, log);
@@ -105,12 +111,15 @@
         TrueClock clock = new TrueClock(timeSource);
         UsageCounter usage = new UsageCounter(settings.usageWindowMs(), clock);
         BodyMemory bodyMemory = new BodyMemory((long) (settings.memoryMb() * 1024L * 1024L * BODY_MEMORY_SHARE));
+        relay = new FleetRelay(
+                loop, connector, store, configuration, upstreams, directory::peerAddresses, timeSource, log);
         duties = duties(ports, store, connector, usage, clock);
         RequestPath path = new RequestPath(
                 settings, loop, timeSource, ports.headerNames(), configuration, upstreams, usage, log, metrics);
-        relay = new FleetRelay(loop, connector, configuration, upstreams, directory::peerAddresses, timeSource, log);
         control = new HttpServer(loop, timeSource, relay, () -> FIRST_LIMITS, bodyMemory);
         callers = new HttpServer(loop, timeSource, path.handler(), this::callerLimits, bodyMemory);
+        metricsServer = new HttpServer(loop, timeSource, this::answerMetrics, () -> FIRST_LIMITS, bodyMemory);
+        registerGauges(bodyMemory);
         readiness = new HttpServer(loop, timeSource, this::answerReadiness, () -> FIRST_LIMITS, bodyMemory);
     }
 
@@ -137,7 +146,8 @@
                         settings.regionsByZone().keySet(),
                         timeSource,
                         log)::tick));
-        UsageFlusher flusher = new UsageFlusher(store, usage, settings.instance(), timeSource.wallMs(), timeSource);
+        UsageFlusher flusher =
+                new UsageFlusher(relay::write, usage, settings.instance(), timeSource.wallMs(), timeSource);
         return new FleetDuties(directory, lease, flusher, tasks);
     }
 
@@ -173,6 +183,23 @@
         return !stopping && configuration.current().isPresent() && upstreams.isLoaded();
     }
 
+    private void registerGauges(BodyMemory bodyMemory) {
+        metrics.gauge("configuration_version", () -> () -> configuration.version());
+        metrics.gauge("upstreams_age_ms", () -> () -> upstreams.ageMs());
+        metrics.gauge("upstreams_listed", () -> () -> upstreams.all().size());
+        metrics.gauge("caller_connections", () -> () -> callers.connectionCount());
+        metrics.gauge("requests_in_progress", () -> () -> callers.busyCount());
+        metrics.gauge("body_bytes", () -> () -> bodyMemory.usedBytes());
+        metrics.gauge(
+                "instances_registered", () -> () -> directory.liveInstances().size());
+        metrics.gauge("log_lines_dropped", () -> () -> log.droppedLines());
+    }
+
+    private void answerMetrics(ReceivedRequest request, ServerExchange exchange) {
+        byte[] text = MetricsText.write(metrics).getBytes(StandardCharsets.UTF_8);
+        exchange.respond(200, "OK", List.of(new BasicHeader(HttpHeaders.CONTENT_TYPE, "text/plain")), text);
+    }
+
     private void answerReadiness(ReceivedRequest request, ServerExchange exchange) {
         boolean ready = isReady();
         exchange.respond(ready ? 200 : 503, ready ? "OK" : "Service Unavailable", List.of(), new byte[0]);
@@ -197,6 +224,7 @@
         upstreamWatch.start();
         fleetWatch.start();
         List<ChannelFuture> listening = List.of(
+                metricsServer.listen(settings.metricsAddress()),
                 control.listen(settings.controlAddress()),
                 callers.listen(settings.callerAddress()),
                 readiness.listen(settings.readinessAddress()));
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntrySettings.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntrySettings.java
@@ -18,6 +18,7 @@
  * @param callerAddress address that serves callers
  * @param readinessAddress address that answers whether the instance is ready
  * @param controlAddress address that serves the other instances
+ * @param metricsAddress address that serves metrics
  * @param seeds control addresses of some instances; they may be stale
  * @param storeAddress address of the key-value store
  * @param dutyAddress address of the calls that one instance makes at a time; null if there are none
@@ -37,6 +38,7 @@
         InetSocketAddress callerAddress,
         InetSocketAddress readinessAddress,
         InetSocketAddress controlAddress,
+        InetSocketAddress metricsAddress,
         List<InetSocketAddress> seeds,
         InetSocketAddress storeAddress,
         InetSocketAddress dutyAddress,
@@ -81,6 +83,7 @@
                 address("listen.callers", listen.text("callers")),
                 address("listen.readiness", listen.text("readiness")),
                 address("listen.control", listen.text("control")),
+                address("listen.metrics", listen.text("metrics")),
                 seeds,
                 address("store.address", json.object("store").text("address")),
                 dutyAddress.isEmpty() ? null : address("duties.address", dutyAddress),
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetKeys.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetKeys.java
@@ -42,6 +42,11 @@
         return key.substring(0, key.lastIndexOf('/'));
     }
 
+    /** Returns whether a key is one of counts, which an instance may write for another one. */
+    public static boolean isCounts(String key) {
+        return key.startsWith(COUNTS);
+    }
+
     static String allCounts() {
         return COUNTS;
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/UsageFlusher.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/UsageFlusher.java
@@ -5,9 +5,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.json.Json;
-import org.cranberrybend.entry.port.KeyValueStore;
 import org.cranberrybend.entry.port.StoreException;
 import org.cranberrybend.entry.port.StoreWrite;
 import org.cranberrybend.entry.usage.UsageCounter;
@@ -27,7 +28,7 @@
 
     private static final int KEPT_WINDOWS = 12;
 
-    private final KeyValueStore store;
+    private final Function<StoreWrite, CompletableFuture<Long>> writer;
     private final UsageCounter counter;
     private final String instance;
     private final long incarnation;
@@ -41,10 +42,18 @@
     private boolean pending;
     private int generation;
 
-    /** Creates a flusher for one run of one instance. */
+    /**
+     * Creates a flusher for one run of one instance.
+     *
+     * @param writer writes to the store, or through another instance while the store does not answer this one
+     */
     public UsageFlusher(
-            KeyValueStore store, UsageCounter counter, String instance, long incarnation, TimeSource timeSource) {
-        this.store = store;
+            Function<StoreWrite, CompletableFuture<Long>> writer,
+            UsageCounter counter,
+            String instance,
+            long incarnation,
+            TimeSource timeSource) {
+        this.writer = writer;
         this.counter = counter;
         this.instance = instance;
         this.incarnation = incarnation;
@@ -89,7 +98,7 @@
             return;
         }
         pending = true;
-        store.write(new StoreWrite(Map.of(), puts, List.of())).whenComplete((revision, failure) -> {
+        writer.apply(new StoreWrite(Map.of(), puts, List.of())).whenComplete((revision, failure) -> {
             pending = false;
             if (failure == null) {
                 written.putAll(totals);
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FleetRelay.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FleetRelay.java
@@ -7,11 +7,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.message.BasicHeader;
 import org.cranberrybend.core.event.EventCode;
 import org.cranberrybend.core.time.TimeSource;
+import org.cranberrybend.entry.duty.FleetKeys;
 import org.cranberrybend.entry.http.ApiClient;
 import org.cranberrybend.entry.http.ApiReply;
 import org.cranberrybend.entry.http.HttpConnector;
@@ -20,14 +22,20 @@
 import org.cranberrybend.entry.http.ServerExchange;
 import org.cranberrybend.entry.json.JsonFormatException;
 import org.cranberrybend.entry.log.DecisionLog;
+import org.cranberrybend.entry.port.KeyValueStore;
+import org.cranberrybend.entry.port.StoreException;
+import org.cranberrybend.entry.port.StoreItem;
+import org.cranberrybend.entry.port.StoreWrite;
 import org.cranberrybend.entry.store.ConfigurationHolder;
 import org.cranberrybend.entry.upstream.UpstreamTable;
 
 /**
- * Brings configuration and upstreams from other instances while the store does not answer this one, and answers other
- * instances that ask. Without an outage the instances exchange nothing. Confined to the event loop.
+ * Brings configuration and upstreams from other instances while the store does not answer this one, has usage counts
+ * written through them, and does the same for instances that ask. Without an outage the instances exchange nothing.
+ * Confined to the event loop.
  */
 public final class FleetRelay implements RequestHandler {
+    private static final String COUNTS_PATH = "/fleet/counts";
     private static final String PATH = "/fleet/state?version=";
     private static final long ASK_INTERVAL_MS = 400;
     /** Pause after no asked instance knew more, because the store is probably away for all. */
@@ -43,6 +51,7 @@
 
     private final EventLoopGroup loop;
     private final HttpConnector connector;
+    private final KeyValueStore store;
     private final ConfigurationHolder configuration;
     private final UpstreamTable upstreams;
     private final Supplier<Set<InetSocketAddress>> peers;
@@ -56,6 +65,7 @@
     public FleetRelay(
             EventLoopGroup loop,
             HttpConnector connector,
+            KeyValueStore store,
             ConfigurationHolder configuration,
             UpstreamTable upstreams,
             Supplier<Set<InetSocketAddress>> peers,
@@ -63,6 +73,7 @@
             DecisionLog log) {
         this.loop = loop;
         this.connector = connector;
+        this.store = store;
         this.configuration = configuration;
         this.upstreams = upstreams;
         this.peers = peers;
@@ -73,6 +84,10 @@
     @Override
     public void handle(ReceivedRequest request, ServerExchange exchange) {
         String target = request.head().getRequestUri();
+        if (target.equals(COUNTS_PATH)) {
+            writeCounts(request, exchange);
+            return;
+        }
         if (!target.startsWith(PATH)) {
             exchange.respond(404, "Not Found", List.of(), new byte[0]);
             return;
@@ -90,6 +105,46 @@
                 200, "OK", List.of(new BasicHeader(HttpHeaders.CONTENT_TYPE, "application/json")), state.encode());
     }
 
+    private void writeCounts(ReceivedRequest request, ServerExchange exchange) {
+        List<StoreWrite.Put> puts = new ArrayList<>();
+        try {
+            for (StoreItem item : FleetState.decode(request.body()).upstreams()) {
+                if (FleetKeys.isCounts(item.key()) && puts.size() < StoreWrite.MAX_ENTRIES) {
+                    puts.add(new StoreWrite.Put(item.key(), item.value(), 0));
+                }
+            }
+        } catch (JsonFormatException e) {
+            exchange.respond(400, "Bad Request", List.of(), new byte[0]);
+            return;
+        }
+        store.write(new StoreWrite(Map.of(), puts, List.of())).whenComplete((revision, failure) -> {
+            boolean done = failure == null;
+            exchange.respond(done ? 200 : 503, done ? "OK" : "Service Unavailable", List.of(), new byte[0]);
+        });
+    }
+
+    /** Writes usage counts to the store, through another instance if the store does not answer this one. */
+    public CompletableFuture<Long> write(StoreWrite counts) {
+        List<InetSocketAddress> known = new ArrayList<>(peers.get());
+        if (!upstreams.isStoreLost() || known.isEmpty()) {
+            return store.write(counts);
+        }
+        List<StoreItem> items = new ArrayList<>();
+        counts.puts().forEach(put -> items.add(new StoreItem(put.key(), put.value(), 0, 0, 0)));
+        byte[] body = new FleetState(new byte[0], items, 0, 0).encode();
+        InetSocketAddress peer = known.get(Math.floorMod(nextPeer++, known.size()));
+        return client(peer)
+                .call("POST", COUNTS_PATH, List.of(), body, CALL_TIMEOUT_MS)
+                .thenCompose(reply -> reply.status() == 200
+                        ? CompletableFuture.completedFuture(0L)
+                        : CompletableFuture.failedFuture(
+                                new StoreException(StoreException.Kind.UNKNOWN, peer + ": " + reply.status())));
+    }
+
+    private ApiClient client(InetSocketAddress peer) {
+        return clients.computeIfAbsent(peer, address -> new ApiClient(loop, connector, address));
+    }
+
     /** Asks other instances if the store does not answer. */
     public void tick() {
         long nowMs = timeSource.monotonicMs();
@@ -105,8 +160,8 @@
     }
 
     private void ask(InetSocketAddress peer) {
-        ApiClient client = clients.computeIfAbsent(peer, address -> new ApiClient(loop, connector, address));
-        client.call("GET", PATH + configuration.version(), List.of(), new byte[0], CALL_TIMEOUT_MS)
+        client(peer)
+                .call("GET", PATH + configuration.version(), List.of(), new byte[0], CALL_TIMEOUT_MS)
                 .whenComplete((reply, failure) -> {
                     if (failure == null && reply.status() == 200) {
                         take(peer, reply);
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FleetState.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FleetState.java
@@ -14,7 +14,7 @@
  * What one instance knows from the store, as it tells it to another one.
  *
  * @param configuration configuration in force as it was read; empty if the other instance has it already
- * @param upstreams entries of upstreams as they were read
+ * @param upstreams entries of the store as they were read
  * @param revision revision of the store up to which the entries are known
  * @param ageMs time since the store was heard, in milliseconds
  */
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/UsageDutyTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/UsageDutyTest.java
@@ -41,7 +41,7 @@
 
         Run(String instance, long incarnation) {
             DecisionLog log = new DecisionLog(instance, incarnation, clock, OutputStream.nullOutputStream());
-            flusher = new UsageFlusher(store, counter, instance, incarnation, clock);
+            flusher = new UsageFlusher(store::write, counter, instance, incarnation, clock);
             lease = new DutyLease(store, instance, 3_000, clock, log);
             UsageReports platform = this::report;
             duty = new UsageDuty(store, platform, lease, new TrueClock(clock), WINDOW_MS, DUE_MS, () -> live, log);
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
@@ -90,7 +90,8 @@
     private static EntrySettings settings() throws Exception {
         String json = "{\"instance\":\"instance\",\"availability_zone\":\"zone-a\",\"region\":\"region-a\","
                 + "\"regions_by_zone\":{\"zone-a\":\"region-a\"},\"listen\":{\"callers\":\"127.0.0.1:1\","
-                + "\"readiness\":\"127.0.0.1:1\",\"control\":\"127.0.0.1:1\"},\"store\":{\"address\":\"127.0.0.1:1\"},"
+                + "\"readiness\":\"127.0.0.1:1\",\"control\":\"127.0.0.1:1\","
+                + "\"metrics\":\"127.0.0.1:1\"},\"store\":{\"address\":\"127.0.0.1:1\"},"
                 + "\"duties\":{},\"memory_mb\":100,\"shutdown_limit_s\":8,"
                 + "\"retry_budget\":{\"ratio\":0.2,\"allowance\":50},\"lease_ms\":3000,"
                 + "\"usage\":{\"window_s\":5,\"due_s\":10}}";
--- a/cranberrybend-runtime/src/main/java/org/cranberrybend/runtime/admin/MetricsText.java
+++ b/cranberrybend-runtime/src/main/java/org/cranberrybend/runtime/admin/MetricsText.java
@@ -17,13 +17,14 @@
  * <p>Registry names carry labels in braces, such as {@code peer_bytes{type="Ping"}}; characters outside the format's
  * alphabet become underscores.
  */
-final class MetricsText {
+public final class MetricsText {
     private static final String PREFIX = "cranberrybend_";
     private static final double[] QUANTILES = {0.5, 0.95, 0.99};
 
     private MetricsText() {}
 
-    static String write(MetricRegistry registry) {
+    /** Returns the text of all metrics. */
+    public static String write(MetricRegistry registry) {
         StringBuilder text = new StringBuilder();
         for (Map.Entry<String, Metric> entry : registry.getMetrics().entrySet()) {
             String name = entry.getKey();
