Give long patient prompts one engine in all regions

Ruled out: moving shared parts between engines (priced by the bytes, and a second path to keep right).

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -65,7 +65,7 @@
     private void tryNext(String reason) {
         long nowMs = services.timeSource().monotonicMs();
         Optional<Upstream> chosen =
-                services.selector().choose(request.service(), request.promptKey(), request.urgent(), tried, nowMs);
+                services.selector().choose(request.service(), request.prompt(), request.urgent(), tried, nowMs);
         if (chosen.isEmpty()) {
             giveUp("no upstream: " + reason);
             return;
@@ -101,7 +101,7 @@
         boolean anyLeft = services.selector()
                 .choose(
                         request.service(),
-                        request.promptKey(),
+                        request.prompt(),
                         request.urgent(),
                         tried,
                         services.timeSource().monotonicMs())
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestRouter.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestRouter.java
@@ -21,6 +21,7 @@
 import org.cranberrybend.entry.http.ServerExchange;
 import org.cranberrybend.entry.port.HeaderNames;
 import org.cranberrybend.entry.store.ConfigurationHolder;
+import org.cranberrybend.entry.upstream.Prompt;
 
 /** Takes each request of a caller through route and account, and begins its exchange. */
 public final class RequestRouter implements RequestHandler {
@@ -111,7 +112,7 @@
                 account,
                 priority,
                 version.isUrgent(route, service),
-                promptParts(value(head, names.promptParts())),
+                prompt(value(head, names.promptParts())),
                 outputTokens(value(head, names.tokenCount())),
                 received.receivedMs(),
                 received.receivedMs() + limitMs,
@@ -170,16 +171,16 @@
         }
     }
 
-    private static List<PromptPart> promptParts(String text) {
-        List<PromptPart> parts = new ArrayList<>();
+    private static Prompt prompt(String text) {
+        List<Prompt.Part> parts = new ArrayList<>();
         for (String entry : text.split(",")) {
             int colon = entry.lastIndexOf(':');
             if (colon > 0) {
-                parts.add(new PromptPart(entry.substring(0, colon).trim(), (int)
+                parts.add(new Prompt.Part(entry.substring(0, colon).trim(), (int)
                         number(entry.substring(colon + 1).trim(), 0)));
             }
         }
-        return parts;
+        return parts.isEmpty() ? Prompt.NONE : new Prompt(parts);
     }
 
     private static int outputTokens(String tokenCount) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RoutedRequest.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RoutedRequest.java
@@ -6,6 +6,7 @@
 import org.cranberrybend.entry.configuration.AccountEntry;
 import org.cranberrybend.entry.configuration.RepeatRule;
 import org.cranberrybend.entry.configuration.Route;
+import org.cranberrybend.entry.upstream.Prompt;
 
 /**
  * A request whose route and client account are known. Times are readings of the monotonic clock in milliseconds.
@@ -20,7 +21,7 @@
  * @param account account of the key; empty on an open route without a known key
  * @param priority rank in force; 0 is the highest
  * @param urgent whether the route has a tight target among those of its service
- * @param prompt parts of the prompt; empty if the request has none
+ * @param prompt prompt; empty if the request has none
  * @param outputTokens largest number of output tokens; 0 if not stated
  * @param receivedMs time at which the request was received
  * @param endMs time at which the request must have its final answer
@@ -38,33 +39,16 @@
         Optional<AccountEntry> account,
         int priority,
         boolean urgent,
-        List<PromptPart> prompt,
+        Prompt prompt,
         int outputTokens,
         long receivedMs,
         long endMs,
         String resumeAfter) {
     RoutedRequest {
         headers = List.copyOf(headers);
-        prompt = List.copyOf(prompt);
     }
 
     RepeatRule repeatRule() {
         return route.repeatRule();
     }
-
-    /** Returns what prompts with the same shared parts have in common; empty without a prompt. */
-    String promptKey() {
-        StringBuilder key = new StringBuilder();
-        // The last part belongs to the request or its session; alone it is all there is to go by.
-        int shared = prompt.size() > 1 ? prompt.size() - 1 : prompt.size();
-        for (int i = 0; i < shared; i++) {
-            key.append(prompt.get(i).id()).append('/');
-        }
-        return key.toString();
-    }
-
-    /** Returns the tokens that are certainly not in an engine's cache. */
-    int ownTokens() {
-        return prompt.isEmpty() ? 0 : prompt.get(prompt.size() - 1).tokens();
-    }
 }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
@@ -101,7 +101,7 @@
     /** Begins; a stream goes on after the given event if that is not empty. */
     void start(String resumeAfterEvent) {
         resumeAfter = resumeAfterEvent;
-        upstream.begin(request.ownTokens());
+        upstream.begin(request.prompt().ownTokens());
         abandonConnect = upstream.pool().acquire(this);
     }
 
@@ -127,7 +127,7 @@
     private void markPromptRead() {
         if (!promptRead) {
             promptRead = true;
-            upstream.promptRead(request.ownTokens());
+            upstream.promptRead(request.prompt().ownTokens());
         }
     }
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamSelector.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamSelector.java
@@ -29,6 +29,12 @@
     /** Factor by which an engine may exceed the mean of its region. */
     private static final double ENGINE_LEAD_RATIO = 1.6;
 
+    /**
+     * Shared tokens from which a patient prompt has one engine in all regions: reading them again costs more than the
+     * request's bytes between regions.
+     */
+    private static final int FLEET_WIDE_TOKENS = 6_000;
+
     private final UpstreamTable table;
     private final String zone;
     private final Map<String, String> regionsByZone;
@@ -43,12 +49,11 @@
     /**
      * Returns the upstream for a request.
      *
-     * @param promptKey what prompts with the same shared parts have in common; empty for a plain service
+     * @param prompt prompt of the request; empty for a plain service
      * @param urgent whether the request has a tight target among those of its service
      * @param excluded upstreams that the request was sent to before
      */
-    public Optional<Upstream> choose(
-            String service, String promptKey, boolean urgent, Set<String> excluded, long nowMs) {
+    public Optional<Upstream> choose(String service, Prompt prompt, boolean urgent, Set<String> excluded, long nowMs) {
         List<Upstream> listed = table.ofService(service).stream()
                 .filter(Upstream::isListedReady)
                 .filter(each -> !excluded.contains(each.entry().id()))
@@ -57,7 +62,7 @@
                 listed.stream().filter(each -> each.accepts(nowMs)).collect(Collectors.toList());
         // With all set aside, the judgement on them is more likely wrong than all of them being broken.
         List<Upstream> candidates = usable.isEmpty() ? listed : usable;
-        return promptKey.isEmpty() ? leastLoaded(candidates, nowMs) : byPrompt(candidates, promptKey, urgent, nowMs);
+        return prompt.isEmpty() ? leastLoaded(candidates, nowMs) : byPrompt(candidates, prompt, urgent, nowMs);
     }
 
     private Optional<Upstream> leastLoaded(List<Upstream> candidates, long nowMs) {
@@ -85,12 +90,14 @@
      * Chooses an engine of the request's lane. When all of the lane are loaded, the least loaded engine of the region
      * takes the request, and when that is overloaded too, the least loaded engine anywhere.
      */
-    private Optional<Upstream> byPrompt(List<Upstream> candidates, String promptKey, boolean urgent, long nowMs) {
+    private Optional<Upstream> byPrompt(List<Upstream> candidates, Prompt prompt, boolean urgent, long nowMs) {
         List<Upstream> near = candidates.stream()
                 .filter(each -> isSameRegion(each.entry().zone()))
                 .collect(Collectors.toList());
         List<Upstream> region = near.isEmpty() ? candidates : near;
-        List<Upstream> lane = EngineLanes.lane(region, urgent);
+        List<Upstream> lane = prompt.sharedTokens() >= FLEET_WIDE_TOKENS && !urgent
+                ? patientLanes(candidates)
+                : EngineLanes.lane(region, urgent);
         double mean = lane.stream()
                 .mapToInt(each -> each.estimatedRequests(nowMs))
                 .average()
@@ -100,7 +107,7 @@
         Optional<Upstream> preferred = lane.stream()
                 .filter(each -> each.estimatedRequests(nowMs) <= bound)
                 .max(Comparator.comparingLong(
-                        each -> Rendezvous.hash(promptKey, each.entry().id())));
+                        each -> Rendezvous.hash(prompt.sharedKey(), each.entry().id())));
         if (preferred.isPresent()) {
             return preferred;
         }
@@ -111,6 +118,17 @@
         return nearOverloaded ? leastRequests(candidates, nowMs) : leastNear;
     }
 
+    /** Returns the engines for patient requests of all regions. */
+    private List<Upstream> patientLanes(List<Upstream> candidates) {
+        return candidates.stream()
+                .collect(Collectors.groupingBy(each -> regionsByZone.getOrDefault(
+                        each.entry().zone(), each.entry().zone())))
+                .values()
+                .stream()
+                .flatMap(engines -> EngineLanes.lane(engines, false).stream())
+                .collect(Collectors.toList());
+    }
+
     private static Optional<Upstream> leastRequests(List<Upstream> engines, long nowMs) {
         return engines.stream()
                 .min(Comparator.<Upstream>comparingInt(each -> each.estimatedRequests(nowMs))
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamSelectorTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamSelectorTest.java
@@ -53,8 +53,14 @@
         table.onSnapshot(new StoreSnapshot(items, 1), 0);
     }
 
+    private static Prompt prompt(String key, int sharedTokens) {
+        return key.isEmpty()
+                ? Prompt.NONE
+                : new Prompt(List.of(new Prompt.Part(key, sharedTokens), new Prompt.Part("own", 100)));
+    }
+
     private String choose(UpstreamSelector from, String promptKey, boolean urgent) {
-        return from.choose(SERVICE, promptKey, urgent, Set.of(), clock.monotonicMs())
+        return from.choose(SERVICE, prompt(promptKey, 300), urgent, Set.of(), clock.monotonicMs())
                 .get()
                 .entry()
                 .id();
@@ -97,6 +103,24 @@
         }
     }
 
+    // Guards against long shared parts that are read once in each region.
+    @Test
+    void longPatientPromptsHaveOneEngineInAllRegions() {
+        UpstreamSelector remote = new UpstreamSelector(table, "zone-c", REGIONS);
+        for (int i = 0; i < 50; i++) {
+            Prompt prompt = prompt("prompt-" + i, 13_000);
+            String near = selector.choose(SERVICE, prompt, false, Set.of(), clock.monotonicMs())
+                    .get()
+                    .entry()
+                    .id();
+            String far = remote.choose(SERVICE, prompt, false, Set.of(), clock.monotonicMs())
+                    .get()
+                    .entry()
+                    .id();
+            assertThat(far).isEqualTo(near);
+        }
+    }
+
     // Guards against an engine that collects requests while others of its region have few.
     @Test
     void loadedEnginePassesItsPromptsOn() {
@@ -132,7 +156,7 @@
                 each.failed(clock.monotonicMs());
             }
         });
-        assertThat(selector.choose(SERVICE, "", false, Set.of(), clock.monotonicMs()))
+        assertThat(selector.choose(SERVICE, Prompt.NONE, false, Set.of(), clock.monotonicMs()))
                 .isPresent();
     }
 }
