Order only the substitutes that the load needs

The holder sums the requests that engines reported in the last 3 s; five for an engine are comfortable.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/OrderDuty.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/OrderDuty.java
@@ -22,8 +22,10 @@
 
 /** Orders upstreams for all services that may be scaled. Confined to the event loop; one order is sent at a time. */
 public final class OrderDuty {
-    /** Upstreams per zone that carry the usual load of one of today's deployments. */
-    private static final int WANTED_PER_ZONE = 4;
+    /** Upstreams wanted in each zone in any case, so that a burst or a lost zone meets free ones. */
+    private static final int BASE_PER_ZONE = 4;
+    /** Requests in progress that an engine carries without making streams late. */
+    private static final double COMFORTABLE_REQUESTS = 5;
 
     private static final long FAILURE_PAUSE_MS = 1_000;
 
@@ -93,7 +95,10 @@
     private boolean place(String service, String zone, ScalingBounds bounds, DutyStamp stamp, long nowMs) {
         OrderPlanner planner = planners.computeIfAbsent(service + "/" + zone, name -> new OrderPlanner(service, zone));
         OrderPlanner.Listed listed = listed(service, zone);
-        List<Order> due = planner.plan(bounds, WANTED_PER_ZONE, listed, nowMs);
+        int needed = needed(service, nowMs);
+        int wanted = Math.max(BASE_PER_ZONE, needed / zones.size() + 1);
+        int substitutes = Math.max(1, needed - servingElsewhere(service, zone));
+        List<Order> due = planner.plan(bounds, wanted, substitutes, listed, nowMs);
         if (due.isEmpty()) {
             return false;
         }
@@ -101,6 +106,20 @@
         return true;
     }
 
+    /** Returns the upstreams that the present load of a service needs, by the figures that upstreams reported. */
+    private int needed(String service, long nowMs) {
+        int requests = upstreams.ofService(service).stream()
+                .mapToInt(each -> each.recentRequests(nowMs))
+                .sum();
+        return (int) Math.ceil(requests / COMFORTABLE_REQUESTS);
+    }
+
+    private int servingElsewhere(String service, String zone) {
+        return (int) upstreams.ofService(service).stream()
+                .filter(each -> each.isListedReady() && !each.entry().zone().equals(zone))
+                .count();
+    }
+
     private OrderPlanner.Listed listed(String service, String zone) {
         int guaranteed = 0;
         int preemptible = 0;
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/OrderPlanner.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/OrderPlanner.java
@@ -21,8 +21,8 @@
     /** Time beyond the announced start after which an ordered upstream that is not listed does not come. */
     private static final long START_SLACK_MS = 2_500;
 
-    /** Guaranteed upstreams that replace the preemptible ones of a zone while those are not to be had. */
-    private static final int SUBSTITUTES = 3;
+    /** Largest number of guaranteed upstreams that replace the preemptible ones of a zone while those are away. */
+    private static final int MAX_SUBSTITUTES = 3;
 
     /**
      * What is listed of one service in one zone.
@@ -45,8 +45,13 @@
         this.zone = zone;
     }
 
-    /** Returns the orders that are to be placed now, for a wanted number of upstreams. */
-    List<Order> plan(ScalingBounds bounds, int wanted, Listed listed, long nowMs) {
+    /**
+     * Returns the orders that are to be placed now.
+     *
+     * @param wanted wanted number of upstreams
+     * @param substitutesNeeded guaranteed upstreams that the load needs if there are no preemptible ones in the zone
+     */
+    List<Order> plan(ScalingBounds bounds, int wanted, int substitutesNeeded, Listed listed, long nowMs) {
         int total = Math.max(bounds.min(), Math.min(bounds.max(), wanted));
         if (listed.leaving()) {
             // The platform takes all of a zone at a time and has no others there for a while.
@@ -60,7 +65,7 @@
             add(orders, Market.GUARANTEED, guaranteed, listed.guaranteed(), bounds, nowMs);
             add(orders, Market.PREEMPTIBLE, preemptible, listed.preemptible(), bounds, nowMs);
         } else {
-            int substitutes = Math.max(bounds.min(), Math.min(total, SUBSTITUTES));
+            int substitutes = Math.max(bounds.min(), Math.min(total, Math.min(MAX_SUBSTITUTES, substitutesNeeded)));
             int guaranteed = Math.max(0, substitutes - listed.preemptible());
             add(orders, Market.GUARANTEED, guaranteed, listed.guaranteed(), bounds, nowMs);
         }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Upstream.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Upstream.java
@@ -16,6 +16,8 @@
     private static final long MAX_EJECTION_MS = 8_000;
     /** Age from which the upstream's own figures say nothing. */
     private static final long REPORT_VALID_MS = 1_000;
+    /** Age up to which the upstream's own figures tell the load of the fleet. */
+    private static final long REPORT_RECENT_MS = 3_000;
 
     private UpstreamRecord entry;
     private final ConnectionPool pool;
@@ -106,9 +108,9 @@
         return Math.max(running, reportedRunning + reportedWaiting + running - ownAtReport);
     }
 
-    /** Returns the requests that waited at the upstream when it last reported, 0 if that is long ago. */
-    public int reportedWaiting(long nowMs) {
-        return nowMs - reportedAtMs > REPORT_VALID_MS ? 0 : reportedWaiting;
+    /** Returns the requests of all instances at the upstream as it reported them lately, for decisions that may lag. */
+    public int recentRequests(long nowMs) {
+        return nowMs - reportedAtMs > REPORT_RECENT_MS ? running : Math.max(running, reportedRunning + reportedWaiting);
     }
 
     /** Takes note of a response that the upstream gave as it should. */
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/OrderPlannerTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/OrderPlannerTest.java
@@ -15,7 +15,8 @@
     private final OrderPlanner planner = new OrderPlanner("model", "zone-a");
 
     private List<Order> plan(int guaranteed, int preemptible, boolean leaving, long nowMs) {
-        List<Order> orders = planner.plan(BOUNDS, 4, new OrderPlanner.Listed(guaranteed, preemptible, leaving), nowMs);
+        List<Order> orders =
+                planner.plan(BOUNDS, 4, 3, new OrderPlanner.Listed(guaranteed, preemptible, leaving), nowMs);
         orders.forEach(order -> planner.placed(order, nowMs));
         return orders;
     }
@@ -46,6 +47,14 @@
         assertThat(plan(0, 0, true, 1_000)).containsExactly(order(Market.GUARANTEED, 3));
     }
 
+    // Guards against guaranteed upstreams in a lost zone that the others can stand in for.
+    @Test
+    void noMoreSubstitutesThanTheLoadNeeds() {
+        planner.unavailable(order(Market.PREEMPTIBLE, 4), 0);
+        List<Order> orders = planner.plan(BOUNDS, 4, 1, new OrderPlanner.Listed(0, 0, true), 100);
+        assertThat(orders).containsExactly(order(Market.GUARANTEED, 1));
+    }
+
     // Guards against calls for a market that has nothing: a refusal ends the tries for a while.
     @Test
     void refusedMarketIsLeftAloneForAWhile() {
@@ -69,7 +78,8 @@
         for (int guaranteed = 0; guaranteed <= 4; guaranteed++) {
             for (int preemptible = 0; preemptible <= 4 - guaranteed; preemptible++) {
                 OrderPlanner fresh = new OrderPlanner("model", "zone-a");
-                List<Order> orders = fresh.plan(BOUNDS, 9, new OrderPlanner.Listed(guaranteed, preemptible, false), 0);
+                List<Order> orders =
+                        fresh.plan(BOUNDS, 9, 9, new OrderPlanner.Listed(guaranteed, preemptible, false), 0);
                 assertThat(orders.stream().mapToInt(Order::count).sum()).isAtMost(4);
             }
         }
