Leave an upstream that has gone silent

An upstream from which no byte came for 1 s on any connection while a request waits is set aside for 2 s, and repeatable requests go on elsewhere, after their first connection was closed. New test silentUpstreamIsLeftForAnotherOne; it failed without the change (504 at the time limit) and with a first look at 1.0 s, which came a moment before the bound.

Ruled out: a shorter bound (an engine with one long prompt is silent for 0.4 s).

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -1,6 +1,6 @@
 package org.cranberrybend.entry.request;
 
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
@@ -8,6 +8,7 @@
 import org.apache.hc.core5.http.HttpResponse;
 import org.cranberrybend.core.error.ErrorCode;
 import org.cranberrybend.core.event.EventCode;
+import org.cranberrybend.entry.configuration.RepeatRule;
 import org.cranberrybend.entry.http.HeaderRules;
 import org.cranberrybend.entry.http.ServerExchange;
 import org.cranberrybend.entry.log.DecisionLog;
@@ -25,6 +26,10 @@
     private static final int MAX_CONNECT_FAILURES = 3;
 
     private static final long RETRY_AFTER_MS = 400;
+    /** Time of the first look for a silent upstream; a little more than an upstream may be silent. */
+    private static final long FIRST_SILENCE_CHECK_MS = 1_050;
+
+    private static final long SILENCE_CHECK_MS = 300;
     /** Time left below which no further upstream is tried. */
     private static final long MIN_TIME_FOR_TRY_MS = 60;
 
@@ -33,10 +38,11 @@
     private final RoutedRequest request;
     private final ServerExchange caller;
     private final RequestServices services;
-    private final Set<String> tried = new HashSet<>();
+    private final Set<String> tried = new LinkedHashSet<>();
     private final boolean sampled;
     private UpstreamAttempt attempt;
     private ScheduledFuture<?> timer;
+    private ScheduledFuture<?> silenceTimer;
     private int sends;
     private int connectFailures;
     private boolean mayHaveRun;
@@ -57,6 +63,9 @@
         long nowMs = services.timeSource().monotonicMs();
         caller.onCallerGone(this::onCallerGone);
         timer = services.loop().schedule(this::onTimeout, request.endMs() - nowMs, TimeUnit.MILLISECONDS);
+        if (request.repeatRule() != RepeatRule.ONCE) {
+            silenceTimer = services.loop().schedule(this::checkSilence, FIRST_SILENCE_CHECK_MS, TimeUnit.MILLISECONDS);
+        }
         services.budget().recordRequest(request.service());
         services.metrics().accepted();
         tryNext("first try");
@@ -72,7 +81,7 @@
         }
         Upstream upstream = chosen.get();
         tried.add(upstream.entry().id());
-        if (sampled || !tried.isEmpty()) {
+        if (sampled || tried.size() > 1) {
             services.log()
                     .record(
                             EventCode.REQUEST_DISPATCHED,
@@ -92,8 +101,43 @@
         attempt.start(lastEventId);
     }
 
-    /** Tries another upstream if the route, the time and the budget allow it; returns whether it does. */
+    /** Leaves an upstream from which nothing comes any more, if the request may run again and another one is left. */
+    private void checkSilence() {
+        long nowMs = services.timeSource().monotonicMs();
+        UpstreamAttempt current = attempt;
+        if (current.isSent()
+                && current.upstream().isSilentSince(current.sentMs(), nowMs)
+                && request.repeatRule().allowsAnotherRun(headSent)) {
+            current.upstream().markSilent(nowMs);
+            services.log()
+                    .record(
+                            EventCode.UPSTREAM_UNHEALTHY,
+                            current.upstream().entry().id(),
+                            "cause",
+                            "silent");
+            sends++;
+            mayHaveRun = true;
+            if (tryAnother("silent upstream", current)) {
+                current.upstream().pool().discardIdle();
+            } else {
+                sends--;
+            }
+        }
+        if (!finished) {
+            silenceTimer = services.loop().schedule(this::checkSilence, SILENCE_CHECK_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     private boolean tryAnother(String reason) {
+        return tryAnother(reason, null);
+    }
+
+    /**
+     * Tries another upstream if the route, the time and the budget allow it; returns whether it does.
+     *
+     * @param left attempt in progress that is ended first; null if it has ended
+     */
+    private boolean tryAnother(String reason, UpstreamAttempt left) {
         long leftMs = request.endMs() - services.timeSource().monotonicMs();
         if (sends >= request.route().maxAttempts() || leftMs < MIN_TIME_FOR_TRY_MS) {
             return false;
@@ -109,6 +153,9 @@
         if (!anyLeft || !services.budget().tryTake(request.service())) {
             return false;
         }
+        if (left != null) {
+            left.cancel();
+        }
         services.metrics().sent(true);
         services.log().record(EventCode.REQUEST_RETRIED, request.attemptId(), "reason", reason, "left_ms", leftMs);
         tryNext(reason);
@@ -252,6 +299,9 @@
             return;
         }
         boolean sent = attempt != null && attempt.isSent() || mayHaveRun;
+        if (attempt != null && attempt.isSent()) {
+            upstreamFailed(attempt, "time limit");
+        }
         if (attempt != null) {
             attempt.cancel();
         }
@@ -278,6 +328,9 @@
     private void finish(EventCode code, String outcome, String cause) {
         finished = true;
         timer.cancel(false);
+        if (silenceTimer != null) {
+            silenceTimer.cancel(false);
+        }
         long elapsedMs = services.timeSource().monotonicMs() - request.receivedMs();
         services.metrics().ended(outcome, elapsedMs);
         if (sampled || code != EventCode.REQUEST_COMPLETED || sends > 1) {
@@ -293,8 +346,12 @@
                             sends,
                             "elapsed_ms",
                             elapsedMs,
-                            "upstream",
-                            attempt == null ? "" : attempt.upstream().entry().id());
+                            "upstreams",
+                            String.join(",", tried),
+                            "priority",
+                            request.priority(),
+                            "directory_age_ms",
+                            services.table().ageMs());
         }
     }
 }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
@@ -177,6 +177,7 @@
             return;
         }
         head = response;
+        upstream.heard(timeSource.monotonicMs());
         takeLoad(response);
         Header echoed = response.getFirstHeader(names.attemptId());
         boolean signed = response.containsHeader(names.signature());
@@ -217,6 +218,7 @@
 
     @Override
     public void onBody(ByteBuffer piece) {
+        upstream.heard(timeSource.monotonicMs());
         if (mode == Mode.HOLDING) {
             held.write(piece.array(), piece.position(), piece.remaining());
             if (held.size() > MAX_HELD_BYTES) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Upstream.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Upstream.java
@@ -12,6 +12,10 @@
     /** Failures in a row after which an upstream is set aside. */
     private static final int EJECTION_FAILURES = 3;
 
+    /** Time without a byte on any connection; an engine that works sends events of some stream far more often. */
+    private static final long SILENCE_MS = 1_000;
+
+    private static final long SILENT_EJECTION_MS = 2_000;
     private static final long FIRST_EJECTION_MS = 1_000;
     private static final long MAX_EJECTION_MS = 8_000;
     /** Age from which the upstream's own figures say nothing. */
@@ -28,6 +32,7 @@
     private int reportedWaiting;
     private int ownAtReport;
     private long reportedAtMs = Long.MIN_VALUE / 2;
+    private long heardMs = Long.MIN_VALUE / 2;
     private int failuresInRow;
     private long ejectionMs = FIRST_EJECTION_MS;
     private long ejectedUntilMs = Long.MIN_VALUE / 2;
@@ -113,6 +118,22 @@
         return nowMs - reportedAtMs > REPORT_RECENT_MS ? running : Math.max(running, reportedRunning + reportedWaiting);
     }
 
+    /** Takes note of bytes that came from the upstream. */
+    public void heard(long nowMs) {
+        heardMs = nowMs;
+    }
+
+    /** Returns whether nothing was heard for a while though a request was sent at the given time. */
+    public boolean isSilentSince(long sentMs, long nowMs) {
+        return nowMs - Math.max(sentMs, heardMs) >= SILENCE_MS;
+    }
+
+    /** Sets the upstream aside because it is silent. */
+    public void markSilent(long nowMs) {
+        failuresInRow = EJECTION_FAILURES;
+        ejectedUntilMs = nowMs + SILENT_EJECTION_MS;
+    }
+
     /** Takes note of a response that the upstream gave as it should. */
     public void succeeded() {
         failuresInRow = 0;
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/RequestPathTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/RequestPathTest.java
@@ -300,6 +300,20 @@
         }
     }
 
+    // Guards against requests that wait for a silent upstream until their time is over though they may run elsewhere.
+    @ParameterizedTest
+    @ValueSource(strings = {"/safe/x", "/stream/x"})
+    void silentUpstreamIsLeftForAnotherOne(String path) throws Exception {
+        Script silent = (request, connection) -> {};
+        try (ScriptedUpstream first = new ScriptedUpstream(silent);
+                ScriptedUpstream second = new ScriptedUpstream(SERVES);
+                EntryFixture entry = new EntryFixture(first, second)) {
+            assertThat(statusOf(call(entry, request("GET", path, "a1", ""), "done")))
+                    .isEqualTo("200");
+            assertThat(first.awaitClosedConnection()).isTrue();
+        }
+    }
+
     // Guards against a refusal that claims a run where there is no upstream at all.
     @Test
     void requestWithoutAnUpstreamIsRefusedAtOnce() throws Exception {
