Keep the platform's names out of the class archive training and share addresses

Cause: the training of the class archive spoke the platform's calls outside of platform/, and three places parsed addresses. Its answers moved to platform/IdlePlatform; JsonObject reads addresses.

--- a/cranberrybend-daemon/src/main/java/org/cranberrybend/daemon/ClassArchiveTraining.java
+++ b/cranberrybend-daemon/src/main/java/org/cranberrybend/daemon/ClassArchiveTraining.java
@@ -10,19 +10,16 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.Base64;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.EntryService;
 import org.cranberrybend.entry.EntrySettings;
 import org.cranberrybend.entry.http.BodyMemory;
 import org.cranberrybend.entry.http.HttpServer;
-import org.cranberrybend.entry.http.ReceivedRequest;
-import org.cranberrybend.entry.http.ServerExchange;
 import org.cranberrybend.entry.http.ServerLimits;
 import org.cranberrybend.entry.json.JsonFormatException;
 import org.cranberrybend.entry.log.DecisionLog;
+import org.cranberrybend.platform.IdlePlatform;
 import org.cranberrybend.platform.PlatformPorts;
 
 /**
@@ -34,54 +31,16 @@
     private static final int REQUESTS = 6;
     private static final ServerLimits LIMITS = new ServerLimits(8_192, 65_536, 1_000, 5_000);
 
-    private static final String CONFIGURATION = "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h.example\","
-            + "\"prefix\":\"/a/\",\"route_type\":\"safe\",\"timeout_ms\":500,\"service\":\"s\"}],"
-            + "\"services\":[{\"name\":\"s\"}],\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\"]}]}";
-
     private final TimeSource timeSource = TimeSource.system();
     private InetSocketAddress standIn;
 
-    /** Stands in for the store and for an upstream. */
-    private void answer(ReceivedRequest request, ServerExchange exchange) {
-        String target = request.head().getRequestUri();
-        if (target.startsWith("/a/")) {
-            exchange.respond(200, "OK", List.of(request.head().getFirstHeader("X-Attempt-Id")), new byte[2]);
-        } else if (target.startsWith("/-/kv-range") && target.contains("op%2Fconfig")) {
-            respond(exchange, "{\"items\":[" + item("op/config", CONFIGURATION) + "],\"store_revision\":2}");
-        } else if (target.startsWith("/-/kv-range") && target.contains("servers")) {
-            respond(
-                    exchange,
-                    "{\"items\":["
-                            + item(
-                                    "servers/u",
-                                    "{\"service\":\"s\",\"address\":\"127.0.0.1:" + standIn.getPort()
-                                            + "\",\"zone\":\"z\",\"slots\":4,\"state\":\"ready\"}")
-                            + "],\"store_revision\":2}");
-        } else if (target.startsWith("/-/kv-range")) {
-            respond(exchange, "{\"items\":[],\"store_revision\":2}");
-        } else if (target.startsWith("/-/kv-lease")) {
-            respond(exchange, "{\"lease\":5,\"ttl_ms\":3000}");
-        } else if (target.startsWith("/-/kv-txn")) {
-            respond(exchange, "{\"revision\":3}");
-        } else {
-            exchange.respond(404, "Not Found", List.of(), new byte[0]);
-        }
-    }
-
-    private static String item(String key, String value) {
-        String text = Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8));
-        return "{\"key\":\"" + key + "\",\"value\":\"" + text + "\",\"revision\":2}";
-    }
-
-    private static void respond(ServerExchange exchange, String json) {
-        exchange.respond(200, "OK", List.of(), json.getBytes(StandardCharsets.UTF_8));
-    }
-
     void run() throws InterruptedException, IOException, JsonFormatException {
         EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        HttpServer server = new HttpServer(loop, timeSource, this::answer, () -> LIMITS, new BodyMemory(1 << 20));
+        IdlePlatform standInAnswers = new IdlePlatform();
+        HttpServer server = new HttpServer(loop, timeSource, standInAnswers, () -> LIMITS, new BodyMemory(1 << 20));
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         standIn = (InetSocketAddress) server.listen(any).sync().channel().localAddress();
+        standInAnswers.listUpstream(standIn);
         int callers = freePort();
         EntrySettings settings = settings(callers);
         DecisionLog log = new DecisionLog("training", 1, timeSource, OutputStream.nullOutputStream());
@@ -104,10 +63,7 @@
 
     private static void call(int port, int number) throws IOException {
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
-            socket.getOutputStream()
-                    .write(("GET /a/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k\r\nX-Deadline-Ms: 300\r\n"
-                                    + "X-Attempt-Id: t" + number + "\r\nConnection: close\r\n\r\n")
-                            .getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().write(IdlePlatform.request(number).getBytes(StandardCharsets.US_ASCII));
             socket.getInputStream().readAllBytes();
         }
     }
@@ -120,7 +76,7 @@
                 + "\",\"metrics\":\"127.0.0.1:" + freePort() + "\"},\"seeds\":[\"" + store
                 + "\"],\"store\":{\"address\":\"" + store
                 + "\"},\"duties\":{\"address\":\"" + store
-                + "\",\"names\":[\"usage_report\",\"autoscale\"]},\"memory_mb\":200,\"shutdown_limit_s\":1,"
+                + "\",\"names\":[]},\"memory_mb\":200,\"shutdown_limit_s\":1,"
                 + "\"retry_budget\":{\"ratio\":0.2,\"allowance\":50},\"lease_ms\":3000,"
                 + "\"usage\":{\"window_s\":1,\"due_s\":3}}";
         return EntrySettings.parse(json.getBytes(StandardCharsets.UTF_8));
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntrySettings.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntrySettings.java
@@ -1,7 +1,6 @@
 package org.cranberrybend.entry;
 
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -65,28 +64,23 @@
         JsonObject duties = json.object("duties");
         JsonObject retries = json.object("retry_budget");
         JsonObject usage = json.object("usage");
-        String dutyAddress = duties.text("address", "");
         Map<String, String> regions = new HashMap<>();
         JsonObject zones = json.object("regions_by_zone");
         for (String zone : zones.names()) {
             regions.put(zone, zones.text(zone));
         }
         regions.putIfAbsent(json.text("availability_zone"), json.text("region"));
-        List<InetSocketAddress> seeds = new ArrayList<>();
-        for (String seed : json.texts("seeds")) {
-            seeds.add(address("seeds", seed));
-        }
         return new EntrySettings(
                 json.text("instance"),
                 json.text("availability_zone"),
                 regions,
-                address("listen.callers", listen.text("callers")),
-                address("listen.readiness", listen.text("readiness")),
-                address("listen.control", listen.text("control")),
-                address("listen.metrics", listen.text("metrics")),
-                seeds,
-                address("store.address", json.object("store").text("address")),
-                dutyAddress.isEmpty() ? null : address("duties.address", dutyAddress),
+                listen.address("callers"),
+                listen.address("readiness"),
+                listen.address("control"),
+                listen.address("metrics"),
+                json.addresses("seeds"),
+                json.object("store").address("address"),
+                duties.has("address") ? duties.address("address") : null,
                 duties.texts("names"),
                 (int) json.number("memory_mb"),
                 json.number("shutdown_limit_s") * 1_000,
@@ -96,14 +90,4 @@
                 usage.number("window_s") * 1_000,
                 usage.number("due_s") * 1_000);
     }
-
-    private static InetSocketAddress address(String field, String text) throws JsonFormatException {
-        int colon = text.lastIndexOf(':');
-        try {
-            return new InetSocketAddress(
-                    text.substring(0, Math.max(0, colon)), Integer.parseInt(text.substring(colon + 1)));
-        } catch (IllegalArgumentException e) {
-            throw new JsonFormatException("field " + field + " must be an address with a port", e);
-        }
-    }
 }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetDirectory.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetDirectory.java
@@ -171,20 +171,16 @@
         String name = item.key().substring(FleetKeys.INSTANCES.length());
         try {
             JsonObject value = Json.readObject(item.value());
-            String text = value.text("address");
-            int colon = text.lastIndexOf(':');
             if (!name.equals(instance)) {
                 addresses.remove(name);
-                addresses.put(
-                        name,
-                        new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1))));
+                addresses.put(name, value.address("address"));
                 dropOldest();
             }
             zones.put(name, value.text("zone"));
             if (live.add(name)) {
                 log.record(EventCode.MEMBER_JOINED, name, "revision", item.revision());
             }
-        } catch (JsonFormatException | IllegalArgumentException | IndexOutOfBoundsException e) {
+        } catch (JsonFormatException e) {
             log.record(EventCode.UPSTREAM_UNREADABLE, item.key(), "cause", String.valueOf(e.getMessage()));
         }
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/json/JsonObject.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/json/JsonObject.java
@@ -1,5 +1,6 @@
 package org.cranberrybend.entry.json;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -40,6 +41,30 @@
         return has(name) ? text(name) : absent;
     }
 
+    /** Returns an address of the form {@code host:port}; the host is an IP address. */
+    public InetSocketAddress address(String name) throws JsonFormatException {
+        return address(name, text(name));
+    }
+
+    /** Returns a list of addresses; empty if the field is absent. */
+    public List<InetSocketAddress> addresses(String name) throws JsonFormatException {
+        List<InetSocketAddress> addresses = new ArrayList<>();
+        for (String text : texts(name)) {
+            addresses.add(address(name, text));
+        }
+        return addresses;
+    }
+
+    private InetSocketAddress address(String name, String text) throws JsonFormatException {
+        int colon = text.lastIndexOf(':');
+        try {
+            return new InetSocketAddress(
+                    text.substring(0, Math.max(0, colon)), Integer.parseInt(text.substring(colon + 1)));
+        } catch (IllegalArgumentException e) {
+            throw expected(name, "an address with a port");
+        }
+    }
+
     /** Returns whether the field is an empty text. */
     public boolean isEmptyText(String name) {
         return "".equals(fields.get(name));
