Do not set a plain service aside for one long request

A time limit is no failure of the upstream any more; a plain service counts as silent only when two requests wait. Test plainServiceMayWorkLongOnASingleRequest failed before (the request went to the second upstream).

Ruled out: a longer bound of silence (dark engines would keep chats for longer than their callers wait).

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -101,11 +101,15 @@
         attempt.start(lastEventId);
     }
 
-    /** Leaves an upstream from which nothing comes any more, if the request may run again and another one is left. */
+    /**
+     * Leaves an upstream from which nothing comes any more, if the request may run again and another one is left. A
+     * plain service may just work long on a single request; an engine that works sends events.
+     */
     private void checkSilence() {
         long nowMs = services.timeSource().monotonicMs();
         UpstreamAttempt current = attempt;
         if (current.isSent()
+                && (request.route().streaming() || current.upstream().running() > 1)
                 && current.upstream().isSilentSince(current.sentMs(), nowMs)
                 && request.repeatRule().allowsAnotherRun(headSent)) {
             current.upstream().markSilent(nowMs);
@@ -299,9 +303,6 @@
             return;
         }
         boolean sent = attempt != null && attempt.isSent() || mayHaveRun;
-        if (attempt != null && attempt.isSent()) {
-            upstreamFailed(attempt, "time limit");
-        }
         if (attempt != null) {
             attempt.cancel();
         }
