--- /dev/null
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/DrainMonitorTest.java
@@ -0,0 +1,94 @@
+package org.cranberrybend.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.cranberrybend.entry.http.BodyMemory;
+import org.cranberrybend.entry.http.HttpServer;
+import org.cranberrybend.entry.http.ServerLimits;
+import org.cranberrybend.entry.testing.RawCaller;
+import org.cranberrybend.entry.testing.TestClock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class DrainMonitorTest {
+    private static final long SHUTDOWN_LIMIT_MS = 8_000;
+
+    private final TestClock clock = new TestClock();
+    private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    /** Takes requests and never answers. */
+    private final HttpServer server = new HttpServer(
+            loop,
+            clock,
+            (request, exchange) -> {},
+            () -> new ServerLimits(8_192, 1_000, 60_000, 60_000),
+            new BodyMemory(1_000));
+
+    private final AtomicBoolean drained = new AtomicBoolean();
+    private final DrainMonitor monitor = new DrainMonitor(server, clock, SHUTDOWN_LIMIT_MS, () -> drained.set(true));
+
+    @AfterEach
+    void stopLoop() {
+        loop.shutdownGracefully(0, 10, TimeUnit.MILLISECONDS);
+    }
+
+    private int listen() throws Exception {
+        InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        return ((InetSocketAddress) server.listen(any).sync().channel().localAddress()).getPort();
+    }
+
+    private void check() throws Exception {
+        loop.submit(monitor::check).get();
+    }
+
+    // Guards against connections refused while the balancer still sends them here.
+    @Test
+    void connectionsAreTakenUntilTheBalancerHasNoticed() throws Exception {
+        int port = listen();
+        clock.advance(2_500);
+        check();
+        try (RawCaller caller = new RawCaller(port)) {
+            assertThat(drained.get()).isFalse();
+        }
+    }
+
+    // Guards against a stop that waits for idle connections.
+    @Test
+    void idleInstanceEndsSoonAfterTheNotice() throws Exception {
+        int port = listen();
+        try (RawCaller idle = new RawCaller(port)) {
+            clock.advance(2_700);
+            check();
+            assertThat(idle.readAll()).isEmpty();
+            clock.advance(200);
+            check();
+            assertThat(drained.get()).isTrue();
+        }
+    }
+
+    // Guards against a stop that cuts a request while there is time, or waits beyond the limit.
+    @Test
+    void requestInProgressIsAwaitedUntilTheLimit() throws Exception {
+        int port = listen();
+        try (RawCaller busy = new RawCaller(port)) {
+            busy.send("GET / HTTP/1.1\nHost: h\n\n");
+            while (loop.submit(server::busyCount).get() == 0) {
+                Thread.onSpinWait();
+            }
+            clock.advance(7_000);
+            check();
+            clock.advance(300);
+            check();
+            assertThat(drained.get()).isFalse();
+            clock.advance(200);
+            check();
+            assertThat(drained.get()).isTrue();
+        }
+    }
+}
--- /dev/null
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FleetRelayTest.java
@@ -0,0 +1,159 @@
+package org.cranberrybend.entry.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.cranberrybend.core.routing.Market;
+import org.cranberrybend.core.time.TimeSource;
+import org.cranberrybend.entry.configuration.RoutingConfiguration;
+import org.cranberrybend.entry.http.BodyMemory;
+import org.cranberrybend.entry.http.HttpConnector;
+import org.cranberrybend.entry.http.HttpServer;
+import org.cranberrybend.entry.http.ServerLimits;
+import org.cranberrybend.entry.log.DecisionLog;
+import org.cranberrybend.entry.port.StoreItem;
+import org.cranberrybend.entry.port.StoreSnapshot;
+import org.cranberrybend.entry.port.StoreWrite;
+import org.cranberrybend.entry.store.ConfigurationHolder;
+import org.cranberrybend.entry.testing.MemoryStore;
+import org.cranberrybend.entry.upstream.UpstreamRecord;
+import org.cranberrybend.entry.upstream.UpstreamTable;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class FleetRelayTest {
+    private static final ServerLimits LIMITS = new ServerLimits(8_192, 1_000_000, 2_000, 5_000);
+    private static final String PREFIX = "upstreams/";
+    private static final String COUNTS_KEY = "cranberrybend/usage/counts/000000000007/b/1/0";
+    private static final long WAIT_S = 10;
+
+    private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final TimeSource timeSource = TimeSource.system();
+    private final DecisionLog log = new DecisionLog("test", 1, timeSource, OutputStream.nullOutputStream());
+    private final Set<InetSocketAddress> peers = new LinkedHashSet<>();
+    private final Instance hearing = new Instance();
+    private final Instance cutOff = new Instance();
+
+    /** What one instance knows. */
+    private final class Instance {
+        private final MemoryStore store = new MemoryStore(timeSource);
+        private final ConfigurationHolder configuration = new ConfigurationHolder(
+                (name, value) -> new RoutingConfiguration(
+                        Long.parseLong(new String(value)), List.of(), List.of(), Map.of(), false, LIMITS),
+                log);
+        private final UpstreamTable upstreams = new UpstreamTable(
+                PREFIX,
+                (id, value) -> new UpstreamRecord(
+                        id,
+                        "work",
+                        new InetSocketAddress("127.0.0.1", 9),
+                        "zone-a",
+                        4,
+                        new String(value).equals("leaving"),
+                        Market.GUARANTEED,
+                        1,
+                        0),
+                new HttpConnector(loop),
+                timeSource,
+                log);
+        private final FleetRelay relay = new FleetRelay(
+                loop, new HttpConnector(loop), store, configuration, upstreams, () -> peers, timeSource, log);
+
+        void read(long version, long revision, StoreItem... items) {
+            configuration.offer("store", Long.toString(version).getBytes());
+            upstreams.onSnapshot(new StoreSnapshot(List.of(items), revision), 0);
+            upstreams.onHeard(revision);
+        }
+    }
+
+    @BeforeEach
+    void startInstances() throws Exception {
+        HttpServer control = new HttpServer(loop, timeSource, hearing.relay, () -> LIMITS, new BodyMemory(1_000_000));
+        peers.add((InetSocketAddress) control.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                .sync()
+                .channel()
+                .localAddress());
+        onLoop(() -> {
+            hearing.read(7, 20, item("a", "leaving", 15), item("b", "ready", 12));
+            cutOff.read(5, 10, item("a", "ready", 3), item("c", "ready", 4));
+            return null;
+        });
+    }
+
+    @AfterEach
+    void stopLoop() {
+        loop.shutdownGracefully(0, 10, TimeUnit.MILLISECONDS);
+    }
+
+    private static StoreItem item(String id, String state, long revision) {
+        return new StoreItem(PREFIX + id, state.getBytes(), revision, revision, 0);
+    }
+
+    private <T> T onLoop(Callable<T> task) throws Exception {
+        return loop.submit(task).get(WAIT_S, TimeUnit.SECONDS);
+    }
+
+    private String state() {
+        StringBuilder state = new StringBuilder("version " + cutOff.configuration.version());
+        cutOff.upstreams.all().forEach(each -> state.append(' ')
+                .append(each.entry().id())
+                .append(each.entry().leaving() ? "-" : "+"));
+        return state.toString();
+    }
+
+    // Guards against a key that was taken away, or an upstream that leaves, unseen by an instance that the store turns
+    // away.
+    @Test
+    void instanceThatTheStoreTurnsAwayFollowsItsPeers() throws Exception {
+        onLoop(() -> {
+            cutOff.upstreams.onLost("turned away");
+            cutOff.relay.tick();
+            return null;
+        });
+        String expected = "version 7 a- b+";
+        long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_S);
+        while (!onLoop(this::state).equals(expected) && System.nanoTime() < endNs) {
+            Thread.onSpinWait();
+        }
+        assertThat(onLoop(this::state)).isEqualTo(expected);
+    }
+
+    // Guards against traffic between instances while the store answers.
+    @Test
+    void instanceThatHearsTheStoreAsksNobody() throws Exception {
+        onLoop(() -> {
+            cutOff.relay.tick();
+            return null;
+        });
+        onLoop(() -> null);
+        assertThat(onLoop(this::state)).isEqualTo("version 5 a+ c+");
+    }
+
+    // Guards against usage that is reported without the instances that the store turns away, and against other keys
+    // written on behalf of an instance.
+    @Test
+    void countsAreWrittenThroughAPeer() throws Exception {
+        cutOff.store.setDown(true);
+        StoreWrite write = StoreWrite.put(COUNTS_KEY, "{}".getBytes()).andPut("op/other", "x".getBytes());
+        CompletableFuture<Long> done = onLoop(() -> {
+            cutOff.upstreams.onLost("turned away");
+            return cutOff.relay.write(write);
+        });
+        done.get(WAIT_S, TimeUnit.SECONDS);
+        assertThat(hearing.store.text(COUNTS_KEY)).hasValue("{}");
+        assertThat(hearing.store.text("op/other")).isEmpty();
+    }
+}
