--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/DrainMonitorTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/DrainMonitorTest.java
@@ -63,6 +63,10 @@
     void idleInstanceEndsSoonAfterTheNotice() throws Exception {
         int port = listen();
         try (RawCaller idle = new RawCaller(port)) {
+            // A connection that the server has not accepted yet is reset with the listener.
+            while (loop.submit(server::connectionCount).get() == 0) {
+                Thread.onSpinWait();
+            }
             clock.advance(2_700);
             check();
             assertThat(idle.readAll()).isEmpty();
