Size orders, budgets and store calls by the number of instances

Changes: the demand of a service is inferred from the engines heard, and its peak of 10 s holds; at least 1.5 engines for each instance are ordered; an instance's part of the budget follows the largest fleet it has seen; one of the largest instances of each zone watches the store, the others follow it over their control ports and tell each other the engines' loads, and fall back to the store when it does not answer or does not hear the store; counts of usage are written at most 6 times a second by all instances together, a failed write is repeated after 1 s; counts of more than 31 instances are deleted in several writes; bounds of an engine's load follow its slots.

Seen failing without the change (by taking the lines out): ServiceRetryBudgetTest (4), UsageDutyTest.failedWritesAreRepeatedWithPauses and countsOfAllInstancesAreDeletedAfterTheReport, ServiceDemandTest.upstreamsThatWereNotHeardCountLikeTheOthers, FollowingStoreTest.onlyNewsIsPassedOn. The other cases of FollowingStoreTest cover new code and were not seen failing.

Ruled out: the processors (mean 0.03 cores an instance) and the links as cause of the overload.

Conclusion: the fleet's size has to enter each figure that all instances share.

--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/retry/RetryBudget.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/retry/RetryBudget.java
@@ -8,7 +8,7 @@
  */
 public final class RetryBudget {
     private final double ratio;
-    private final double capacity;
+    private double capacity;
     private double available;
 
     /**
@@ -32,6 +32,16 @@
         available = Math.min(capacity, available + ratio);
     }
 
+    /**
+     * Changes the largest number of saved retries; saved ones beyond it are lost, none are added.
+     *
+     * @param newCapacity largest number of saved retries, at least 1
+     */
+    public void limitTo(double newCapacity) {
+        capacity = Math.max(1, newCapacity);
+        available = Math.min(available, capacity);
+    }
+
     /** Takes one retry from the budget and returns whether it was available. */
     public boolean tryTake() {
         if (available < 1) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -27,10 +27,13 @@
 import org.cranberrybend.entry.duty.UsageDuty;
 import org.cranberrybend.entry.duty.UsageFlusher;
 import org.cranberrybend.entry.fleet.FleetRelay;
+import org.cranberrybend.entry.fleet.FollowingStore;
+import org.cranberrybend.entry.fleet.LoadExchange;
 import org.cranberrybend.entry.http.BodyMemory;
 import org.cranberrybend.entry.http.HttpConnector;
 import org.cranberrybend.entry.http.HttpServer;
 import org.cranberrybend.entry.http.ReceivedRequest;
+import org.cranberrybend.entry.http.RequestHandler;
 import org.cranberrybend.entry.http.ServerExchange;
 import org.cranberrybend.entry.http.ServerLimits;
 import org.cranberrybend.entry.json.JsonFormatException;
@@ -43,6 +46,7 @@
 import org.cranberrybend.entry.store.ConfigurationHolder;
 import org.cranberrybend.entry.store.CountedStore;
 import org.cranberrybend.entry.store.PrefixWatch;
+import org.cranberrybend.entry.upstream.LoadFigure;
 import org.cranberrybend.entry.upstream.UpstreamTable;
 import org.cranberrybend.entry.usage.TrueClock;
 import org.cranberrybend.entry.usage.UsageCounter;
@@ -63,6 +67,9 @@
     /** Time for the last counts to reach the store before the process ends. */
     private static final long LAST_WRITE_MS = 120;
 
+    /** Time for the last line of the log to be taken. */
+    private static final long LAST_LINE_MS = 200;
+
     private static final long MAINTENANCE_INTERVAL_MS = 250;
     /** Share of the instance's memory that bodies of requests may take at the same time. */
     private static final double BODY_MEMORY_SHARE = 0.08;
@@ -92,10 +99,18 @@
         this.settings = settings;
         this.log = log;
         HttpConnector connector = new HttpConnector(loop);
-        KeyValueStore store = new CountedStore(ports.openStore(loop, connector, settings.storeAddress()), metrics);
+        FollowingStore store = new FollowingStore(
+                new CountedStore(ports.openStore(loop, connector, settings.storeAddress()), metrics),
+                loop,
+                connector,
+                () -> directory().zoneWatcher(),
+                timeSource,
+                log);
         StoreKeys keys = ports.storeKeys();
         configuration = new ConfigurationHolder(ports.configurationDecoder(), log);
         upstreams = new UpstreamTable(keys.upstreamPrefix(), ports.upstreamDecoder(), connector, timeSource, log);
+        store.passOnly(keys.upstreamPrefix(), upstreams::isNews);
+        store.exchangeLoads(keys.upstreamPrefix(), loadExchange());
         configurationWatch =
                 new PrefixWatch(store, keys.configurationKey(), 0, loop, timeSource, configurationListener());
         upstreamWatch = new PrefixWatch(store, keys.upstreamPrefix(), UPSTREAM_GATHER_MS, loop, timeSource, upstreams);
@@ -104,6 +119,7 @@
                 settings.instance(),
                 settings.zone(),
                 settings.controlAddress(),
+                settings.memoryMb(),
                 settings.seeds(),
                 timeSource,
                 log);
@@ -115,14 +131,48 @@
                 loop, connector, store, configuration, upstreams, directory::peerAddresses, timeSource, log);
         duties = duties(ports, store, connector, usage, clock);
         RequestPath path = new RequestPath(
-                settings, loop, timeSource, ports.headerNames(), configuration, upstreams, usage, log, metrics);
-        control = new HttpServer(loop, timeSource, relay, () -> FIRST_LIMITS, bodyMemory);
+                settings,
+                loop,
+                timeSource,
+                ports.headerNames(),
+                configuration,
+                upstreams,
+                usage,
+                log,
+                directory::largestFleet,
+                metrics);
+        control = new HttpServer(loop, timeSource, answerInstances(store), () -> FIRST_LIMITS, bodyMemory);
         callers = new HttpServer(loop, timeSource, path.handler(), this::callerLimits, bodyMemory);
         metricsServer = new HttpServer(loop, timeSource, this::answerMetrics, () -> FIRST_LIMITS, bodyMemory);
         registerGauges(bodyMemory);
         readiness = new HttpServer(loop, timeSource, this::answerReadiness, () -> FIRST_LIMITS, bodyMemory);
     }
 
+    private LoadExchange loadExchange() {
+        return new LoadExchange() {
+            @Override
+            public List<LoadFigure> heard(long maxAgeMs, boolean heardHereOnly) {
+                return upstreams.loadFigures(maxAgeMs, heardHereOnly);
+            }
+
+            @Override
+            public void take(List<LoadFigure> figures) {
+                upstreams.takeLoadFigures(figures);
+            }
+        };
+    }
+
+    private FleetDirectory directory() {
+        return directory;
+    }
+
+    private RequestHandler answerInstances(FollowingStore store) {
+        return (request, exchange) -> {
+            boolean follower = FollowingStore.isFollowersCall(request.head().getRequestUri());
+            (follower ? store.feed() : relay).handle(request, exchange);
+        };
+    }
+
     private FleetDuties duties(
             EntryPorts ports, KeyValueStore store, HttpConnector connector, UsageCounter usage, TrueClock clock) {
         DutyLease lease = new DutyLease(store, settings.instance(), settings.leaseMs(), timeSource, log);
@@ -144,10 +194,16 @@
                         configuration,
                         upstreams,
                         settings.regionsByZone().keySet(),
+                        () -> directory.liveInstances().size(),
                         timeSource,
                         log)::tick));
-        UsageFlusher flusher =
-                new UsageFlusher(relay::write, usage, settings.instance(), timeSource.wallMs(), timeSource);
+        UsageFlusher flusher = new UsageFlusher(
+                relay::write,
+                usage,
+                settings.instance(),
+                timeSource.wallMs(),
+                () -> directory.liveInstances().size(),
+                timeSource);
         return new FleetDuties(directory, lease, flusher, tasks);
     }
 
@@ -277,7 +333,8 @@
         DrainMonitor monitor = new DrainMonitor(callers, timeSource, settings.shutdownLimitMs(), drained::countDown);
         loop.scheduleWithFixedDelay(monitor::check, 0, DrainMonitor.INTERVAL_MS, TimeUnit.MILLISECONDS);
         drained.await(settings.shutdownLimitMs(), TimeUnit.MILLISECONDS);
-        loop.execute(
-                () -> log.record(EventCode.PROCESS_STOPPED, settings.instance(), "interrupted", callers.busyCount()));
+        loop.submit(() ->
+                        log.record(EventCode.PROCESS_STOPPED, settings.instance(), "interrupted", callers.busyCount()))
+                .await(LAST_LINE_MS);
     }
 }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetDirectory.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetDirectory.java
@@ -1,15 +1,18 @@
 package org.cranberrybend.entry.duty;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.cranberrybend.core.event.EventCode;
+import org.cranberrybend.core.routing.Rendezvous;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.json.Json;
 import org.cranberrybend.entry.json.JsonFormatException;
@@ -33,17 +36,21 @@
 public final class FleetDirectory implements PrefixWatch.Listener {
     private static final long TTL_MS = 6_000;
     private static final long RENEW_INTERVAL_MS = 2_000;
-    private static final int MAX_KNOWN_ADDRESSES = 64;
+    private static final int MAX_KNOWN_ADDRESSES = 2_000;
+    private static final String WATCHER_ORDER = "watcher of the zone";
 
     private final KeyValueStore store;
     private final String instance;
     private final String zone;
     private final InetSocketAddress address;
+    private final int memoryMb;
     private final TimeSource timeSource;
     private final DecisionLog log;
     private final Set<String> live = new TreeSet<>();
     private final Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
     private final Map<String, String> zones = new TreeMap<>();
+    private final Map<String, Long> sizesMb = new TreeMap<>();
+    private int largestFleet;
     private boolean holderSeen;
     private boolean heard;
     private long leaseId;
@@ -57,6 +64,7 @@
             String instance,
             String zone,
             InetSocketAddress address,
+            int memoryMb,
             List<InetSocketAddress> seeds,
             TimeSource timeSource,
             DecisionLog log) {
@@ -64,6 +72,7 @@
         this.instance = instance;
         this.zone = zone;
         this.address = address;
+        this.memoryMb = memoryMb;
         this.timeSource = timeSource;
         this.log = log;
         seeds.stream().filter(seed -> !seed.equals(address)).forEach(seed -> addresses.put(seed.toString(), seed));
@@ -79,6 +88,33 @@
         return new LinkedHashSet<>(addresses.values());
     }
 
+    /**
+     * Returns the control address of the instance that watches the store for this availability zone; empty if it is this
+     * one. It is one of the largest, because it serves the others. All instances that know the same registrations name the same one.
+     */
+    public Optional<InetSocketAddress> zoneWatcher() {
+        List<String> ofZone = new ArrayList<>();
+        long largestMb = 0;
+        for (String name : live) {
+            long sizeMb = sizesMb.getOrDefault(name, 0L);
+            if (zone.equals(zones.get(name)) && sizeMb >= largestMb) {
+                if (sizeMb > largestMb) {
+                    ofZone.clear();
+                }
+                largestMb = sizeMb;
+                ofZone.add(name);
+            }
+        }
+        return Rendezvous.choose(WATCHER_ORDER, ofZone)
+                .filter(name -> !name.equals(instance))
+                .map(addresses::get);
+    }
+
+    /** Returns the largest number of instances that were registered at the same time. */
+    public int largestFleet() {
+        return largestFleet;
+    }
+
     /** Returns whether some instance is known to hold the duties, or nothing is known yet. */
     public boolean isHolderSeen() {
         return holderSeen || !heard;
@@ -115,6 +151,7 @@
         Map<String, Object> value = new LinkedHashMap<>();
         value.put("address", address.getHostString() + ":" + address.getPort());
         value.put("zone", zone);
+        value.put("memory_mb", memoryMb);
         StoreWrite write = new StoreWrite(
                 Map.of(),
                 List.of(new StoreWrite.Put(FleetKeys.INSTANCES + instance, Json.write(value), lease)),
@@ -177,7 +214,10 @@
                 dropOldest();
             }
             zones.put(name, value.text("zone"));
-            if (live.add(name)) {
+            sizesMb.put(name, value.number("memory_mb", 0));
+            boolean joined = live.add(name);
+            largestFleet = Math.max(largestFleet, live.size());
+            if (joined) {
                 log.record(EventCode.MEMBER_JOINED, name, "revision", item.revision());
             }
         } catch (JsonFormatException e) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/OrderDuty.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/OrderDuty.java
@@ -1,10 +1,12 @@
 package org.cranberrybend.entry.duty;
 
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.IntSupplier;
 import org.cranberrybend.core.event.EventCode;
 import org.cranberrybend.core.routing.Market;
 import org.cranberrybend.core.time.TimeSource;
@@ -24,6 +26,8 @@
 public final class OrderDuty {
     /** Upstreams wanted in each zone in any case, so that a burst or a lost zone meets free ones. */
     private static final int BASE_PER_ZONE = 4;
+    /** Upstreams wanted in any case for each running instance: the fleet's size follows its usual traffic. */
+    private static final double BASE_PER_INSTANCE = 1.5;
     /** Requests in progress that an engine carries without making streams late. */
     private static final double COMFORTABLE_REQUESTS = 5;
 
@@ -34,9 +38,11 @@
     private final ConfigurationHolder configuration;
     private final UpstreamTable upstreams;
     private final Set<String> zones;
+    private final IntSupplier instances;
     private final TimeSource timeSource;
     private final DecisionLog log;
     private final Map<String, OrderPlanner> planners = new LinkedHashMap<>();
+    private final Map<String, ServiceDemand> demands = new HashMap<>();
     private boolean pending;
     private long notBeforeMs;
     private long lastFencingNumber;
@@ -45,6 +51,7 @@
      * Creates the duty.
      *
      * @param zones availability zones in which upstreams may run
+     * @param instances number of running instances
      */
     public OrderDuty(
             UpstreamOrders orders,
@@ -52,6 +59,7 @@
             ConfigurationHolder configuration,
             UpstreamTable upstreams,
             Set<String> zones,
+            IntSupplier instances,
             TimeSource timeSource,
             DecisionLog log) {
         this.orders = orders;
@@ -59,6 +67,7 @@
         this.configuration = configuration;
         this.upstreams = upstreams;
         this.zones = Set.copyOf(zones);
+        this.instances = instances;
         this.timeSource = timeSource;
         this.log = log;
     }
@@ -96,7 +105,8 @@
         OrderPlanner planner = planners.computeIfAbsent(service + "/" + zone, name -> new OrderPlanner(service, zone));
         OrderPlanner.Listed listed = listed(service, zone);
         int needed = needed(service, nowMs);
-        int wanted = Math.max(BASE_PER_ZONE, needed / zones.size() + 1);
+        int base = (int) Math.ceil(instances.getAsInt() * BASE_PER_INSTANCE / zones.size());
+        int wanted = Math.max(Math.max(BASE_PER_ZONE, base), needed / zones.size() + 1);
         int substitutes = Math.max(1, needed - servingElsewhere(service, zone));
         List<Order> due = planner.plan(bounds, wanted, substitutes, listed, nowMs);
         if (due.isEmpty()) {
@@ -108,9 +118,8 @@
 
     /** Returns the upstreams that the present load of a service needs, by the figures that upstreams reported. */
     private int needed(String service, long nowMs) {
-        int requests = upstreams.ofService(service).stream()
-                .mapToInt(each -> each.recentRequests(nowMs))
-                .sum();
+        int requests = demands.computeIfAbsent(service, name -> new ServiceDemand())
+                .requests(upstreams.ofService(service), nowMs);
         return (int) Math.ceil(requests / COMFORTABLE_REQUESTS);
     }
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/OrderPlanner.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/OrderPlanner.java
@@ -21,8 +21,10 @@
     /** Time beyond the announced start after which an ordered upstream that is not listed does not come. */
     private static final long START_SLACK_MS = 2_500;
 
-    /** Largest number of guaranteed upstreams that replace the preemptible ones of a zone while those are away. */
-    private static final int MAX_SUBSTITUTES = 3;
+    /** Guaranteed upstreams that may in any case replace the preemptible ones of a zone. */
+    private static final int MIN_SUBSTITUTE_BOUND = 3;
+    /** Largest share of a zone's bound that guaranteed upstreams take while the preemptible ones are away. */
+    private static final double MAX_SUBSTITUTE_SHARE = 0.5;
 
     /**
      * What is listed of one service in one zone.
@@ -65,7 +67,8 @@
             add(orders, Market.GUARANTEED, guaranteed, listed.guaranteed(), bounds, nowMs);
             add(orders, Market.PREEMPTIBLE, preemptible, listed.preemptible(), bounds, nowMs);
         } else {
-            int substitutes = Math.max(bounds.min(), Math.min(total, Math.min(MAX_SUBSTITUTES, substitutesNeeded)));
+            int most = (int) Math.max(MIN_SUBSTITUTE_BOUND, bounds.max() * MAX_SUBSTITUTE_SHARE);
+            int substitutes = Math.max(bounds.min(), Math.min(total, Math.min(most, substitutesNeeded)));
             int guaranteed = Math.max(0, substitutes - listed.preemptible());
             add(orders, Market.GUARANTEED, guaranteed, listed.guaranteed(), bounds, nowMs);
         }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/UsageDuty.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/UsageDuty.java
@@ -275,7 +275,11 @@
         countKeys = Set.of();
         byte[] progress = Json.write(Map.of("window", window));
         List<StoreWrite.Put> puts = List.of(new StoreWrite.Put(FleetKeys.REPORTED, progress, 0));
-        store.write(new StoreWrite(
-                Map.of(), puts, deletes.subList(0, Math.min(deletes.size(), StoreWrite.MAX_ENTRIES - 1))));
+        int first = Math.min(deletes.size(), StoreWrite.MAX_ENTRIES - 1);
+        store.write(new StoreWrite(Map.of(), puts, deletes.subList(0, first)));
+        for (int from = first; from < deletes.size(); from += StoreWrite.MAX_ENTRIES) {
+            int to = Math.min(deletes.size(), from + StoreWrite.MAX_ENTRIES);
+            store.write(StoreWrite.delete(deletes.subList(from, to)));
+        }
     }
 }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/UsageFlusher.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/UsageFlusher.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
+import java.util.function.IntSupplier;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.json.Json;
 import org.cranberrybend.entry.port.StoreException;
@@ -23,15 +24,23 @@
 public final class UsageFlusher {
     /** Time between writes within a window, in milliseconds; what a killed instance loses at most. */
     private static final long FLUSH_INTERVAL_MS = 1_500;
+    /**
+     * Writes within windows by all instances together. In a larger fleet each instance writes less often: it holds a
+     * smaller part of the window, and each call is priced.
+     */
+    private static final double MAX_WRITES_PER_S = 6;
     /** Time after the end of a window at which a request that began in it is certainly counted. */
     private static final long WINDOW_SETTLE_MS = 300;
 
     private static final int KEPT_WINDOWS = 12;
+    /** Time after a failed write before the next one; refused calls are priced too. */
+    private static final long RETRY_PAUSE_MS = 1_000;
 
     private final Function<StoreWrite, CompletableFuture<Long>> writer;
     private final UsageCounter counter;
     private final String instance;
     private final long incarnation;
+    private final IntSupplier instances;
     private final TimeSource timeSource;
     /** Number of requests written for each window that is not complete at the store yet. */
     private final Map<Long, Long> written = new HashMap<>();
@@ -39,6 +48,7 @@
     private long firstWindow = -1;
     private long completedWindow = -1;
     private long nextFlushMs;
+    private long retryAtMs;
     private boolean pending;
     private int generation;
 
@@ -46,17 +56,20 @@
      * Creates a flusher for one run of one instance.
      *
      * @param writer writes to the store, or through another instance while the store does not answer this one
+     * @param instances number of running instances
      */
     public UsageFlusher(
             Function<StoreWrite, CompletableFuture<Long>> writer,
             UsageCounter counter,
             String instance,
             long incarnation,
+            IntSupplier instances,
             TimeSource timeSource) {
         this.writer = writer;
         this.counter = counter;
         this.instance = instance;
         this.incarnation = incarnation;
+        this.instances = instances;
         this.timeSource = timeSource;
     }
 
@@ -69,7 +82,7 @@
         }
         long nowMs = timeSource.monotonicMs();
         boolean windowEnded = settled - 1 > completedWindow;
-        if (pending || !windowEnded && nowMs < nextFlushMs) {
+        if (pending || nowMs < retryAtMs || !windowEnded && nowMs < nextFlushMs) {
             return;
         }
         flush(settled - 1, nowMs);
@@ -93,13 +106,16 @@
                 totals.put(window, total);
             }
         }
-        nextFlushMs = nowMs + FLUSH_INTERVAL_MS;
+        nextFlushMs = nowMs + Math.max(FLUSH_INTERVAL_MS, (long) (1_000 * instances.getAsInt() / MAX_WRITES_PER_S));
         if (puts.isEmpty()) {
             return;
         }
         pending = true;
         writer.apply(new StoreWrite(Map.of(), puts, List.of())).whenComplete((revision, failure) -> {
             pending = false;
+            if (failure != null) {
+                retryAtMs = timeSource.monotonicMs() + RETRY_PAUSE_MS;
+            }
             if (failure == null) {
                 written.putAll(totals);
                 completedWindow = Math.max(completedWindow, lastComplete);
--- /dev/null
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/ChangeFormat.java
@@ -0,0 +1,90 @@
+package org.cranberrybend.entry.fleet;
+
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.cranberrybend.entry.json.Json;
+import org.cranberrybend.entry.json.JsonFormatException;
+import org.cranberrybend.entry.json.JsonObject;
+import org.cranberrybend.entry.port.StoreChange;
+import org.cranberrybend.entry.port.StoreChanges;
+import org.cranberrybend.entry.port.StoreItem;
+import org.cranberrybend.entry.upstream.LoadFigure;
+
+/** Writes and reads changes of the store as one instance tells them to another. */
+final class ChangeFormat {
+    private ChangeFormat() {}
+
+    /** What a leader replies. */
+    record Reply(StoreChanges changes, List<LoadFigure> loads) {
+        Reply {
+            loads = List.copyOf(loads);
+        }
+    }
+
+    /** Writes figures as rows of requests and age by upstream, because they are sent several times a second. */
+    static Map<String, Object> loads(List<LoadFigure> figures) {
+        Map<String, Object> rows = new LinkedHashMap<>();
+        for (LoadFigure figure : figures) {
+            rows.put(figure.upstreamId(), figure.requests() + "," + figure.ageMs());
+        }
+        return rows;
+    }
+
+    static List<LoadFigure> readLoads(JsonObject rows) throws JsonFormatException {
+        List<LoadFigure> figures = new ArrayList<>();
+        for (String id : rows.names()) {
+            String[] row = rows.text(id).split(",");
+            try {
+                figures.add(new LoadFigure(id, Integer.parseInt(row[0]), Long.parseLong(row[1])));
+            } catch (NumberFormatException | ArrayIndexOutOfBoundsException e) {
+                throw new JsonFormatException("the load of " + id + " must be two numbers", e);
+            }
+        }
+        return figures;
+    }
+
+    static byte[] encode(StoreChanges changes, List<LoadFigure> figures) {
+        List<Object> rows = new ArrayList<>();
+        for (StoreChange change : changes.changes()) {
+            Map<String, Object> row = new LinkedHashMap<>();
+            row.put("key", change.key());
+            row.put("revision", change.revision());
+            change.item().ifPresent(item -> {
+                row.put("value", Base64.getEncoder().encodeToString(item.value()));
+                row.put("created_revision", item.createdRevision());
+                row.put("lease", item.leaseId());
+            });
+            rows.add(row);
+        }
+        return Json.write(Map.of("revision", changes.revision(), "changes", rows, "loads", loads(figures)));
+    }
+
+    static Reply decode(byte[] text) throws JsonFormatException {
+        JsonObject json = Json.readObject(text);
+        List<StoreChange> changes = new ArrayList<>();
+        for (JsonObject row : json.objects("changes")) {
+            String key = row.text("key");
+            long revision = row.number("revision");
+            Optional<StoreItem> item = Optional.empty();
+            if (row.has("created_revision")) {
+                String value = row.isEmptyText("value") ? "" : row.text("value");
+                try {
+                    item = Optional.of(new StoreItem(
+                            key,
+                            Base64.getDecoder().decode(value),
+                            revision,
+                            row.number("created_revision"),
+                            row.number("lease")));
+                } catch (IllegalArgumentException e) {
+                    throw new JsonFormatException("the value of " + key + " is not base64 text", e);
+                }
+            }
+            changes.add(new StoreChange(key, revision, item));
+        }
+        return new Reply(new StoreChanges(changes, json.number("revision")), readLoads(json.object("loads")));
+    }
+}
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoopGroup;
+import java.util.function.IntSupplier;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.EntrySettings;
 import org.cranberrybend.entry.http.RequestHandler;
@@ -14,12 +15,13 @@
 
 /** Puts together what handles requests. */
 public final class RequestPath {
-    /** Instances assumed to share the budget of repeats; more than run today, so that none oversteps it. */
-    private static final int ASSUMED_INSTANCES = 10;
-
     private final RequestRouter router;
 
-    /** Creates the path of the requests of one process. */
+    /**
+     * Creates the path of the requests of one process.
+     *
+     * @param instances largest number of instances known to serve at the same time; 0 if nothing is known
+     */
     public RequestPath(
             EntrySettings settings,
             EventLoopGroup loop,
@@ -29,10 +31,10 @@
             UpstreamTable upstreams,
             UsageCounter usage,
             DecisionLog log,
+            IntSupplier instances,
             MetricRegistry metrics) {
         UpstreamSelector selector = new UpstreamSelector(upstreams, settings.zone(), settings.regionsByZone());
-        ServiceRetryBudget budget =
-                new ServiceRetryBudget(settings.retryRatio(), settings.retryAllowance(), () -> ASSUMED_INSTANCES);
+        ServiceRetryBudget budget = new ServiceRetryBudget(settings.retryRatio(), settings.retryAllowance(), instances);
         router = new RequestRouter(
                 configuration,
                 new RequestServices(
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/ServiceRetryBudget.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/ServiceRetryBudget.java
@@ -9,9 +9,15 @@
  * Bounds what this instance sends beyond the first upstream of each request, per service.
  *
  * <p>The bound holds for all instances together. Each takes an equal part of the fixed allowance and earns the ratio by
- * its own requests, so no instance needs to hear of the others.
+ * its own requests, so that none needs to hear of the others' repeats. The part shrinks as soon as more instances are
+ * known.
  */
 final class ServiceRetryBudget {
+    /** Instances assumed while no registration was read, as many as the largest fleets of today. */
+    private static final int UNKNOWN_FLEET = 100;
+    /** Instances assumed for each known one: some may have registered that are not known here yet. */
+    private static final double UNSEEN_INSTANCES_FACTOR = 1.25;
+
     private final double ratio;
     private final double allowance;
     private final IntSupplier instances;
@@ -22,7 +28,7 @@
      *
      * @param ratio repeats allowed for each request
      * @param allowance repeats allowed besides, for all instances together
-     * @param instances largest number of instances that may serve at the same time
+     * @param instances largest number of instances known to serve at the same time; 0 if nothing is known
      */
     ServiceRetryBudget(double ratio, double allowance, IntSupplier instances) {
         this.ratio = ratio;
@@ -31,8 +37,11 @@
     }
 
     private RetryBudget of(String service) {
-        return budgets.computeIfAbsent(
-                service, name -> new RetryBudget(ratio, Math.max(1, allowance / instances.getAsInt())));
+        int known = instances.getAsInt();
+        double part = Math.max(1, allowance / (known == 0 ? UNKNOWN_FLEET : known * UNSEEN_INSTANCES_FACTOR));
+        RetryBudget budget = budgets.computeIfAbsent(service, name -> new RetryBudget(ratio, part));
+        budget.limitTo(part);
+        return budget;
     }
 
     void recordRequest(String service) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Upstream.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Upstream.java
@@ -1,5 +1,7 @@
 package org.cranberrybend.entry.upstream;
 
+import java.util.Optional;
+import java.util.OptionalInt;
 import org.cranberrybend.entry.http.ClientConnection;
 
 /**
@@ -19,7 +21,7 @@
     private static final long FIRST_EJECTION_MS = 1_000;
     private static final long MAX_EJECTION_MS = 8_000;
     /** Age from which the upstream's own figures say nothing. */
-    private static final long REPORT_VALID_MS = 1_000;
+    private static final long REPORT_VALID_MS = 1_500;
     /** Age up to which the upstream's own figures tell the load of the fleet. */
     private static final long REPORT_RECENT_MS = 3_000;
 
@@ -31,6 +33,9 @@
     private int reportedRunning;
     private int reportedWaiting;
     private int ownAtReport;
+    /** Whether the last figure came with a response to this process. */
+    private boolean heardHere;
+
     private long reportedAtMs = Long.MIN_VALUE / 2;
     private long heardMs = Long.MIN_VALUE / 2;
     private int failuresInRow;
@@ -103,6 +108,30 @@
         reportedWaiting = waitingRequests;
         ownAtReport = running;
         reportedAtMs = nowMs;
+        heardHere = true;
+    }
+
+    /** Takes a figure that another instance has heard, if it is later than the one known here. */
+    void reportedElsewhere(LoadFigure figure, long nowMs) {
+        if (nowMs - figure.ageMs() > reportedAtMs) {
+            reportedRunning = figure.requests();
+            reportedWaiting = 0;
+            ownAtReport = running;
+            reportedAtMs = nowMs - figure.ageMs();
+            heardHere = false;
+        }
+    }
+
+    /**
+     * Returns the upstream's last figure if it is not older than the given age.
+     *
+     * @param heardHereOnly whether figures that other instances have told are left out
+     */
+    Optional<LoadFigure> loadFigure(long maxAgeMs, boolean heardHereOnly, long nowMs) {
+        long ageMs = nowMs - reportedAtMs;
+        return ageMs > maxAgeMs || heardHereOnly && !heardHere
+                ? Optional.empty()
+                : Optional.of(new LoadFigure(entry.id(), reportedRunning + reportedWaiting, ageMs));
     }
 
     /** Returns the requests that run or wait at the upstream, estimated from its last figures and this process's own. */
@@ -113,9 +142,11 @@
         return Math.max(running, reportedRunning + reportedWaiting + running - ownAtReport);
     }
 
-    /** Returns the requests of all instances at the upstream as it reported them lately, for decisions that may lag. */
-    public int recentRequests(long nowMs) {
-        return nowMs - reportedAtMs > REPORT_RECENT_MS ? running : Math.max(running, reportedRunning + reportedWaiting);
+    /** Returns the requests of all instances at the upstream if it reported them lately, for decisions that may lag. */
+    public OptionalInt recentlyReported(long nowMs) {
+        return nowMs - reportedAtMs > REPORT_RECENT_MS
+                ? OptionalInt.empty()
+                : OptionalInt.of(reportedRunning + reportedWaiting);
     }
 
     /** Takes note of bytes that came from the upstream. */
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamSelector.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamSelector.java
@@ -22,8 +22,12 @@
     private static final double OTHER_REGION_LOAD = 0.8;
     /** Requests in progress by which an engine may exceed the mean of its region before a prompt goes to the next. */
     private static final double ENGINE_LEAD_REQUESTS = 8;
+    /** The same for an engine with few slots, as a share of them. */
+    private static final double ENGINE_LEAD_SHARE = 0.35;
     /** Requests in progress from which an engine takes none of its lane if another engine of the region has fewer. */
     private static final double ENGINE_LOADED_REQUESTS = 24;
+    /** The same for an engine with few slots, as a share of them. */
+    private static final double ENGINE_LOADED_SHARE = 0.7;
     /** Requests in progress from which a request goes to another region rather than to an engine. */
     private static final int ENGINE_OVERLOADED_REQUESTS = 40;
     /** Factor by which an engine may exceed the mean of its region. */
@@ -102,8 +106,10 @@
                 .mapToInt(each -> each.estimatedRequests(nowMs))
                 .average()
                 .orElse(0);
-        double bound =
-                Math.min(ENGINE_LOADED_REQUESTS, Math.max(mean + ENGINE_LEAD_REQUESTS, mean * ENGINE_LEAD_RATIO));
+        int slots = lane.stream().mapToInt(each -> each.entry().slots()).max().orElse(1);
+        double lead = Math.min(ENGINE_LEAD_REQUESTS, slots * ENGINE_LEAD_SHARE);
+        double loaded = Math.min(ENGINE_LOADED_REQUESTS, slots * ENGINE_LOADED_SHARE);
+        double bound = Math.min(loaded, Math.max(mean + lead, mean * ENGINE_LEAD_RATIO));
         Optional<Upstream> preferred = lane.stream()
                 .filter(each -> each.estimatedRequests(nowMs) <= bound)
                 .max(Comparator.comparingLong(
@@ -113,7 +119,7 @@
         }
         Optional<Upstream> leastNear = leastRequests(region, nowMs);
         boolean nearOverloaded = leastNear
-                .map(each -> each.estimatedRequests(nowMs) > ENGINE_OVERLOADED_REQUESTS)
+                .map(each -> each.estimatedRequests(nowMs) > Math.min(ENGINE_OVERLOADED_REQUESTS, slots))
                 .orElse(true);
         return nearOverloaded ? leastRequests(candidates, nowMs) : leastNear;
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
@@ -227,6 +227,42 @@
         }
     }
 
+    /**
+     * Returns whether a change tells anything that the table does not hold. Upstreams write their entries again and
+     * again as a sign of life.
+     */
+    public boolean isNews(StoreChange change) {
+        String id = change.key().substring(prefix.length());
+        Upstream known = byId.get(id);
+        if (known == null || change.item().isEmpty()) {
+            return true;
+        }
+        try {
+            return !decoder.decode(id, change.item().get().value()).equals(known.entry());
+        } catch (JsonFormatException | IllegalArgumentException e) {
+            return true;
+        }
+    }
+
+    /** Returns the figures of upstreams that are not older than the given age. */
+    public List<LoadFigure> loadFigures(long maxAgeMs, boolean heardHereOnly) {
+        long nowMs = timeSource.monotonicMs();
+        return byId.values().stream()
+                .flatMap(each -> each.loadFigure(maxAgeMs, heardHereOnly, nowMs).stream())
+                .collect(Collectors.toList());
+    }
+
+    /** Takes figures that another instance has heard. */
+    public void takeLoadFigures(List<LoadFigure> figures) {
+        long nowMs = timeSource.monotonicMs();
+        for (LoadFigure figure : figures) {
+            Upstream upstream = byId.get(figure.upstreamId());
+            if (upstream != null) {
+                upstream.reportedElsewhere(figure, nowMs);
+            }
+        }
+    }
+
     /** Returns all listed upstreams in the order of their identifiers. */
     public Collection<Upstream> all() {
         return byId.values();
--- /dev/null
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/ServiceDemandTest.java
@@ -0,0 +1,50 @@
+package org.cranberrybend.entry.duty;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.cranberrybend.entry.testing.Upstreams;
+import org.cranberrybend.entry.upstream.Upstream;
+import org.junit.jupiter.api.Test;
+
+class ServiceDemandTest {
+    private final ServiceDemand demand = new ServiceDemand();
+
+    private static List<Upstream> upstreams(int count) {
+        List<Upstream> upstreams = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            upstreams.add(Upstreams.listed("upstream-" + i, "zone-a"));
+        }
+        return upstreams;
+    }
+
+    // Guards against a large fleet being shrunk because its duty holder hears only some upstreams.
+    @Test
+    void upstreamsThatWereNotHeardCountLikeTheOthers() {
+        List<Upstream> upstreams = upstreams(100);
+        upstreams.subList(0, 20).forEach(each -> each.reported(5, 1, 1_000));
+        assertThat(demand.requests(upstreams, 2_000)).isEqualTo(600);
+    }
+
+    // Guards against figures so old that they tell nothing being taken for the present load.
+    @Test
+    void withoutFiguresOwnRequestsCount() {
+        List<Upstream> upstreams = upstreams(4);
+        upstreams.forEach(each -> each.reported(9, 9, 1_000));
+        upstreams.get(0).begin(0);
+        assertThat(demand.requests(upstreams, 60_000)).isEqualTo(1);
+    }
+
+    // Guards against upstreams given back between two bursts and ordered again.
+    @Test
+    void peakIsKeptForAWhile() {
+        List<Upstream> upstreams = upstreams(2);
+        upstreams.forEach(each -> each.reported(10, 0, 1_000));
+        assertThat(demand.requests(upstreams, 1_000)).isEqualTo(20);
+        upstreams.forEach(each -> each.reported(1, 0, 5_000));
+        assertThat(demand.requests(upstreams, 5_000)).isEqualTo(20);
+        upstreams.forEach(each -> each.reported(1, 0, 12_000));
+        assertThat(demand.requests(upstreams, 12_000)).isEqualTo(2);
+    }
+}
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/UsageDutyTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/UsageDutyTest.java
@@ -12,6 +12,7 @@
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.port.DutyException;
 import org.cranberrybend.entry.port.DutyStamp;
+import org.cranberrybend.entry.port.StoreWrite;
 import org.cranberrybend.entry.port.UsageReports;
 import org.cranberrybend.entry.testing.MemoryStore;
 import org.cranberrybend.entry.testing.TestClock;
@@ -31,6 +32,7 @@
     private final List<Report> reports = new ArrayList<>();
     private final Set<String> live = new HashSet<>(Set.of("instance-a"));
     private boolean loseReportReplies;
+    private int instances = 1;
 
     /** One run of one instance. */
     private final class Run {
@@ -41,7 +43,7 @@
 
         Run(String instance, long incarnation) {
             DecisionLog log = new DecisionLog(instance, incarnation, clock, OutputStream.nullOutputStream());
-            flusher = new UsageFlusher(store::write, counter, instance, incarnation, clock);
+            flusher = new UsageFlusher(store::write, counter, instance, incarnation, () -> instances, clock);
             lease = new DutyLease(store, instance, 3_000, clock, log);
             UsageReports platform = this::report;
             duty = new UsageDuty(store, platform, lease, new TrueClock(clock), WINDOW_MS, DUE_MS, () -> live, log);
@@ -161,4 +163,50 @@
         reports.stream().filter(report -> report.window == window).forEach(report -> figures.add(report.counts));
         assertThat(figures).containsExactly(Map.of("alpha", 1L));
     }
+
+    // Guards against counts of a large fleet that pile up in the store because one write deletes only a part of them.
+    @Test
+    void countsOfAllInstancesAreDeletedAfterTheReport() {
+        Run a = new Run("instance-a", 1);
+        run(500, a);
+        long window = a.counter.window();
+        a.counter.began("alpha");
+        for (int i = 0; i < 70; i++) {
+            byte[] value = "{\"counts\":{\"alpha\":1},\"complete\":true}".getBytes();
+            store.write(StoreWrite.put(FleetKeys.counts(window, "other-" + i, 1, 0), value));
+        }
+        run(WINDOW_MS + DUE_MS, a);
+        assertThat(reportedOf(window, "alpha")).isEqualTo(71);
+        assertThat(store.keys(FleetKeys.countsPrefix(window))).isEmpty();
+    }
+
+    // Guards against calls for counts that grow with the fleet beyond the rate of the store.
+    @Test
+    void instanceOfALargeFleetWritesItsCountsOnceAWindow() {
+        instances = 65;
+        Run a = new Run("instance-a", 1);
+        run(2 * WINDOW_MS, a);
+        int before = store.writes();
+        for (int i = 0; i < 3 * WINDOW_MS / TICK_MS; i++) {
+            a.counter.began("alpha");
+            a.flusher.tick();
+            clock.advance(TICK_MS);
+        }
+        assertThat(store.writes() - before).isAtMost(4);
+    }
+
+    // Guards against calls in each tick while the store turns the writes away: refused calls are priced too.
+    @Test
+    void failedWritesAreRepeatedWithPauses() {
+        Run a = new Run("instance-a", 1);
+        run(2 * WINDOW_MS, a);
+        a.counter.began("alpha");
+        store.setDown(true);
+        int before = store.writes();
+        for (int i = 0; i < 8_000 / TICK_MS; i++) {
+            a.flusher.tick();
+            clock.advance(TICK_MS);
+        }
+        assertThat(store.writes() - before).isAtMost(8);
+    }
 }
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
@@ -78,7 +78,7 @@
         }
         table.onSnapshot(new StoreSnapshot(items, 1), 0);
         RequestPath path = new RequestPath(
-                settings(), loop, timeSource, NAMES, configuration, table, usage, log, new MetricRegistry());
+                settings(), loop, timeSource, NAMES, configuration, table, usage, log, () -> 1, new MetricRegistry());
         server = new HttpServer(loop, timeSource, path.handler(), () -> LIMITS, new BodyMemory(1_000_000));
         port = ((InetSocketAddress) server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
                         .sync()
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/MemoryStore.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/MemoryStore.java
@@ -26,6 +26,7 @@
     private long lastLease;
     private boolean down;
     private int repliesToLose;
+    private int writes;
     private boolean delayLostWrites;
 
     /** Creates an empty store whose leases end by the given clock. */
@@ -109,6 +110,11 @@
         return true;
     }
 
+    /** Returns the number of calls that write. */
+    public int writes() {
+        return writes;
+    }
+
     private boolean apply(StoreWrite write) {
         expire();
         if (!holds(write)) {
@@ -126,6 +132,7 @@
 
     @Override
     public CompletableFuture<Long> write(StoreWrite write) {
+        writes++;
         if (down) {
             return failed(StoreException.Kind.NOT_DONE);
         }
