Do not pass on requests whose callers left before they were read

The server now reads a connection until nothing is left and processes what it read after the end of the connection could be noticed. RequestPathTest.requestOfACallerThatLeftBeforeItWasReadIsNotPassedOn failed before with both requests at the upstream.

--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/event/TimelineEntry.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/event/TimelineEntry.java
@@ -12,7 +12,7 @@
  * @param name name in the catalogue
  * @param severity severity name
  * @param stamp hybrid logical time
- * @param memberId process, {@code instance/role}
+ * @param memberId process, {@code instance/role}; the instance alone if it has one process
  * @param incarnation run of the process
  * @param zone availability zone of the process
  * @param sequence position among the events of that run
@@ -55,7 +55,8 @@
                 json.path("name").asText(),
                 json.path("severity").asText(),
                 HybridTimestamp.parse(json.path("stamp").asText()),
-                json.path("instance").asText() + "/" + json.path("role").asText(),
+                json.path("instance").asText()
+                        + (json.has("role") ? "/" + json.path("role").asText() : ""),
                 json.path("incarnation").asLong(),
                 json.path("zone").asText(),
                 json.path("sequence").asLong(),
--- a/cranberrybend-ctl/src/main/java/org/cranberrybend/ctl/CtlMain.java
+++ b/cranberrybend-ctl/src/main/java/org/cranberrybend/ctl/CtlMain.java
@@ -66,7 +66,7 @@
             throw new CommandException(ExitCode.USAGE, "unknown command \"" + name + "\"; see " + NAME + " --help");
         }
         OutputFormat format = format(line.getOptionValue("output", "table"));
-        if (name.equals("completion")) {
+        if (name.equals("completion") || readsLogs(name, line)) {
             entry.command().run(new CommandContext(line, words, null, format, out));
             return;
         }
@@ -80,6 +80,10 @@
         }
     }
 
+    private static boolean readsLogs(String command, CommandLine line) {
+        return line.hasOption("logs") && (command.equals("explain") || command.equals("timeline"));
+    }
+
     private static OutputFormat format(String name) throws CommandException {
         try {
             return OutputFormat.valueOf(name.toUpperCase(Locale.ROOT));
@@ -111,6 +115,7 @@
                 .addOption(null, "seen-revision", true, "refuse the change if the fleet has another revision")
                 .addOption(null, "prune", false, "diff, apply, validate: remove entities that the file lacks")
                 .addOption(null, "revoke-old", false, "key rotate: revoke the old key at once")
+                .addOption(null, "logs", true, "explain, timeline: this log file, - for standard input; repeatable")
                 .addOption(null, "html", false, "timeline: one self-contained HTML page")
                 .addOption(null, "subject", true, "timeline: only this request, order, lease, member or upstream")
                 .addOption(null, "account", true, "timeline: only this client account")
--- a/cranberrybend-ctl/src/main/java/org/cranberrybend/ctl/command/InspectCommands.java
+++ b/cranberrybend-ctl/src/main/java/org/cranberrybend/ctl/command/InspectCommands.java
@@ -31,6 +31,10 @@
     }
 
     static void explain(CommandContext context) throws CommandException {
+        if (context.line().hasOption(TimelineCommand.LOGS)) {
+            TimelineCommand.explainFromLogs(context);
+            return;
+        }
         JsonNode explanation = context.client().get("/v1/explain/" + context.argument(0, "REQUEST"));
         JsonNode events = explanation.isArray() ? explanation : explanation.path("events");
         context.out()
--- a/cranberrybend-ctl/src/main/java/org/cranberrybend/ctl/command/TimelineCommand.java
+++ b/cranberrybend-ctl/src/main/java/org/cranberrybend/ctl/command/TimelineCommand.java
@@ -18,18 +18,53 @@
 import org.cranberrybend.ctl.render.TimelineText;
 import org.cranberrybend.runtime.lifecycle.ExitCode;
 
-/** Reads the events of all reachable processes and prints them in causal order; says which were not reached. */
+/**
+ * Reads the events of all reachable processes, or of log files, and prints them in causal order; says which processes
+ * were not reached.
+ */
 final class TimelineCommand {
+    /** Option that names log files instead of processes. */
+    static final String LOGS = "logs";
+
     private TimelineCommand() {}
 
     static void run(CommandContext context) throws CommandException {
         TimelineFilter filter = filter(context);
+        if (context.line().hasOption(LOGS)) {
+            print(context, TimelineMerger.merge(readLogs(context), filter));
+            return;
+        }
         List<TimelineEntry> entries = new ArrayList<>();
         List<String> unreachable = new ArrayList<>();
         for (JsonNode member : FleetMembers.fetch(context.client())) {
             readEvents(context, member, entries, unreachable);
         }
-        List<TimelineEntry> merged = TimelineMerger.merge(entries, filter);
+        print(context, TimelineMerger.merge(entries, filter));
+        unreachable.forEach(memberId -> System.err.println("not reached: " + memberId));
+        TimelineMerger.gaps(entries)
+                .forEach(
+                        gap -> System.err.println("events no longer kept: " + gap.missing() + " of " + gap.memberId()));
+    }
+
+    /** Explains a request from the lines of log files. */
+    static void explainFromLogs(CommandContext context) throws CommandException {
+        String request = context.argument(0, "REQUEST");
+        List<TimelineEntry> story = RequestStory.of(request, readLogs(context));
+        if (story.isEmpty()) {
+            throw new CommandException(ExitCode.NOT_FOUND, "no event of request " + request + " in the logs");
+        }
+        print(context, story);
+    }
+
+    private static List<TimelineEntry> readLogs(CommandContext context) throws CommandException {
+        LogEvents events = LogEvents.read(context.line().getOptionValues(LOGS), System.in);
+        if (events.unreadable() > 0) {
+            System.err.println("lines that are no events: " + events.unreadable());
+        }
+        return events.entries();
+    }
+
+    private static void print(CommandContext context, List<TimelineEntry> merged) {
         if (context.line().hasOption("html")) {
             context.out().print(TimelineHtml.write(merged));
         } else if (context.format() == OutputFormat.JSON) {
@@ -37,10 +72,6 @@
         } else {
             context.out().print(TimelineText.write(merged));
         }
-        unreachable.forEach(memberId -> System.err.println("not reached: " + memberId));
-        TimelineMerger.gaps(entries)
-                .forEach(
-                        gap -> System.err.println("events no longer kept: " + gap.missing() + " of " + gap.memberId()));
     }
 
     private static void readEvents(
--- a/cranberrybend-ctl/src/test/java/org/cranberrybend/ctl/CtlMainTest.java
+++ b/cranberrybend-ctl/src/test/java/org/cranberrybend/ctl/CtlMainTest.java
@@ -123,4 +123,57 @@
         assertThat(run("delete", "model", "stub")).isEqualTo(ExitCode.CONFLICT);
         assertThat(err.toString(StandardCharsets.UTF_8)).contains("changed by ben");
     }
+
+    private static String logLine(
+            long wallMs, String instance, int sequence, String name, String subject, String fields) {
+        return "  12.01 " + instance + " {\"event\":400,\"name\":\"" + name + "\",\"severity\":\"INFO\",\"wall_ms\":"
+                + wallMs + ",\"instance\":\"" + instance + "\",\"incarnation\":1,\"sequence\":" + sequence
+                + ",\"subject\":\"" + subject + "\",\"fields\":{" + fields + "}}\n";
+    }
+
+    private ExitCode runOnLogs(String... arguments) throws IOException {
+        Path one = directory.resolve("one.log");
+        Path two = directory.resolve("two.log");
+        // The time of day of the first instance jumps back between its lines.
+        Files.writeString(
+                one,
+                "no event\n"
+                        + logLine(900_000, "entry-1", 1, "CONFIGURATION_ACCEPTED", "7", "\"source\":\"store\"")
+                        + logLine(901_000, "entry-1", 2, "UPSTREAM_UNHEALTHY", "up-1", "\"cause\":\"silent\"")
+                        + logLine(901_100, "entry-1", 3, "REQUEST_DISPATCHED", "r1", "\"upstream\":\"up-1\"")
+                        + logLine(899_000, "entry-1", 4, "REQUEST_FAILED", "r1", "\"cause\":\"time limit\""));
+        Files.writeString(
+                two,
+                logLine(901_050, "entry-2", 1, "REQUEST_REFUSED", "r2", "\"code\":\"key_unknown\"")
+                        + logLine(901_060, "entry-2", 2, "UPSTREAM_UNHEALTHY", "up-2", "\"cause\":\"reset\""));
+        List<String> all = new ArrayList<>(List.of(arguments));
+        all.addAll(List.of("--logs", one.toString(), "--logs", two.toString()));
+        return CtlMain.run(all.toArray(new String[0]), Map.of(), new PrintStream(out), new PrintStream(err));
+    }
+
+    // Guards against a request that can be explained only while its process runs, and against events in the wrong order
+    // after a step of the clock.
+    @Test
+    void requestIsExplainedFromLogs() throws IOException {
+        assertThat(runOnLogs("explain", "r1")).isEqualTo(ExitCode.SUCCESS);
+        List<String> lines = out.toString(StandardCharsets.UTF_8).lines().toList();
+        assertThat(lines).hasSize(4);
+        assertThat(lines.get(0)).contains("CONFIGURATION_ACCEPTED");
+        assertThat(lines.get(1)).contains("UPSTREAM_UNHEALTHY up-1");
+        assertThat(lines.get(2)).contains("REQUEST_DISPATCHED");
+        assertThat(lines.get(3)).contains("cause=time limit");
+    }
+
+    // Guards against an empty output that looks as if nothing had happened.
+    @Test
+    void unknownRequestIsReportedAsNotFound() throws IOException {
+        assertThat(runOnLogs("explain", "r9")).isEqualTo(ExitCode.NOT_FOUND);
+        assertThat(err.toString(StandardCharsets.UTF_8)).contains("r9");
+    }
+
+    @Test
+    void timeLineMergesTheLogsOfSeveralProcesses() throws IOException {
+        assertThat(runOnLogs("timeline")).isEqualTo(ExitCode.SUCCESS);
+        assertThat(out.toString(StandardCharsets.UTF_8).lines().count()).isEqualTo(6);
+    }
 }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/HttpServer.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/HttpServer.java
@@ -1,6 +1,7 @@
 package org.cranberrybend.entry.http;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -19,6 +20,9 @@
 /** A listening address and its connections, confined to one event loop. */
 public final class HttpServer {
     private static final int BACKLOG = 1024;
+    /** Reads of one connection before the others have their turn. */
+    private static final int MAX_READS_IN_A_ROW = 16;
+
     private static final long TIMEOUT_SCAN_MS = 500;
 
     private final EventLoopGroup loop;
@@ -58,6 +62,12 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                // Reads until nothing is left, so that the end of a connection is seen along with its last bytes.
+                .childOption(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator()
+                                .respectMaybeMoreData(false)
+                                .maxMessagesPerRead(MAX_READS_IN_A_ROW))
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel accepted) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ServerConnection.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ServerConnection.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -106,15 +107,27 @@
         } finally {
             received.release();
         }
-        process();
         if (phase == Phase.ANSWERING && reader.unreadBytes() > MAX_UNREAD_BYTES) {
             context.channel().config().setAutoRead(false);
         }
     }
 
+    /**
+     * Processes what was read in a task of its own: the end of the connection is noticed after this call, and a request
+     * whose caller has left must not be passed on.
+     */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext channelContext) {
+        if (phase != Phase.ANSWERING && phase != Phase.CLOSING) {
+            channelContext.executor().execute(this::process);
+        }
+    }
+
     private void process() {
         try {
-            while (phase != Phase.ANSWERING && phase != Phase.CLOSING) {
+            while (phase != Phase.ANSWERING
+                    && phase != Phase.CLOSING
+                    && context.channel().isActive()) {
                 if (!advance()) {
                     return;
                 }
@@ -131,6 +144,7 @@
             if (reader.unreadBytes() == 0) {
                 return false;
             }
+            request = null;
             enter(Phase.READING_HEAD);
         }
         if (phase == Phase.READING_HEAD) {
@@ -219,6 +233,7 @@
     /** Answers a request that was not read to its end, and closes the connection. */
     private void refuse(int status, String reason) {
         keepAlive = false;
+        server.handler().refused(Optional.ofNullable(request), status, reason);
         enter(Phase.ANSWERING);
         respond(status, reason, List.of(), new byte[0]);
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/log/DecisionLog.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/log/DecisionLog.java
@@ -70,12 +70,11 @@
             secondStartMs = nowMs;
             linesInSecond = 0;
         }
-        linesInSecond++;
-        boolean kept = code.severity() == Severity.INFO
-                ? linesInSecond <= MAX_LINES_PER_SECOND / 2
-                : linesInSecond <= MAX_LINES_PER_SECOND;
+        int bound = code.severity() == Severity.INFO ? MAX_LINES_PER_SECOND / 2 : MAX_LINES_PER_SECOND;
         sequence++;
-        if (!kept || !queue.offer(line(code, subject, fields))) {
+        if (linesInSecond < bound && queue.offer(line(code, subject, fields))) {
+            linesInSecond++;
+        } else {
             dropped.incrementAndGet();
         }
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestRouter.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestRouter.java
@@ -73,6 +73,21 @@
         new Exchange(request, caller, services).start();
     }
 
+    @Override
+    public void refused(Optional<HttpRequest> head, int status, String reason) {
+        services.log()
+                .record(
+                        EventCode.REQUEST_REFUSED,
+                        head.map(each -> value(each, services.names().attemptId()))
+                                .orElse(""),
+                        "status",
+                        status,
+                        "cause",
+                        reason,
+                        "configuration_version",
+                        configuration.version());
+    }
+
     /** Holds a request that arrives while the process starts, until it can be routed or a short time has passed. */
     private void awaitStart(ReceivedRequest received, ServerExchange caller, String attemptId) {
         if (services.timeSource().monotonicMs() - received.receivedMs() < START_WAIT_MS && caller.isOpen()) {
--- /dev/null
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/log/DecisionLogTest.java
@@ -0,0 +1,84 @@
+package org.cranberrybend.entry.log;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.cranberrybend.core.event.EventCode;
+import org.cranberrybend.entry.testing.TestClock;
+import org.junit.jupiter.api.Test;
+
+class DecisionLogTest {
+    private static final int LINES_PER_SECOND = 400;
+    private static final long WAIT_S = 10;
+
+    private final TestClock clock = new TestClock();
+
+    /** A reader that takes nothing until it is released. */
+    private static final class StoppedReader extends OutputStream {
+        private final CountDownLatch writing = new CountDownLatch(1);
+        private final CountDownLatch released = new CountDownLatch(1);
+
+        @Override
+        public void write(int value) {
+            throw new UnsupportedOperationException("lines are written in blocks");
+        }
+
+        @Override
+        public void write(byte[] bytes, int offset, int length) {
+            writing.countDown();
+            try {
+                released.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
+    // Guards against requests that wait because nobody reads the log.
+    @Test
+    void stoppedReaderBlocksNobody() throws Exception {
+        StoppedReader reader = new StoppedReader();
+        DecisionLog log = new DecisionLog("instance", 1, clock, reader);
+        log.start();
+        log.record(EventCode.REQUEST_FAILED, "first");
+        assertThat(reader.writing.await(WAIT_S, TimeUnit.SECONDS)).isTrue();
+        for (int i = 0; i < 20_000; i++) {
+            log.record(EventCode.REQUEST_FAILED, "r" + i);
+            clock.advance(10);
+        }
+        assertThat(log.droppedLines()).isAtLeast(15_000L);
+        reader.released.countDown();
+    }
+
+    // Guards against a burst that fills the log without bound, and against lines of failed requests that are dropped
+    // because ordinary ones came first.
+    @Test
+    void burstIsBoundedAndKeepsTheLinesOfFailures() throws Exception {
+        ByteArrayOutputStream output = new ByteArrayOutputStream();
+        DecisionLog log = new DecisionLog("instance", 1, clock, output);
+        for (int i = 0; i < 10 * LINES_PER_SECOND; i++) {
+            log.record(EventCode.REQUEST_COMPLETED, "ordinary-" + i);
+        }
+        for (int i = 0; i < 100; i++) {
+            log.record(EventCode.REQUEST_FAILED, "failed-" + i);
+        }
+        log.start();
+        long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_S);
+        while (!text(output).contains("dropped_lines") && System.nanoTime() < endNs) {
+            Thread.sleep(10);
+        }
+        String text = text(output);
+        assertThat(text.lines().filter(line -> line.contains("failed-")).count())
+                .isEqualTo(100);
+        assertThat(text.lines().count()).isAtMost((long) LINES_PER_SECOND + 1);
+        assertThat(text).contains("{\"dropped_lines\":" + log.droppedLines() + "}");
+    }
+
+    private static String text(ByteArrayOutputStream output) {
+        return output.toString(StandardCharsets.UTF_8);
+    }
+}
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/RequestPathTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/RequestPathTest.java
@@ -5,6 +5,8 @@
 import static org.cranberrybend.entry.testing.ScriptedUpstream.reset;
 import static org.cranberrybend.entry.testing.ScriptedUpstream.write;
 
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Future;
 import java.util.stream.Stream;
 import org.cranberrybend.entry.testing.EntryFixture;
 import org.cranberrybend.entry.testing.RawCaller;
@@ -205,6 +207,46 @@
         }
     }
 
+    // Guards against work for a caller that gave up while the instance was too busy to read its request.
+    @Test
+    void requestOfACallerThatLeftBeforeItWasReadIsNotPassedOn() throws Exception {
+        try (ScriptedUpstream upstream = new ScriptedUpstream(SERVES);
+                EntryFixture entry = new EntryFixture(upstream)) {
+            RawCaller leaving = entry.caller();
+            CountDownLatch busy = new CountDownLatch(1);
+            CountDownLatch left = new CountDownLatch(1);
+            Future<Void> blocked = entry.later(() -> {
+                busy.countDown();
+                left.await();
+                return null;
+            });
+            busy.await();
+            leaving.send(request("GET", "/safe/x", "a1", ""));
+            leaving.close();
+            left.countDown();
+            blocked.get();
+            try (RawCaller staying = entry.caller()) {
+                staying.send(request("GET", "/safe/x", "a2", ""));
+                assertThat(statusOf(staying.readUntil("\r\n\r\n"))).isEqualTo("200");
+            }
+            assertThat(upstream.received()).hasSize(1);
+        }
+    }
+
+    // Guards against a refused request without a line that explains it.
+    @Test
+    void requestThatCannotBeReadIsLogged() throws Exception {
+        try (ScriptedUpstream upstream = new ScriptedUpstream(SERVES);
+                EntryFixture entry = new EntryFixture(upstream);
+                RawCaller caller = entry.caller()) {
+            caller.send("POST /once/x HTTP/1.1\nHost: site.example\nAttempt: odd-1\nContent-Length: 5\n"
+                    + "Transfer-Encoding: chunked\n\n0\n\n");
+            caller.readAll();
+            assertThat(entry.awaitLog("\"subject\":\"odd-1\",\"fields\":{\"status\":400,\"cause\":\"Bad Request\""))
+                    .isTrue();
+        }
+    }
+
     // Guards against refusals of requests that are allowed, and service to those that are not.
     @ParameterizedTest
     @ValueSource(strings = {"/none/x:404", "/safe/x:401", "/open/x:200", "/safex:404"})
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
@@ -4,7 +4,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import java.io.OutputStream;
+import java.io.ByteArrayOutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -13,6 +13,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Callable;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import org.cranberrybend.core.routing.Market;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.EntrySettings;
@@ -57,6 +59,9 @@
     private static final ServerLimits LIMITS = new ServerLimits(8_192, 100_000, 2_000, 10_000);
     private static final String PREFIX = "upstreams/";
 
+    private static final long LOG_WAIT_S = 5;
+
+    private final ByteArrayOutputStream logOutput = new ByteArrayOutputStream();
     private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final TimeSource timeSource = TimeSource.system();
     private final UpstreamTable table;
@@ -66,7 +71,8 @@
 
     /** Starts the data path with one upstream of the service {@code work} for each given one, in their order. */
     public EntryFixture(ScriptedUpstream... upstreams) throws Exception {
-        DecisionLog log = new DecisionLog("instance", 1, timeSource, OutputStream.nullOutputStream());
+        DecisionLog log = new DecisionLog("instance", 1, timeSource, logOutput);
+        log.start();
         ConfigurationHolder configuration = new ConfigurationHolder((name, value) -> configuration(), log);
         configuration.offer("test", new byte[0]);
         table = new UpstreamTable(PREFIX, EntryFixture::record, new HttpConnector(loop), timeSource, log);
@@ -144,11 +150,28 @@
                 0);
     }
 
+    /** Waits until the log has a text, and returns whether it has. */
+    public boolean awaitLog(String text) throws InterruptedException {
+        long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(LOG_WAIT_S);
+        while (!logOutput.toString(StandardCharsets.UTF_8).contains(text)) {
+            if (System.nanoTime() > endNs) {
+                return false;
+            }
+            Thread.sleep(20);
+        }
+        return true;
+    }
+
     /** Returns a new caller. */
     public RawCaller caller() throws Exception {
         return new RawCaller(port);
     }
 
+    /** Gives a task to the event loop. */
+    public <T> Future<T> later(Callable<T> task) {
+        return loop.submit(task);
+    }
+
     /** Runs a task on the event loop and returns its result. */
     public <T> T onLoop(Callable<T> task) throws Exception {
         return loop.submit(task).get();
