--- a/cranberrybend-soak/src/main/java/org/cranberrybend/soak/Promises.java
+++ b/cranberrybend-soak/src/test/java/org/cranberrybend/soak/Promises.java
@@ -11,6 +11,7 @@
 import java.util.function.LongSupplier;
 import org.cranberrybend.entry.json.JsonFormatException;
 import org.cranberrybend.entry.json.JsonObject;
+import org.cranberrybend.platform.standin.StandInHeaders;
 import org.cranberrybend.platform.standin.StandInUpstream;
 
 /**
@@ -81,8 +82,8 @@
             broken("each request has its identifier", upstream.id());
             return;
         }
-        if (!ACCOUNT.equals(headers.getFirst("X-Tenant"))) {
-            broken("the account is named", attemptId + " came with " + headers.getFirst("X-Tenant"));
+        if (!ACCOUNT.equals(StandInHeaders.account(headers))) {
+            broken("the account is named", attemptId + " came with " + StandInHeaders.account(headers));
         }
         Long leaving = leavingSinceMs.get(upstream.id());
         if (run
@@ -124,7 +125,7 @@
         if (answer.status() != 200 || !answer.whole()) {
             return;
         }
-        String signature = answer.headers().getOrDefault("x-response-signature", "");
+        String signature = StandInHeaders.signature(answer.headers());
         if (!signature.endsWith("." + attemptId)) {
             broken("each answer belongs to its request", attemptId + " got signature " + signature);
         }
--- a/cranberrybend-soak/src/test/java/org/cranberrybend/soak/PromisesTest.java
+++ b/cranberrybend-soak/src/test/java/org/cranberrybend/soak/PromisesTest.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import org.cranberrybend.entry.json.Json;
 import org.cranberrybend.entry.json.JsonFormatException;
+import org.cranberrybend.platform.standin.StandInHeaders;
 import org.cranberrybend.platform.standin.StandInUpstream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -25,7 +26,7 @@
     @BeforeEach
     void startUpstream() throws Exception {
         upstream = new StandInUpstream("up-0", "desk", "zone-a", 4, promises::arrived);
-        headers.set("X-Tenant", Promises.ACCOUNT);
+        headers.set(StandInHeaders.accountName(), Promises.ACCOUNT);
     }
 
     @AfterEach
@@ -35,7 +36,10 @@
 
     private void answer(String id, int status, String signature, String body) {
         promises.answered(
-                id, new Caller.Answer(status, Map.of("x-response-signature", signature), body, true), "entry-0", nowMs);
+                id,
+                new Caller.Answer(status, Map.of(StandInHeaders.signatureName(), signature), body, true),
+                "entry-0",
+                nowMs);
     }
 
     private void assertBroken(String promise) {
--- a/cranberrybend-soak/src/main/java/org/cranberrybend/soak/SoakRun.java
+++ b/cranberrybend-soak/src/test/java/org/cranberrybend/soak/SoakRun.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.cranberrybend.platform.standin.StandInHeaders;
 import org.cranberrybend.platform.standin.StandInStore;
 
 /** One run: starts the processes and the stand-ins, lets callers call while faults happen, and judges. */
@@ -30,6 +31,7 @@
     private static final List<String> ZONES = List.of("zone-a", "zone-b", "zone-c");
     private static final int CALLERS_PER_INSTANCE = 4;
     private static final int REQUESTS_PER_CONNECTION = 40;
+    private static final int PROMPT_GROUPS = 9;
     private static final long BEAT_MS = 400;
     private static final long PROBE_MS = 300;
     private static final long START_LIMIT_MS = 20_000;
@@ -197,22 +199,14 @@
     }
 
     private static Map<String, String> headers(String id) {
-        Map<String, String> headers = new LinkedHashMap<>();
-        headers.put("X-Attempt-Id", id);
-        headers.put("X-Deadline-Ms", Long.toString(SoakBounds.ROUTE_TIMEOUT_MS));
-        headers.put("Authorization", "Bearer " + Operator.KEY);
-        if (kindIsStream(id)) {
-            headers.put("X-Model", "m");
-            headers.put("X-Token-Count", "400,100");
-            headers.put("X-Prompt-Prefix", "a1:200,b" + Math.floorMod(id.hashCode(), 9) + ":150,c1:50");
+        Map<String, String> headers =
+                new LinkedHashMap<>(StandInHeaders.ofCaller(id, Operator.KEY, SoakBounds.ROUTE_TIMEOUT_MS));
+        if (Promises.kindOf(id).stream()) {
+            headers.putAll(StandInHeaders.ofPrompt(Math.floorMod(id.hashCode(), PROMPT_GROUPS)));
         }
         return headers;
     }
 
-    private static boolean kindIsStream(String id) {
-        return Promises.kindOf(id).stream();
-    }
-
     /** Asks an instance again and again for the route of the newest configuration. */
     private void probeForever(SoakInstance instance) {
         EntryProcess process = instance.process();
