--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/log/DecisionLogTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/log/DecisionLogTest.java
@@ -69,7 +69,7 @@
         log.start();
         long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_S);
         while (!text(output).contains("dropped_lines") && System.nanoTime() < endNs) {
-            Thread.sleep(10);
+            Thread.onSpinWait();
         }
         String text = text(output);
         assertThat(text.lines().filter(line -> line.contains("failed-")).count())
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
@@ -151,13 +151,13 @@
     }
 
     /** Waits until the log has a text, and returns whether it has. */
-    public boolean awaitLog(String text) throws InterruptedException {
+    public boolean awaitLog(String text) {
         long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(LOG_WAIT_S);
         while (!logOutput.toString(StandardCharsets.UTF_8).contains(text)) {
             if (System.nanoTime() > endNs) {
                 return false;
             }
-            Thread.sleep(20);
+            Thread.onSpinWait();
         }
         return true;
     }
