--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FollowingStore.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FollowingStore.java
@@ -14,6 +14,7 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.message.BasicHeader;
+import org.cranberrybend.core.event.EventCode;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.http.ApiClient;
 import org.cranberrybend.entry.http.ApiReply;
@@ -56,6 +57,7 @@
     private final HttpConnector connector;
     private final Supplier<Optional<InetSocketAddress>> leader;
     private final TimeSource timeSource;
+    private final DecisionLog log;
     private final ChangeFeed feed;
     private final Map<InetSocketAddress, ApiClient> clients = new HashMap<>();
     private String loadsPrefix = "";
@@ -79,6 +81,7 @@
         this.connector = connector;
         this.leader = leader;
         this.timeSource = timeSource;
+        this.log = log;
         this.feed = new ChangeFeed(loop, timeSource, log);
     }
 
@@ -129,26 +132,29 @@
                 : new byte[0];
         return clients.computeIfAbsent(address, each -> new ApiClient(loop, connector, each))
                 .call("POST", target, JSON, told, FOLLOW_WAIT_MS + FOLLOW_SLACK_MS)
-                .handle((reply, failure) -> failure == null ? read(reply) : avoidLeaders());
+                .handle((reply, failure) -> failure == null
+                        ? read(address, reply)
+                        : avoidLeaders(address, String.valueOf(failure.getMessage())));
     }
 
-    private StoreChanges read(ApiReply reply) {
+    private StoreChanges read(InetSocketAddress address, ApiReply reply) {
         if (reply.status() == NOT_COVERED) {
             return null;
         }
         try {
             if (reply.status() != 200) {
-                return avoidLeaders();
+                return avoidLeaders(address, "status " + reply.status());
             }
             ChangeFormat.Reply told = ChangeFormat.decode(reply.body());
             loads.take(told.loads());
             return told.changes();
         } catch (JsonFormatException e) {
-            return avoidLeaders();
+            return avoidLeaders(address, String.valueOf(e.getMessage()));
         }
     }
 
-    private StoreChanges avoidLeaders() {
+    private StoreChanges avoidLeaders(InetSocketAddress address, String cause) {
+        log.record(EventCode.MEMBER_SUSPECTED, address.toString(), "cause", cause, "pause_ms", LEADER_PAUSE_MS);
         leadersAvoidedUntilMs = timeSource.monotonicMs() + LEADER_PAUSE_MS;
         return null;
     }
