Tell engines apart the routes of one account, and order engines by slots

All accounts have ranks of their own (0 and 1 in the logs), so chats and drafts of an account came with the same rank and the newest was displaced. Ruled out: the rank of a repeat, which is that of the first send.

The rank that an engine is told is now the account's first and the route's second.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/OrderDuty.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/OrderDuty.java
@@ -24,10 +24,6 @@
 
 /** Orders upstreams for all services that may be scaled. Confined to the event loop; one order is sent at a time. */
 public final class OrderDuty {
-    /** Upstreams wanted in each zone in any case, so that a burst or a lost zone meets free ones. */
-    private static final int BASE_PER_ZONE = 4;
-    /** Upstreams wanted in any case for each running instance: the fleet's size follows its usual traffic. */
-    private static final double BASE_PER_INSTANCE = 1.5;
     /** Requests in progress that an engine carries without making streams late. */
     private static final double COMFORTABLE_REQUESTS = 5;
 
@@ -94,20 +90,23 @@
             for (String zone : zones) {
                 // The prices name the zones in which the service may run.
                 boolean mayRun = service.scaling().get().zonePrices().containsKey(zone);
-                if (mayRun && place(service.name(), zone, service.scaling().get(), stamp.get(), nowMs)) {
+                if (mayRun && place(service, zone, service.scaling().get(), stamp.get(), nowMs)) {
                     return;
                 }
             }
         }
     }
 
-    private boolean place(String service, String zone, ScalingBounds bounds, DutyStamp stamp, long nowMs) {
-        OrderPlanner planner = planners.computeIfAbsent(service + "/" + zone, name -> new OrderPlanner(service, zone));
-        OrderPlanner.Listed listed = listed(service, zone);
-        int needed = needed(service, nowMs);
-        int base = (int) Math.ceil(instances.getAsInt() * BASE_PER_INSTANCE / zones.size());
-        int wanted = Math.max(Math.max(BASE_PER_ZONE, base), needed / zones.size() + 1);
-        int substitutes = Math.max(1, needed - servingElsewhere(service, zone));
+    private boolean place(ServiceDefinition service, String zone, ScalingBounds bounds, DutyStamp stamp, long nowMs) {
+        String name = service.name();
+        OrderPlanner planner = planners.computeIfAbsent(name + "/" + zone, key -> new OrderPlanner(name, zone));
+        OrderPlanner.Listed listed = listed(name, zone);
+        int needed = needed(name, nowMs);
+        int slots =
+                service.engine().map(ServiceDefinition.EngineDefinition::slots).orElse(0);
+        int base = ServiceDemand.basePerZone(instances.getAsInt(), slots, zones.size());
+        int wanted = Math.max(base, needed / zones.size() + 1);
+        int substitutes = Math.max(1, needed - servingElsewhere(name, zone));
         List<Order> due = planner.plan(bounds, wanted, substitutes, listed, nowMs);
         if (due.isEmpty()) {
             return false;
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/ServiceDemand.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/ServiceDemand.java
@@ -13,6 +13,10 @@
  */
 final class ServiceDemand {
     private static final long PEAK_KEPT_MS = 10_000;
+    /** Upstreams wanted in each zone in any case, so that a burst or a lost zone meets free ones. */
+    private static final int BASE_PER_ZONE = 4;
+    /** Slots wanted in any case for each running instance: the number of instances follows the usual traffic. */
+    private static final double BASE_SLOTS_PER_INSTANCE = 32;
 
     private int peak;
     private long peakAtMs = Long.MIN_VALUE / 2;
@@ -27,6 +31,17 @@
         return peak;
     }
 
+    /**
+     * Returns the upstreams of a zone that are wanted without regard to the present load.
+     *
+     * @param instances running instances
+     * @param slots requests that one engine runs at the same time; 0 if not known
+     */
+    static int basePerZone(int instances, int slots, int zones) {
+        double engines = slots == 0 ? 0 : instances * BASE_SLOTS_PER_INSTANCE / slots;
+        return Math.max(BASE_PER_ZONE, (int) Math.ceil(engines / zones));
+    }
+
     private static int estimate(List<Upstream> upstreams, long nowMs) {
         int heard = 0;
         long reported = 0;
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RoutedRequest.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RoutedRequest.java
@@ -44,10 +44,25 @@
         long receivedMs,
         long endMs,
         String resumeAfter) {
+    /** Ranks by route within each rank in force. */
+    private static final int ROUTE_RANKS = 3;
+
+    private static final int LAST_ENGINE_RANK = 9;
+
     RoutedRequest {
         headers = List.copyOf(headers);
     }
 
+    /**
+     * Returns the rank that an engine is told, 0 for the first. The rank in force goes first; requests of one rank, for
+     * instance all of one account that has its own, are told apart by their route, so that a long draft never displaces a
+     * chat of the same account.
+     */
+    int engineRank() {
+        int routeRank = Math.min(ROUTE_RANKS - 1, Math.max(0, route.priority()));
+        return Math.min(LAST_ENGINE_RANK, Math.max(0, priority) * ROUTE_RANKS + routeRank);
+    }
+
     RepeatRule repeatRule() {
         return route.repeatRule();
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
@@ -158,7 +158,7 @@
         headers.add(new BasicHeader(names.upstreamId(), upstream.entry().id()));
         request.account().ifPresent(account -> headers.add(new BasicHeader(names.account(), account.name())));
         if (!request.prompt().isEmpty()) {
-            headers.add(new BasicHeader(names.enginePriority(), Math.min(9, request.priority())));
+            headers.add(new BasicHeader(names.enginePriority(), request.engineRank()));
         }
         return headers;
     }
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/ServiceDemandTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/ServiceDemandTest.java
@@ -7,6 +7,8 @@
 import org.cranberrybend.entry.testing.Upstreams;
 import org.cranberrybend.entry.upstream.Upstream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class ServiceDemandTest {
     private final ServiceDemand demand = new ServiceDemand();
@@ -47,4 +49,11 @@
         upstreams.forEach(each -> each.reported(1, 0, 12_000));
         assertThat(demand.requests(upstreams, 12_000)).isEqualTo(2);
     }
+
+    // Guards against a fleet of many instances with few engines, and against many engines that each run many requests.
+    @ParameterizedTest
+    @CsvSource({"8, 128, 3, 4", "6, 128, 3, 4", "65, 16, 6, 22", "73, 24, 6, 17", "73, 0, 6, 4", "0, 16, 6, 4"})
+    void baseFollowsInstancesAndSlots(int instances, int slots, int zones, int perZone) {
+        assertThat(ServiceDemand.basePerZone(instances, slots, zones)).isEqualTo(perZone);
+    }
 }
