--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -162,6 +162,7 @@
         };
     }
 
+    /** Returns the directory to the store's supplier, which is made before the directory and called after it. */
     private FleetDirectory directory() {
         return directory;
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/package-info.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/package-info.java
@@ -1,2 +1,5 @@
-/** What instances tell each other when the platform's store turns some of them away. */
+/**
+ * What instances tell each other: changes of the store and loads of upstreams within a zone, and more when the store turns
+ * some of them away.
+ */
 package org.cranberrybend.entry.fleet;
--- a/cranberrybend-soak/src/test/java/org/cranberrybend/soak/Disturbances.java
+++ b/cranberrybend-soak/src/test/java/org/cranberrybend/soak/Disturbances.java
@@ -16,7 +16,7 @@
         spans.add(new Span(instance, fromMs, untilMs));
     }
 
-    /** Returns whether an instance was free of disturbance in a span and long enough before it to be in touch. */
+    /** Returns whether an instance was free of disturbance in a span and long enough before it to keep its bounds. */
     synchronized boolean isCalm(String instance, long fromMs, long untilMs) {
         return spans.stream()
                 .filter(span -> instance.equals(ALL) || span.instance.equals(ALL) || span.instance.equals(instance))
