Limit what a faulty upstream or an unexpected error can do to other requests

- A late copy of the previous response on a reused connection lost the request (502), and a rejection without an attempt identifier was taken for the request's own, which promises "not run" for a request that may run.
The copy is now skipped and the own response awaited; a response without identifier on a reused connection is not trusted.
- Endless interim responses, an endless event and the endless body of a rejection were read until the deadline, and a stream was buffered without bound for a caller that does not read.
Heads, events and rejections are limited, and reading follows the caller.
- A stream without length that ended within an event was completed for the caller.
It is now broken off.
- A slow stream was moved after 1 s of silence although its route allows longer pauses, and a stream that sent bytes but no event was never moved.
The limits now follow the route's target for pauses and count events.
- An unexpected exception left its caller without an answer for as long as the connection lived, and ended the periodic task in which it occurred for good, as executors do.
- A planned stop reset connections in the backlog and closed connections whose request was on its way.

Ruled out by the cases that passed before: endless lines, headers, bodies, chunks and trailers on a response, truncated bodies with a length or chunks.

--- a/cranberrybend-daemon/src/main/java/org/cranberrybend/daemon/ClassArchiveTraining.java
+++ b/cranberrybend-daemon/src/main/java/org/cranberrybend/daemon/ClassArchiveTraining.java
@@ -38,14 +38,14 @@
     void run() throws InterruptedException, IOException, JsonFormatException {
         EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         TrainingPlatform platform = new TrainingPlatform();
-        HttpServer server = new HttpServer(loop, timeSource, platform, () -> LIMITS, new BodyMemoryLimit(1 << 20));
+        DecisionLog log = new DecisionLog("training", 1, timeSource, OutputStream.nullOutputStream());
+        HttpServer server = new HttpServer(loop, timeSource, platform, () -> LIMITS, new BodyMemoryLimit(1 << 20), log);
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         platformAddress =
                 (InetSocketAddress) server.listen(any).sync().channel().localAddress();
         platform.listUpstream(platformAddress);
         int callers = freePort();
         EntrySettings settings = settings(callers);
-        DecisionLog log = new DecisionLog("training", 1, timeSource, OutputStream.nullOutputStream());
         log.start();
         EntryService service = new EntryService(settings, new PlatformPorts(), log);
         service.start();
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/DrainMonitor.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/DrainMonitor.java
@@ -11,6 +11,8 @@
     private static final long READINESS_NOTICE_MS = 2_600;
     /** Time before the shutdown limit that is reserved for the exit of the process. */
     private static final long EXIT_MARGIN_MS = 600;
+    /** Time before the limit at which no new connections are accepted any more, so that their requests can finish. */
+    private static final long LAST_ACCEPT_MARGIN_MS = 1_500;
     /** Time for written responses to leave the process after the last connection became inactive. */
     private static final long FLUSH_MS = 150;
 
@@ -39,7 +41,11 @@
             gracefulCloseStarted = true;
             callers.closeGracefully();
         }
-        if (callers.activeConnectionCount() > 0) {
+        callers.closeIdleConnections();
+        if (nowMs - startMs >= limitMs - LAST_ACCEPT_MARGIN_MS) {
+            callers.stopListening();
+        }
+        if (callers.isBusy()) {
             inactiveSinceMs = -1;
         } else if (inactiveSinceMs < 0) {
             inactiveSinceMs = nowMs;
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -38,6 +38,7 @@
 import org.cranberrybend.entry.http.ServerLimits;
 import org.cranberrybend.entry.json.JsonFormatException;
 import org.cranberrybend.entry.log.DecisionLog;
+import org.cranberrybend.entry.log.GuardedTask;
 import org.cranberrybend.entry.port.KeyValueStore;
 import org.cranberrybend.entry.port.StoreChange;
 import org.cranberrybend.entry.port.StoreKeys;
@@ -143,11 +144,11 @@
                 log,
                 directory::maxFleetSize,
                 metrics);
-        control = new HttpServer(loop, timeSource, instanceHandler(store), () -> DEFAULT_LIMITS, bodyMemory);
-        callers = new HttpServer(loop, timeSource, path.handler(), this::callerLimits, bodyMemory);
-        metricsServer = new HttpServer(loop, timeSource, this::serveMetrics, () -> DEFAULT_LIMITS, bodyMemory);
+        control = new HttpServer(loop, timeSource, instanceHandler(store), () -> DEFAULT_LIMITS, bodyMemory, log);
+        callers = new HttpServer(loop, timeSource, path.handler(), this::callerLimits, bodyMemory, log);
+        metricsServer = new HttpServer(loop, timeSource, this::serveMetrics, () -> DEFAULT_LIMITS, bodyMemory, log);
         registerGauges(bodyMemory);
-        readiness = new HttpServer(loop, timeSource, this::serveReadiness, () -> DEFAULT_LIMITS, bodyMemory);
+        readiness = new HttpServer(loop, timeSource, this::serveReadiness, () -> DEFAULT_LIMITS, bodyMemory, log);
     }
 
     private LoadExchange loadExchange() {
@@ -181,25 +182,29 @@
         DutyLease lease = new DutyLease(store, settings.instance(), settings.leaseMs(), timeSource, log);
         List<Runnable> tasks = new ArrayList<>();
         ports.openUsageReports(loop, connector, settings)
-                .ifPresent(reports -> tasks.add(new UsageDuty(
-                        store,
-                        reports,
-                        lease,
-                        clock,
-                        settings.usageWindowMs(),
-                        settings.usageDueMs(),
-                        directory::liveInstances,
-                        log)::tick));
+                .ifPresent(reports -> tasks.add(guarded(
+                        "usage reports",
+                        new UsageDuty(
+                                store,
+                                reports,
+                                lease,
+                                clock,
+                                settings.usageWindowMs(),
+                                settings.usageDueMs(),
+                                directory::liveInstances,
+                                log)::tick)));
         ports.openUpstreamOrders(loop, connector, settings)
-                .ifPresent(orders -> tasks.add(new OrderDuty(
-                        orders,
-                        lease,
-                        configuration,
-                        upstreams,
-                        settings.regionsByZone().keySet(),
-                        () -> directory.liveInstances().size(),
-                        timeSource,
-                        log)::tick));
+                .ifPresent(orders -> tasks.add(guarded(
+                        "upstream orders",
+                        new OrderDuty(
+                                orders,
+                                lease,
+                                configuration,
+                                upstreams,
+                                settings.regionsByZone().keySet(),
+                                () -> directory.liveInstances().size(),
+                                timeSource,
+                                log)::tick)));
         UsageFlusher flusher = new UsageFlusher(
                 relay::write,
                 usage,
@@ -210,6 +215,10 @@
         return new FleetDuties(directory, lease, flusher, tasks);
     }
 
+    private Runnable guarded(String name, Runnable task) {
+        return new GuardedTask(name, task, log);
+    }
+
     private ServerLimits callerLimits() {
         return configuration.current().map(each -> each.callerLimits()).orElse(DEFAULT_LIMITS);
     }
@@ -296,15 +305,15 @@
                 }
             });
         }
-        loop.scheduleWithFixedDelay(
-                this::runPeriodicTasks, MAINTENANCE_INTERVAL_MS, MAINTENANCE_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        runPeriodically("upstream expiry", () -> upstreams.removeExpired(timeSource.monotonicMs()));
+        runPeriodically("duties", duties::tick);
+        runPeriodically("relay", relay::tick);
         log.record(EventCode.PROCESS_STARTED, settings.instance(), "zone", settings.zone());
     }
 
-    private void runPeriodicTasks() {
-        upstreams.removeExpired(timeSource.monotonicMs());
-        duties.tick();
-        relay.tick();
+    private void runPeriodically(String name, Runnable task) {
+        loop.scheduleWithFixedDelay(
+                guarded(name, task), MAINTENANCE_INTERVAL_MS, MAINTENANCE_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -334,7 +343,8 @@
             log.record(EventCode.PROCESS_STOPPING, settings.instance(), "busy", callers.activeConnectionCount());
         });
         DrainMonitor monitor = new DrainMonitor(callers, timeSource, settings.shutdownLimitMs(), drained::countDown);
-        loop.scheduleWithFixedDelay(monitor::check, 0, DrainMonitor.INTERVAL_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(
+                guarded("drain", monitor::check), 0, DrainMonitor.INTERVAL_MS, TimeUnit.MILLISECONDS);
         drained.await(settings.shutdownLimitMs(), TimeUnit.MILLISECONDS);
         loop.submit(() -> log.record(
                         EventCode.PROCESS_STOPPED, settings.instance(), "interrupted", callers.activeConnectionCount()))
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ClientConnection.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ClientConnection.java
@@ -25,16 +25,27 @@
  * One connection to a server, with one request at a time.
  *
  * <p>Bytes after a complete response belong to no request and could be taken for the response to the next one. They
- * close the connection, as does a response that is complete before its request was written.
+ * close the connection, as does a response that is complete before its request was written. A surplus response that
+ * arrives after the next request was sent is recognized by the listener, which has it {@link #skipResponse() skipped}.
+ *
+ * <p>A server may send bytes without end. Heads are therefore limited as a whole, including interim responses, and so
+ * are skipped responses; the listener limits the bodies that it receives.
  */
 public final class ClientConnection extends ChannelInboundHandlerAdapter {
-    private static final int MAX_HEAD_BYTES = 64 * 1024;
+    private static final int MAX_HEAD_LINE_BYTES = 64 * 1024;
+    /** Largest number of bytes received before the head of a response is complete, interim responses included. */
+    private static final int MAX_HEAD_BYTES = 256 * 1024;
+    /** Surplus responses that are skipped for one request. */
+    private static final int MAX_SKIPPED_RESPONSES = 3;
+
+    private static final int MAX_SKIPPED_BODY_BYTES = 1024 * 1024;
     private static final long UNKNOWN = -1;
 
     private final Runnable onClosed;
     private final MessageReader<HttpResponse> reader = new MessageReader<>(
-            new DefaultHttpResponseParser<>(MessageReader.config(MAX_HEAD_BYTES), DefaultHttpResponseFactory.INSTANCE),
-            MessageReader.config(MAX_HEAD_BYTES));
+            new DefaultHttpResponseParser<>(
+                    MessageReader.config(MAX_HEAD_LINE_BYTES), DefaultHttpResponseFactory.INSTANCE),
+            MessageReader.config(MAX_HEAD_LINE_BYTES));
     private ChannelHandlerContext context;
     private ResponseListener listener;
     private HttpResponse head;
@@ -43,6 +54,14 @@
     private boolean reusable;
     private boolean responseStarted;
     private boolean inputEnded;
+    /** Whether the end of the connection marks the end of the current response. */
+    private boolean delimitedByClose;
+    /** Whether the current response belongs to no request and is read without being reported. */
+    private boolean skipping;
+
+    private int skippedResponses;
+    private int skippedBodyBytes;
+    private int headBytes;
     private int requestCount;
     private long idleTimeoutMs = UNKNOWN;
 
@@ -87,6 +106,10 @@
         requestWritten = false;
         responseStarted = false;
         reusable = false;
+        skipping = false;
+        skippedResponses = 0;
+        skippedBodyBytes = 0;
+        headBytes = 0;
         requestCount++;
         ByteBuf message = HeadFormatter.request(method, target, all);
         if (body.length > 0) {
@@ -116,6 +139,25 @@
         return idleTimeoutMs;
     }
 
+    /** Returns whether the current response ends with the connection, since it states no length. */
+    public boolean isDelimitedByClose() {
+        return delimitedByClose;
+    }
+
+    /**
+     * Skips the response whose head was reported last, because it belongs to another request, and awaits the next one.
+     * May only be called by {@link ResponseListener#onHead}.
+     */
+    public void skipResponse() {
+        skipping = true;
+        skippedResponses++;
+    }
+
+    /** Suspends or resumes reading; the server is slowed down by TCP flow control. */
+    public void setReading(boolean reading) {
+        context.channel().config().setAutoRead(reading);
+    }
+
     /** Closes the connection without a further call to the listener. */
     public void close() {
         listener = null;
@@ -140,11 +182,15 @@
                 return;
             }
             responseStarted = true;
+            headBytes = head == null ? headBytes + received.readableBytes() : 0;
             reader.append(received);
         } finally {
             received.release();
         }
         process();
+        if (listener != null && head == null && headBytes > MAX_HEAD_BYTES) {
+            fail("head of the response exceeds " + MAX_HEAD_BYTES + " bytes");
+        }
     }
 
     private void process() {
@@ -176,8 +222,8 @@
         }
         head = next;
         long length = bodyLength(next);
-        boolean framed = length >= 0 || length == ContentLengthStrategy.CHUNKED;
-        reusable = framed
+        delimitedByClose = length < 0 && length != ContentLengthStrategy.CHUNKED;
+        reusable = !delimitedByClose
                 && !HeaderRules.announcesClose(next)
                 && (next.getVersion() == null || next.getVersion().greaterEquals(HttpVersion.HTTP_1_1));
         idleTimeoutMs = keepAliveTimeoutMs(next);
@@ -211,9 +257,12 @@
         return UNKNOWN;
     }
 
-    private boolean readBody() throws IOException {
+    private boolean readBody() throws HttpException, IOException {
         ByteBuffer piece = reader.readBody();
         boolean progress = piece.hasRemaining();
+        if (skipping) {
+            return skipBody(piece.remaining()) || progress;
+        }
         if (progress) {
             listener.onBody(piece);
         }
@@ -224,9 +273,27 @@
         return progress;
     }
 
+    /** Counts skipped bytes of a body; returns whether the skipped response is complete, so that the next may begin. */
+    private boolean skipBody(int bytes) throws HttpException {
+        skippedBodyBytes += bytes;
+        if (skippedBodyBytes > MAX_SKIPPED_BODY_BYTES || skippedResponses > MAX_SKIPPED_RESPONSES) {
+            throw new HttpException("too many bytes that belong to no request");
+        }
+        if (!reader.isBodyComplete()) {
+            return false;
+        }
+        if (!reusable) {
+            throw new HttpException("the connection ends with a response to another request");
+        }
+        skipping = false;
+        head = null;
+        return true;
+    }
+
     private void complete() {
         ResponseListener completed = listener;
         listener = null;
+        setReading(true);
         if (!reusable || !requestWritten || reader.unreadBytes() > 0) {
             inputEnded = true;
             context.close();
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/HttpServer.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/HttpServer.java
@@ -15,7 +15,10 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.cranberrybend.core.event.EventCode;
 import org.cranberrybend.core.time.TimeSource;
+import org.cranberrybend.entry.log.DecisionLog;
+import org.cranberrybend.entry.log.GuardedTask;
 
 /** An HTTP server on one address, with its connections. Confined to one event loop. */
 public final class HttpServer {
@@ -24,12 +27,15 @@
     private static final int MAX_READS_PER_EVENT = 16;
 
     private static final long TIMEOUT_CHECK_PERIOD_MS = 500;
+    /** Time without a request after which a connection is closed during a graceful close; a request may be on its way. */
+    private static final long MIN_IDLE_BEFORE_CLOSE_MS = 500;
 
     private final EventLoopGroup loop;
     private final TimeSource timeSource;
     private final RequestHandler handler;
     private final Supplier<ServerLimits> limits;
     private final BodyMemoryLimit bodyMemory;
+    private final DecisionLog log;
     private final Set<ServerConnection> connections = new LinkedHashSet<>();
     private Channel channel;
     private boolean draining;
@@ -46,12 +52,14 @@
             TimeSource timeSource,
             RequestHandler handler,
             Supplier<ServerLimits> limits,
-            BodyMemoryLimit bodyMemory) {
+            BodyMemoryLimit bodyMemory,
+            DecisionLog log) {
         this.loop = loop;
         this.timeSource = timeSource;
         this.handler = handler;
         this.limits = limits;
         this.bodyMemory = bodyMemory;
+        this.log = log;
     }
 
     /** Starts to listen on an address; the bound address is the local address of the future's channel. */
@@ -77,7 +85,10 @@
                 .bind(address);
         channel = bound.channel();
         loop.scheduleWithFixedDelay(
-                this::checkTimeouts, TIMEOUT_CHECK_PERIOD_MS, TIMEOUT_CHECK_PERIOD_MS, TimeUnit.MILLISECONDS);
+                new GuardedTask("connection timeouts", this::checkTimeouts, log),
+                TIMEOUT_CHECK_PERIOD_MS,
+                TIMEOUT_CHECK_PERIOD_MS,
+                TimeUnit.MILLISECONDS);
         return bound;
     }
 
@@ -91,11 +102,34 @@
         draining = true;
     }
 
-    /** Closes the listening socket and all idle connections, and each other connection after its response. */
+    /**
+     * Closes idle connections, and each other connection after its response. New connections are accepted until
+     * {@link #stopListening}: those that wait in the backlog of the socket would be reset along with it.
+     */
     public void closeGracefully() {
         closing = true;
+        closeIdleConnections();
+    }
+
+    /** Closes the connections that are idle for some time. */
+    public void closeIdleConnections() {
+        long nowMs = nowMs();
+        for (ServerConnection each : new ArrayList<>(connections)) {
+            if (each.isIdleSince(nowMs - MIN_IDLE_BEFORE_CLOSE_MS)) {
+                each.closeIfIdle();
+            }
+        }
+    }
+
+    /** Closes the listening socket. */
+    public void stopListening() {
         channel.close();
-        new ArrayList<>(connections).forEach(ServerConnection::closeIfIdle);
+    }
+
+    /** Returns whether a response is in progress, or a connection may still receive a request that is on its way. */
+    public boolean isBusy() {
+        long idleLimitMs = nowMs() - MIN_IDLE_BEFORE_CLOSE_MS;
+        return connections.stream().anyMatch(each -> !each.isIdleSince(idleLimitMs));
     }
 
     /** Returns the number of connections that are not idle: with a request in progress, or closing after a response. */
@@ -132,6 +166,11 @@
         return timeSource.monotonicMs();
     }
 
+    /** Records an unexpected exception that ended a request. */
+    void recordFailure(String target, RuntimeException cause) {
+        log.record(EventCode.INTERNAL_FAILURE, target, "cause", cause.toString());
+    }
+
     void schedule(Runnable task, long delayMs) {
         loop.schedule(task, delayMs, TimeUnit.MILLISECONDS);
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ServerConnection.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ServerConnection.java
@@ -56,7 +56,9 @@
     private long reservedBodyBytes;
     private boolean keepAlive;
     private boolean chunkedResponse;
+    private boolean responseBegun;
     private Runnable disconnectListener;
+    private Runnable writableListener;
 
     ServerConnection(HttpServer server) {
         this.server = server;
@@ -84,6 +86,13 @@
         handleDisconnect();
     }
 
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext channelContext) {
+        if (isOpen() && channelContext.channel().isWritable() && writableListener != null) {
+            writableListener.run();
+        }
+    }
+
     private void handleDisconnect() {
         boolean responding = phase == Phase.RESPONDING;
         phase = Phase.CLOSING;
@@ -136,7 +145,26 @@
             refuse(431, "Request Header Fields Too Large");
         } catch (HttpException | IOException e) {
             refuse(400, "Bad Request");
+        } catch (RuntimeException e) {
+            failUnexpectedly(e);
+        }
+    }
+
+    /** Ends the request in progress after an unexpected error, so that its caller does not wait for a response. */
+    private void failUnexpectedly(RuntimeException cause) {
+        server.recordFailure(request == null ? "unread request" : request.getRequestUri(), cause);
+        if (disconnectListener != null) {
+            Runnable listener = disconnectListener;
+            disconnectListener = null;
+            listener.run();
+        }
+        if (phase == Phase.RESPONDING && responseBegun) {
+            abort();
+            return;
         }
+        keepAlive = false;
+        enterPhase(Phase.RESPONDING);
+        respond(500, "Internal Server Error", List.of(), new byte[0]);
     }
 
     private boolean advance() throws HttpException, IOException {
@@ -225,6 +253,7 @@
         }
         ReceivedRequest received = new ReceivedRequest(request, body.toByteArray(), requestReceivedMs);
         body = null;
+        responseBegun = false;
         enterPhase(Phase.RESPONDING);
         server.handler().handle(received, this);
         return true;
@@ -254,6 +283,16 @@
         disconnectListener = listener;
     }
 
+    @Override
+    public void onWritable(Runnable listener) {
+        writableListener = listener;
+    }
+
+    @Override
+    public boolean isWritable() {
+        return context.channel().isWritable();
+    }
+
     @Override
     public void respond(int status, String reason, List<Header> headers, byte[] content) {
         begin(status, reason, headers, content.length);
@@ -268,9 +307,10 @@
         if (!isOpen()) {
             return;
         }
-        if (server.isDraining()) {
+        if (server.isDraining() || server.isClosing()) {
             keepAlive = false;
         }
+        responseBegun = true;
         List<Header> all = new ArrayList<>(headers);
         chunkedResponse = length == CHUNKED;
         if (chunkedResponse) {
@@ -306,6 +346,7 @@
             return;
         }
         disconnectListener = null;
+        writableListener = null;
         releaseBody();
         if (chunkedResponse) {
             context.write(Unpooled.wrappedBuffer(LAST_CHUNK), context.voidPromise());
@@ -353,6 +394,10 @@
         return phase == Phase.IDLE && reader.unreadBytes() == 0;
     }
 
+    boolean isIdleSince(long timeMs) {
+        return isIdle() && phaseStartMs <= timeMs;
+    }
+
     void closeIfIdle() {
         if (isIdle()) {
             context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ServerExchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ServerExchange.java
@@ -22,6 +22,15 @@
      */
     void begin(int status, String reason, List<Header> headers, long length);
 
+    /**
+     * Sets the listener that is called when the caller has received enough of the response for more to be written,
+     * after {@link #isWritable} returned false.
+     */
+    void onWritable(Runnable listener);
+
+    /** Returns whether the caller receives the response about as fast as it is written. */
+    boolean isWritable();
+
     /** Sends a piece of the body and takes ownership of the buffer. */
     void write(ByteBuf piece);
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/EventStreamSplitter.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/EventStreamSplitter.java
@@ -54,6 +54,11 @@
         return lastEventId;
     }
 
+    /** Returns the number of bytes received after the last complete event. */
+    int incompleteBytes() {
+        return pending.size();
+    }
+
     /** Returns the bytes received after the last complete event. */
     byte[] incompleteEvent() {
         return pending.toByteArray();
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -31,6 +31,10 @@
     private static final long FIRST_RESPONSIVENESS_CHECK_MS = 1_050;
 
     private static final long RESPONSIVENESS_CHECK_MS = 300;
+    /** Shortest time without an event after which a stream counts as stalled. */
+    private static final long MIN_STALL_MS = 1_500;
+    /** Multiple of the route's target for pauses between events after which a stream counts as stalled. */
+    private static final long STALL_GAP_RATIO = 4;
     /** Time before the deadline that a further attempt needs at least. */
     private static final long MIN_ATTEMPT_TIME_MS = 60;
 
@@ -63,6 +67,7 @@
     void start() {
         long nowMs = services.timeSource().monotonicMs();
         caller.onCallerDisconnected(this::onCallerDisconnected);
+        caller.onWritable(this::onCallerWritable);
         deadlineTimer = services.loop().schedule(this::onTimeout, request.deadlineMs() - nowMs, TimeUnit.MILLISECONDS);
         if (request.retryRule() != RetryRule.ONCE) {
             responsivenessTimer = services.loop()
@@ -103,32 +108,24 @@
         attempt.start(lastEventId);
     }
 
-    /**
-     * Ejects an unresponsive upstream if the request may be executed again, and retries the request elsewhere if
-     * possible. On a route without streaming, an upstream that executes a single request of this process is not
-     * ejected: a plain service may take long for one request without sending a byte, whereas a working engine sends
-     * events.
-     */
+    /** Retries the request elsewhere if it may be executed again and its upstream is unresponsive or has stalled. */
     private void checkResponsiveness() {
         long nowMs = services.timeSource().monotonicMs();
         UpstreamAttempt current = attempt;
-        if (current.isSent()
-                && (request.route().streaming() || current.upstream().running() > 1)
-                && current.upstream().isUnresponsiveSince(current.sentMs(), nowMs)
-                && request.retryRule().allowsReexecution(headSent)) {
-            current.upstream().ejectUnresponsive(nowMs);
-            services.log()
-                    .record(
-                            EventCode.UPSTREAM_UNHEALTHY,
-                            current.upstream().entry().id(),
-                            "cause",
-                            "silent");
-            sends++;
-            mayHaveExecuted = true;
-            if (retry("unresponsive upstream", current)) {
-                current.upstream().pool().discardIdle();
-            } else {
-                sends--;
+        if (current.isSent() && current.isReading() && request.retryRule().allowsReexecution(headSent)) {
+            if (isUpstreamUnresponsive(current, nowMs)) {
+                current.upstream().ejectUnresponsive(nowMs);
+                services.log()
+                        .record(
+                                EventCode.UPSTREAM_UNHEALTHY,
+                                current.upstream().entry().id(),
+                                "cause",
+                                "silent");
+                if (moveFrom(current, "unresponsive upstream")) {
+                    current.upstream().pool().discardIdle();
+                }
+            } else if (current.isStalled(stallLimitMs(), nowMs)) {
+                moveFrom(current, "stalled stream");
             }
         }
         if (!finished) {
@@ -137,6 +134,35 @@
         }
     }
 
+    /**
+     * Returns whether an upstream sends nothing to this process. On a route without streaming, an upstream that
+     * executes a single request of this process is not considered: a plain service may take long for one request
+     * without sending a byte. A stream that has begun may pause for as long as its route allows.
+     */
+    private boolean isUpstreamUnresponsive(UpstreamAttempt current, long nowMs) {
+        Upstream upstream = current.upstream();
+        boolean sendsRegularly = request.route().streaming() || upstream.running() > 1;
+        long allowedPauseMs = current.hasEvents() ? 2 * request.route().eventGapTargetMs() : 0;
+        return sendsRegularly && upstream.isUnresponsiveSince(current.sentMs(), allowedPauseMs, nowMs);
+    }
+
+    private long stallLimitMs() {
+        return Math.max(MIN_STALL_MS, STALL_GAP_RATIO * request.route().eventGapTargetMs());
+    }
+
+    /** Moves the request to another upstream if possible; otherwise the current attempt goes on. */
+    private boolean moveFrom(UpstreamAttempt current, String reason) {
+        boolean mayHaveExecutedBefore = mayHaveExecuted;
+        sends++;
+        mayHaveExecuted = true;
+        boolean moved = retry(reason, current);
+        if (!moved) {
+            sends--;
+            mayHaveExecuted = mayHaveExecutedBefore;
+        }
+        return moved;
+    }
+
     private boolean retry(String reason) {
         return retry(reason, null);
     }
@@ -234,6 +260,15 @@
             lastEventId = newLastEventId;
         }
         caller.write(UpstreamAttempt.buffer(events));
+        if (!caller.isWritable()) {
+            current.setReading(false);
+        }
+    }
+
+    private void onCallerWritable() {
+        if (attempt != null) {
+            attempt.setReading(true);
+        }
     }
 
     @Override
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
@@ -19,7 +19,11 @@
  * One attempt to have a request executed by one upstream. Reports exactly one result to its listener, unless aborted.
  *
  * <p>A response with the identifier of another request is not accepted: it may be a late surplus response on a
- * persistent connection. A successful response must have both the identifier of this request and a signature.
+ * persistent connection, after which the own response follows. Nor is a response without an identifier on a connection
+ * that carried another request before. A successful response must have both the identifier of this request and a
+ * signature.
+ *
+ * <p>An upstream may send bytes without end, so whatever is kept or discarded of a response is limited.
  */
 final class UpstreamAttempt implements HttpConnector.Listener, ClientConnection.ResponseListener {
     private static final String EVENT_STREAM = "text/event-stream";
@@ -28,6 +32,8 @@
      * Size up to which a response without streaming is buffered; an incomplete one can still be replaced by a retry.
      */
     private static final int MAX_BUFFERED_BYTES = 1024 * 1024;
+    /** Size up to which the body of a rejection is read, so that the connection can be reused. */
+    private static final int MAX_DISCARDED_BYTES = 64 * 1024;
 
     /** Receives the progress and the result of an attempt. */
     interface ResultListener {
@@ -75,7 +81,11 @@
     private HttpResponse head;
     private boolean sent;
     private boolean prefillDone;
+    private boolean reading = true;
+    private int discardedBytes;
     private long sentMs;
+    /** Time of the last complete event, or at which the caller became able to receive more of them. */
+    private long lastProgressMs;
 
     UpstreamAttempt(
             RoutedRequest request,
@@ -102,6 +112,33 @@
         return sentMs;
     }
 
+    /** Returns whether complete events of a stream were received. */
+    boolean hasEvents() {
+        return mode == Mode.STREAMING && prefillDone;
+    }
+
+    /**
+     * Returns whether the stream has begun and no complete event was received for the given time although the caller
+     * could have received one. Bytes that complete no event are no progress.
+     */
+    boolean isStalled(long limitMs, long nowMs) {
+        return hasEvents() && reading && nowMs - lastProgressMs >= limitMs;
+    }
+
+    /** Returns whether the response is read as fast as it arrives, rather than as fast as the caller receives it. */
+    boolean isReading() {
+        return reading;
+    }
+
+    /** Suspends or resumes reading of the response. */
+    void setReading(boolean nextReading) {
+        if (mode != Mode.ENDED && connection != null && reading != nextReading) {
+            reading = nextReading;
+            lastProgressMs = timeSource.monotonicMs();
+            connection.setReading(nextReading);
+        }
+    }
+
     boolean isReusedConnection() {
         return connection != null && connection.requestCount() > 1;
     }
@@ -184,14 +221,21 @@
         if (mode == Mode.ENDED) {
             return;
         }
-        head = response;
         upstream.recordReceived(timeSource.monotonicMs());
         recordLoad(response);
         Header echoed = response.getFirstHeader(headerNames.attemptId());
         boolean signed = response.containsHeader(headerNames.signature());
         boolean success = response.getCode() / 100 == 2;
-        if (echoed != null && !echoed.getValue().equals(request.attemptId())) {
+        boolean toOtherRequest = echoed != null && !echoed.getValue().equals(request.attemptId());
+        if (toOtherRequest && isReusedConnection()) {
+            connection.skipResponse();
+            return;
+        }
+        head = response;
+        if (toOtherRequest) {
             failAndReset("response to another request");
+        } else if (echoed == null && isReusedConnection()) {
+            failAndReset("response without attempt identifier on a reused connection");
         } else if (response.containsHeader(headerNames.notExecuted()) || response.getCode() == MISDIRECTED_REQUEST) {
             mode = Mode.DISCARDING;
         } else if (success && (!signed || echoed == null)) {
@@ -227,22 +271,45 @@
     @Override
     public void onBody(ByteBuffer piece) {
         upstream.recordReceived(timeSource.monotonicMs());
-        if (mode == Mode.BUFFERING) {
-            buffered.write(piece.array(), piece.position(), piece.remaining());
-            if (buffered.size() > MAX_BUFFERED_BYTES) {
-                failAndReset("response is longer than " + MAX_BUFFERED_BYTES + " bytes");
-            }
-        } else if (mode == Mode.STREAMING) {
-            byte[] events = splitter.append(piece);
-            if (events.length > 0) {
-                if (!prefillDone) {
-                    markPrefillDone();
-                    listener.onExecutionStarted(this);
-                }
-                if (mode == Mode.STREAMING) {
-                    listener.onEvents(this, head, events, splitter.lastEventId());
+        switch (mode) {
+            case BUFFERING:
+                buffered.write(piece.array(), piece.position(), piece.remaining());
+                if (buffered.size() > MAX_BUFFERED_BYTES) {
+                    failAndReset("response is longer than " + MAX_BUFFERED_BYTES + " bytes");
                 }
+                break;
+            case STREAMING:
+                receiveEvents(piece);
+                break;
+            case DISCARDING:
+                discard(piece.remaining());
+                break;
+            default:
+                break;
+        }
+    }
+
+    private void receiveEvents(ByteBuffer piece) {
+        byte[] events = splitter.append(piece);
+        if (events.length > 0) {
+            lastProgressMs = timeSource.monotonicMs();
+            if (!prefillDone) {
+                markPrefillDone();
+                listener.onExecutionStarted(this);
             }
+            listener.onEvents(this, head, events, splitter.lastEventId());
+        }
+        if (mode == Mode.STREAMING && splitter.incompleteBytes() > MAX_BUFFERED_BYTES) {
+            failAndReset("event is longer than " + MAX_BUFFERED_BYTES + " bytes");
+        }
+    }
+
+    private void discard(int bytes) {
+        discardedBytes += bytes;
+        if (discardedBytes > MAX_DISCARDED_BYTES) {
+            markEnded();
+            connection.reset();
+            listener.onRejected(this, head.getCode());
         }
     }
 
@@ -256,6 +323,8 @@
         upstream.release(connection);
         if (previous == Mode.DISCARDING) {
             listener.onRejected(this, head.getCode());
+        } else if (previous == Mode.STREAMING && connection.isDelimitedByClose() && splitter.incompleteBytes() > 0) {
+            listener.onResponseLost(this, "connection ended within an event");
         } else if (previous == Mode.STREAMING) {
             listener.onStreamEnd(this, head, splitter.incompleteEvent());
         } else {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Upstream.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Upstream.java
@@ -157,9 +157,14 @@
         lastReceivedMs = nowMs;
     }
 
-    /** Returns whether the upstream has sent nothing for too long since a request was sent at the given time. */
-    public boolean isUnresponsiveSince(long sentMs, long nowMs) {
-        return nowMs - Math.max(sentMs, lastReceivedMs) >= UNRESPONSIVE_AFTER_MS;
+    /**
+     * Returns whether the upstream has sent nothing for too long since a request was sent.
+     *
+     * @param sentMs time at which the request was sent
+     * @param allowedPauseMs time without a byte that is normal for the request
+     */
+    public boolean isUnresponsiveSince(long sentMs, long allowedPauseMs, long nowMs) {
+        return nowMs - Math.max(sentMs, lastReceivedMs) >= Math.max(UNRESPONSIVE_AFTER_MS, allowedPauseMs);
     }
 
     /** Ejects the upstream because it is unresponsive; unless a response succeeds, the next failure ejects it again. */
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/DrainMonitorTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/DrainMonitorTest.java
@@ -5,6 +5,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
@@ -12,6 +13,7 @@
 import org.cranberrybend.entry.http.BodyMemoryLimit;
 import org.cranberrybend.entry.http.HttpServer;
 import org.cranberrybend.entry.http.ServerLimits;
+import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.testing.RawCaller;
 import org.cranberrybend.entry.testing.TestClock;
 import org.junit.jupiter.api.AfterEach;
@@ -28,7 +30,8 @@
             clock,
             (request, exchange) -> {},
             () -> new ServerLimits(8_192, 1_000, 60_000, 60_000),
-            new BodyMemoryLimit(1_000));
+            new BodyMemoryLimit(1_000),
+            new DecisionLog("instance", 1, clock, OutputStream.nullOutputStream()));
 
     private final AtomicBoolean drained = new AtomicBoolean();
     private final DrainMonitor monitor = new DrainMonitor(server, clock, SHUTDOWN_LIMIT_MS, () -> drained.set(true));
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FleetRelayTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FleetRelayTest.java
@@ -82,7 +82,7 @@
     @BeforeEach
     void startInstances() throws Exception {
         HttpServer control =
-                new HttpServer(loop, timeSource, connected.relay, () -> LIMITS, new BodyMemoryLimit(1_000_000));
+                new HttpServer(loop, timeSource, connected.relay, () -> LIMITS, new BodyMemoryLimit(1_000_000), log);
         peers.add((InetSocketAddress) control.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
                 .sync()
                 .channel()
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FollowingStoreTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FollowingStoreTest.java
@@ -68,7 +68,8 @@
 
     @BeforeEach
     void startLeader() throws Exception {
-        control = new HttpServer(loop, timeSource, leaderInstance.feed(), () -> LIMITS, new BodyMemoryLimit(1_000_000));
+        control = new HttpServer(
+                loop, timeSource, leaderInstance.feed(), () -> LIMITS, new BodyMemoryLimit(1_000_000), log);
         leaderAddress = Optional.of(
                 (InetSocketAddress) control.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
                         .sync()
--- /dev/null
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/FaultyUpstreamTest.java
@@ -0,0 +1,307 @@
+package org.cranberrybend.entry.request;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.cranberrybend.entry.testing.EntryFixture.request;
+import static org.cranberrybend.entry.testing.ScriptedUpstream.write;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
+import org.cranberrybend.entry.testing.EntryFixture;
+import org.cranberrybend.entry.testing.RawCaller;
+import org.cranberrybend.entry.testing.ScriptedUpstream;
+import org.cranberrybend.entry.testing.ScriptedUpstream.Received;
+import org.cranberrybend.entry.testing.ScriptedUpstream.Script;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Upstreams that send surplus, endless, stalled or incomplete responses. */
+class FaultyUpstreamTest {
+    private static final String OWN_RESPONSE = "own";
+    /** More bytes than the socket buffers and the router's own buffers of one stream can hold. */
+    private static final long MAX_UNREAD_STREAM_BYTES = 24L * 1024 * 1024;
+
+    private static String response(String attempt, String status, String body) {
+        return "HTTP/1.1 " + status + "\r\nAttempt: " + attempt + "\r\nSignature: s1\r\nContent-Length: "
+                + body.length() + "\r\n\r\n" + body;
+    }
+
+    private static String streamHead(Received request) {
+        return "HTTP/1.1 200 OK\r\nAttempt: " + request.headers().get("attempt")
+                + "\r\nSignature: s1\r\nContent-Type: text/event-stream\r\n";
+    }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    private static String event(int id) {
+        return "id: " + id + "\ndata: e" + id + "\n\n";
+    }
+
+    private static String longRequest(String method, String path, String attempt, String body) {
+        return request(method, path, attempt, body).replace("Deadline: 1400", "Deadline: 30000");
+    }
+
+    private static String status(String response) {
+        return response.isEmpty() ? "none" : response.substring(9, 12);
+    }
+
+    /** Writes the text again and again until the connection is closed. */
+    private static void writeEndlessly(Socket connection, String text) throws IOException {
+        while (!connection.isClosed()) {
+            write(connection, text);
+        }
+    }
+
+    /** Responds to the first request of a connection, and to the second one after a late copy of the first response. */
+    private static Script lateCopy(String copy) {
+        AtomicInteger requests = new AtomicInteger();
+        return (request, connection) -> {
+            boolean second = requests.incrementAndGet() == 2;
+            write(
+                    connection,
+                    (second ? copy : "")
+                            + response(request.headers().get("attempt"), "200 OK", second ? OWN_RESPONSE : "done"));
+        };
+    }
+
+    // Guards against forwarding a late copy of the previous response on a reused connection, and against reporting the
+    // request as lost although its own response follows.
+    @Test
+    void lateCopyOfThePreviousResponseIsSkipped() throws Exception {
+        try (ScriptedUpstream upstream = new ScriptedUpstream(lateCopy(response("a1", "200 OK", "done")));
+                EntryFixture entry = new EntryFixture(upstream);
+                RawCaller caller = entry.caller()) {
+            caller.send(request("POST", "/once/x", "a1", "order")).readUntil("done");
+            String second =
+                    caller.send(request("POST", "/once/x", "a2", "order")).readUntil(OWN_RESPONSE);
+            assertThat(status(second)).isEqualTo("200");
+            assertThat(second).contains("Attempt: a2");
+            assertThat(second).doesNotContain("done");
+            assertThat(upstream.received()).hasSize(2);
+        }
+    }
+
+    // Guards against skipping surplus responses without end.
+    @Test
+    void endlessCopiesOfThePreviousResponseEndTheAttempt() throws Exception {
+        AtomicInteger requests = new AtomicInteger();
+        Script script = (request, connection) -> {
+            if (requests.incrementAndGet() == 1) {
+                write(connection, response("a1", "200 OK", "done"));
+            } else {
+                writeEndlessly(connection, response("a1", "200 OK", "done"));
+            }
+        };
+        try (ScriptedUpstream upstream = new ScriptedUpstream(script);
+                EntryFixture entry = new EntryFixture(upstream);
+                RawCaller caller = entry.caller()) {
+            caller.send(request("POST", "/once/x", "a1", "order")).readUntil("done");
+            String second =
+                    caller.send(longRequest("POST", "/once/x", "a2", "order")).readUntil("}}");
+            assertThat(status(second)).isEqualTo("502");
+            assertThat(upstream.awaitClosedConnection()).isTrue();
+        }
+    }
+
+    // A late rejection or error without an attempt identifier may belong to the previous request of the connection.
+    // Taking it for this request's would promise that a request did not run that may be running.
+    @Test
+    void rejectionWithoutAttemptOnAReusedConnectionIsNotTrusted() throws Exception {
+        String rejection = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+        try (ScriptedUpstream upstream = new ScriptedUpstream(lateCopy(rejection));
+                EntryFixture entry = new EntryFixture(upstream);
+                RawCaller caller = entry.caller()) {
+            caller.send(request("POST", "/once/x", "a1", "order")).readUntil("done");
+            String second =
+                    caller.send(request("POST", "/once/x", "a2", "order")).readUntil("}}");
+            assertThat(status(second)).isEqualTo("502");
+            assertThat(second).contains("outcome_unknown");
+        }
+    }
+
+    static Stream<Arguments> endlessResponses() {
+        String head = "HTTP/1.1 200 OK\r\nAttempt: a1\r\nSignature: s1\r\n";
+        return Stream.of(
+                Arguments.of("line", "HTTP/1.1 200 OK\r\nOdd: ", "xxxxxxxxxxxxxxxx"),
+                Arguments.of("headers", head, "Odd: " + "x".repeat(1_000) + "\r\n"),
+                Arguments.of("interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"),
+                Arguments.of("bytes that are no response", "", "\0\1\2\3no http\n"),
+                Arguments.of("body", head + "\r\n", "x".repeat(1_000)),
+                Arguments.of("chunks", head + "Transfer-Encoding: chunked\r\n\r\n", chunk("x".repeat(1_000))),
+                Arguments.of(
+                        "trailers",
+                        head + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+                        "Odd: " + "x".repeat(1_000) + "\r\n"));
+    }
+
+    // Guards against reading bytes without end, in a head or a body, until the caller gives up or memory runs out.
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("endlessResponses")
+    void endlessResponseEndsTheAttempt(String name, String start, String repeated) throws Exception {
+        Script script = (request, connection) -> {
+            write(connection, start);
+            writeEndlessly(connection, repeated);
+        };
+        try (ScriptedUpstream upstream = new ScriptedUpstream(script);
+                EntryFixture entry = new EntryFixture(upstream);
+                RawCaller caller = entry.caller()) {
+            String response =
+                    caller.send(longRequest("POST", "/once/x", "a1", "order")).readUntil("}}");
+            assertThat(status(response)).isEqualTo("502");
+            assertThat(upstream.awaitClosedConnection()).isTrue();
+        }
+    }
+
+    // Guards against waiting for the end of the body of a rejection, which states at its head that nothing ran.
+    @Test
+    void rejectionWithAnEndlessBodyIsARejection() throws Exception {
+        Script script = (request, connection) -> {
+            write(connection, "HTTP/1.1 503 Busy\r\nAttempt: a1\r\nNot-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
+            writeEndlessly(connection, chunk("x".repeat(1_000)));
+        };
+        try (ScriptedUpstream upstream = new ScriptedUpstream(script);
+                EntryFixture entry = new EntryFixture(upstream);
+                RawCaller caller = entry.caller()) {
+            String response =
+                    caller.send(longRequest("POST", "/once/x", "a1", "order")).readUntil("}}");
+            assertThat(status(response)).isEqualTo("503");
+            assertThat(upstream.awaitClosedConnection()).isTrue();
+        }
+    }
+
+    // Guards against buffering an event without end.
+    @Test
+    void endlessEventBreaksTheStreamOff() throws Exception {
+        Script script = (request, connection) -> {
+            write(connection, streamHead(request) + "Transfer-Encoding: chunked\r\n\r\n" + chunk(event(1)));
+            writeEndlessly(connection, chunk("data: " + "x".repeat(1_000) + "\n"));
+        };
+        try (ScriptedUpstream upstream = new ScriptedUpstream(script);
+                EntryFixture entry = new EntryFixture(upstream);
+                RawCaller caller = entry.caller()) {
+            String response = caller.send(longRequest("POST", "/single/x", "a1", "prompt"))
+                    .readAll();
+            assertThat(response).contains(event(1));
+            assertThat(response).doesNotContain("0\r\n\r\n");
+            assertThat(upstream.awaitClosedConnection()).isTrue();
+        }
+    }
+
+    // Guards against buffering a stream without bound for a caller that does not read.
+    @Test
+    void upstreamIsNotReadFasterThanTheCallerReads() throws Exception {
+        AtomicLong written = new AtomicLong();
+        String many = chunk(("data: " + "x".repeat(1_000) + "\n\n").repeat(16));
+        Script script = (request, connection) -> {
+            write(connection, streamHead(request) + "Transfer-Encoding: chunked\r\n\r\n");
+            while (written.addAndGet(many.length()) < 4 * MAX_UNREAD_STREAM_BYTES) {
+                write(connection, many);
+            }
+        };
+        try (ScriptedUpstream upstream = new ScriptedUpstream(script);
+                EntryFixture entry = new EntryFixture(upstream);
+                RawCaller caller = entry.caller()) {
+            caller.send(request("POST", "/single/x", "a1", "prompt"));
+            assertThat(upstream.awaitClosedConnection()).isTrue();
+            assertThat(written.get()).isLessThan(MAX_UNREAD_STREAM_BYTES);
+        }
+    }
+
+    // Guards against a stream that pauses for the caller and is not continued when the caller reads again.
+    @Test
+    void streamGoesOnWhenTheCallerReadsAgain() throws Exception {
+        int chunks = 2_000;
+        String many = ("data: " + "x".repeat(1_000) + "\n\n").repeat(16);
+        Script script = (request, connection) -> {
+            write(connection, streamHead(request) + "Transfer-Encoding: chunked\r\n\r\n");
+            for (int i = 0; i < chunks; i++) {
+                write(connection, chunk(many));
+            }
+            write(connection, "0\r\n\r\n");
+        };
+        try (ScriptedUpstream upstream = new ScriptedUpstream(script);
+                EntryFixture entry = new EntryFixture(upstream);
+                RawCaller caller = entry.caller()) {
+            caller.send(longRequest("POST", "/single/x", "a1", "prompt").replace("\n\n", "\nConnection: close\n\n"));
+            String response = caller.readAll();
+            assertThat(response).endsWith("0\r\n\r\n");
+            assertThat(response.length()).isGreaterThan(chunks * many.length());
+        }
+    }
+
+    // Guards against presenting a stream as complete whose connection ended within an event.
+    @Test
+    void streamWithoutLengthThatEndsWithinAnEventIsNotComplete() throws Exception {
+        Script script = (request, connection) -> {
+            write(connection, streamHead(request) + "\r\n" + event(1) + "id: 2\nda");
+            connection.close();
+        };
+        try (ScriptedUpstream upstream = new ScriptedUpstream(script);
+                EntryFixture entry = new EntryFixture(upstream);
+                RawCaller caller = entry.caller()) {
+            String response =
+                    caller.send(request("POST", "/single/x", "a1", "prompt")).readAll();
+            assertThat(response).contains(event(1));
+            assertThat(response).doesNotContain("0\r\n\r\n");
+        }
+    }
+
+    // Guards against a stream that sends a byte now and then, but no event, until the deadline.
+    @Test
+    void stalledStreamThatStillSendsBytesIsResumedElsewhere() throws Exception {
+        AtomicInteger requests = new AtomicInteger();
+        Script script = (request, connection) -> {
+            if (requests.incrementAndGet() > 1) {
+                write(
+                        connection,
+                        streamHead(request) + "Transfer-Encoding: chunked\r\n\r\n" + chunk("id: 2\ndata: rest\n\n")
+                                + "0\r\n\r\n");
+                return;
+            }
+            write(connection, streamHead(request) + "Transfer-Encoding: chunked\r\n\r\n" + chunk(event(1)));
+            while (!connection.isClosed()) {
+                write(connection, chunk(":"));
+                java.util.concurrent.locks.LockSupport.parkNanos(50_000_000);
+            }
+        };
+        try (ScriptedUpstream first = new ScriptedUpstream(script);
+                ScriptedUpstream second = new ScriptedUpstream(script);
+                EntryFixture entry = new EntryFixture(first, second);
+                RawCaller caller = entry.caller()) {
+            String response = caller.send(longRequest("POST", "/stream/x", "a1", "prompt"))
+                    .readUntil("0\r\n\r\n");
+            assertThat(response).contains(event(1));
+            assertThat(response).contains("data: rest");
+            assertThat(first.received().size() + second.received().size()).isEqualTo(2);
+        }
+    }
+
+    // Guards against moving a stream whose events come slowly, but within the pause that its route allows.
+    @Test
+    void slowStreamStaysAtItsUpstream() throws Exception {
+        Script script = (request, connection) -> {
+            write(connection, streamHead(request) + "Transfer-Encoding: chunked\r\n\r\n");
+            for (int id = 1; id <= 3; id++) {
+                write(connection, chunk(event(id)));
+                java.util.concurrent.locks.LockSupport.parkNanos(1_400_000_000);
+            }
+            write(connection, "0\r\n\r\n");
+        };
+        try (ScriptedUpstream first = new ScriptedUpstream(script);
+                ScriptedUpstream second = new ScriptedUpstream(script);
+                EntryFixture entry = new EntryFixture(first, second);
+                RawCaller caller = entry.caller()) {
+            String response =
+                    caller.send(longRequest("POST", "/slow/x", "a1", "prompt")).readUntil("0\r\n\r\n");
+            assertThat(response).contains(event(1) + "\r\n");
+            assertThat(response).contains(event(3) + "\r\n");
+            assertThat(first.received().size() + second.received().size()).isEqualTo(1);
+        }
+    }
+}
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
@@ -85,7 +85,7 @@
         table.onSnapshot(new StoreSnapshot(items, 1), 0);
         RequestPath path = new RequestPath(
                 settings(), loop, timeSource, NAMES, configuration, table, usage, log, () -> 1, new MetricRegistry());
-        server = new HttpServer(loop, timeSource, path.handler(), () -> LIMITS, new BodyMemoryLimit(1_000_000));
+        server = new HttpServer(loop, timeSource, path.handler(), () -> LIMITS, new BodyMemoryLimit(1_000_000), log);
         port = ((InetSocketAddress) server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
                         .sync()
                         .channel()
@@ -110,6 +110,7 @@
                 route("once", RetryRule.ONCE, false, 2, false),
                 route("stream", RetryRule.RESUMABLE, true, 2, false),
                 route("single", RetryRule.ONCE, true, 2, false),
+                route("slow", RetryRule.RESUMABLE, true, 2, false, 1_000),
                 route("open", RetryRule.IDEMPOTENT, false, 2, true));
         return new RoutingConfiguration(
                 1,
@@ -121,6 +122,11 @@
     }
 
     private static Route route(String name, RetryRule rule, boolean streaming, int attempts, boolean open) {
+        return route(name, rule, streaming, attempts, open, 200);
+    }
+
+    private static Route route(
+            String name, RetryRule rule, boolean streaming, int attempts, boolean open, long eventGapTargetMs) {
         return new Route(
                 name,
                 "site.example",
@@ -129,7 +135,7 @@
                 streaming,
                 30_000,
                 500,
-                200,
+                eventGapTargetMs,
                 1,
                 List.of(new Route.Target("work", 1)),
                 attempts,
