Keep reading after malformed or unexpected content of the store

An exception in a listener ended the watch of a prefix for good, without a log line: the configuration or the upstreams of the process would never have changed again. A document with deep nesting overflowed the 256 KB stack of the event loop, and an address with a host name blocked the loop for a name lookup. A response of the store or of a peer had no size limit.

Ruled out: unreadable bytes of other kinds were format errors before and still are (JsonTest).

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetDirectory.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetDirectory.java
@@ -222,7 +222,7 @@
             if (joined) {
                 log.record(EventCode.MEMBER_JOINED, name, "revision", item.revision());
             }
-        } catch (JsonFormatException e) {
+        } catch (JsonFormatException | RuntimeException e) {
             log.record(EventCode.UPSTREAM_UNREADABLE, item.key(), "cause", String.valueOf(e.getMessage()));
         }
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ApiClient.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ApiClient.java
@@ -24,6 +24,8 @@
  */
 public final class ApiClient {
     private static final int CONNECT_TIMEOUT_MS = 1_000;
+    /** Largest response; several times the size of the largest page of the store. */
+    private static final int MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 
     private final HttpConnector connector;
     private final EventLoopGroup loop;
@@ -109,6 +111,11 @@
         @Override
         public void onBody(ByteBuffer piece) {
             received.write(piece.array(), piece.position(), piece.remaining());
+            if (received.size() > MAX_RESPONSE_BYTES) {
+                connection.reset();
+                fail(new ApiCallException(
+                        method + " " + address + ": response exceeds " + MAX_RESPONSE_BYTES + " bytes", true));
+            }
         }
 
         @Override
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/json/Json.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/json/Json.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -17,7 +18,14 @@
  * class that is loaded adds to the cost of a process restart.
  */
 public final class Json {
-    private static final JsonFactory FACTORY = new JsonFactory();
+    /** Deeper documents could overflow the stack of the event loop; the deepest one in use has 6 levels. */
+    private static final int MAX_NESTING_DEPTH = 32;
+
+    private static final JsonFactory FACTORY = JsonFactory.builder()
+            .streamReadConstraints(StreamReadConstraints.builder()
+                    .maxNestingDepth(MAX_NESTING_DEPTH)
+                    .build())
+            .build();
 
     private Json() {}
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/json/JsonObject.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/json/JsonObject.java
@@ -1,5 +1,6 @@
 package org.cranberrybend.entry.json;
 
+import io.netty.util.NetUtil;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -42,8 +43,7 @@
     }
 
     /**
-     * Returns an address of the form {@code host:port}; the host should be an IP address, since a name is resolved by
-     * DNS.
+     * Returns an address of the form {@code ip:port}. Names are refused: resolving them would block the event loop.
      */
     public InetSocketAddress address(String name) throws JsonFormatException {
         return address(name, string(name));
@@ -60,11 +60,14 @@
 
     private InetSocketAddress address(String name, String text) throws JsonFormatException {
         int colon = text.lastIndexOf(':');
+        String host = text.substring(0, Math.max(0, colon));
+        if (!NetUtil.isValidIpV4Address(host)) {
+            throw typeError(name, "an address of the form ip:port");
+        }
         try {
-            return new InetSocketAddress(
-                    text.substring(0, Math.max(0, colon)), Integer.parseInt(text.substring(colon + 1)));
+            return new InetSocketAddress(host, Integer.parseInt(text.substring(colon + 1)));
         } catch (IllegalArgumentException e) {
-            throw typeError(name, "an address of the form host:port");
+            throw typeError(name, "an address of the form ip:port");
         }
     }
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/store/ConfigurationHolder.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/store/ConfigurationHolder.java
@@ -52,7 +52,7 @@
         RoutingConfiguration offered;
         try {
             offered = decoder.decode(source, text);
-        } catch (JsonFormatException | IllegalArgumentException e) {
+        } catch (JsonFormatException | RuntimeException e) {
             log.record(EventCode.CONFIGURATION_UNREADABLE, source, "cause", e.getMessage(), "kept_version", version());
             return;
         }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/store/PrefixWatch.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/store/PrefixWatch.java
@@ -86,9 +86,9 @@
         long outageMs = unavailable && lastResponseMs > 0 ? timeSource.monotonicMs() - lastResponseMs : 0;
         recordResponse();
         revision = snapshot.revision();
-        listener.onSnapshot(snapshot, outageMs);
-        listener.onProgress(revision);
-        start();
+        if (deliver(() -> listener.onSnapshot(snapshot, outageMs))) {
+            start();
+        }
     }
 
     private void onWatch(StoreChanges changes, Throwable failure) {
@@ -110,8 +110,9 @@
         }
         recordResponse();
         revision = Math.max(revision, changes.revision());
-        changes.changes().forEach(listener::onChange);
-        listener.onProgress(revision);
+        if (!deliver(() -> changes.changes().forEach(listener::onChange))) {
+            return;
+        }
         if (changes.changes().isEmpty() || batchDelayMs == 0) {
             start();
         } else {
@@ -119,6 +120,22 @@
         }
     }
 
+    /**
+     * Passes a response to the listener and returns whether it was processed. If the listener fails, a new snapshot is
+     * read after a delay: an unexpected error in one item must not end the watch.
+     */
+    private boolean deliver(Runnable delivery) {
+        try {
+            delivery.run();
+            listener.onProgress(revision);
+            return true;
+        } catch (RuntimeException e) {
+            revision = -1;
+            retryLater(e);
+            return false;
+        }
+    }
+
     private void recordResponse() {
         lastResponseMs = timeSource.monotonicMs();
         unavailable = false;
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
@@ -192,7 +192,7 @@
         UpstreamRecord record;
         try {
             record = decoder.decode(id, item.value());
-        } catch (JsonFormatException | IllegalArgumentException e) {
+        } catch (JsonFormatException | RuntimeException e) {
             log.record(EventCode.UPSTREAM_UNREADABLE, item.key(), "cause", e.getMessage());
             remove(id, "entry cannot be decoded");
             return;
@@ -239,7 +239,7 @@
         }
         try {
             return !decoder.decode(id, change.item().get().value()).equals(known.entry());
-        } catch (JsonFormatException | IllegalArgumentException e) {
+        } catch (JsonFormatException | RuntimeException e) {
             return true;
         }
     }
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/store/PrefixWatchTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/store/PrefixWatchTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.cranberrybend.entry.port.KeyValueStore;
 import org.cranberrybend.entry.port.StoreChange;
 import org.cranberrybend.entry.port.StoreChanges;
@@ -30,6 +31,7 @@
     private final Deque<CompletableFuture<StoreSnapshot>> lists = new ArrayDeque<>();
     private final Deque<CompletableFuture<StoreChanges>> watches = new ArrayDeque<>();
     private final List<String> calls = new ArrayList<>();
+    private final AtomicBoolean failingChange = new AtomicBoolean();
     private final ScheduledExecutorService loop = new ScheduledThreadPoolExecutor(1, Executors.defaultThreadFactory()) {
         @Override
         public ScheduledFuture<?> schedule(Runnable task, long delay, TimeUnit unit) {
@@ -87,6 +89,9 @@
         @Override
         public void onChange(StoreChange change) {
             calls.add("change at " + change.revision());
+            if (failingChange.getAndSet(false)) {
+                throw new IllegalStateException("unexpected");
+            }
         }
 
         @Override
@@ -137,6 +142,18 @@
         assertThat(calls.get(calls.size() - 1)).isEqualTo("watch after 9");
     }
 
+    // Guards against a watch that ends for good because one change caused an unexpected error.
+    @Test
+    void watchContinuesWithASnapshotAfterAnUnexpectedError() {
+        watch.start();
+        lists.poll().complete(new StoreSnapshot(List.of(), 5));
+        failingChange.set(true);
+        watches.poll().complete(new StoreChanges(List.of(new StoreChange("p/a", 7, Optional.empty())), 8));
+        scheduled.poll().run();
+        lists.poll().complete(new StoreSnapshot(List.of(), 9));
+        assertThat(calls.get(calls.size() - 1)).isEqualTo("watch after 9");
+    }
+
     // Guards against an outage without a new snapshot: expired entries could not be distinguished from deleted ones.
     @Test
     void outageIsReportedOnceAndEndsWithSnapshot() {
