Repeat orders that left too many upstreams running

The platform keeps the operator's lower bound in either market.

An order is now repeated if the number listed differs in either direction. OrderPlannerTest.releaseWithoutEffectIsRepeated fails without the change.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/OrderPlanner.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/OrderPlanner.java
@@ -18,7 +18,7 @@
 final class OrderPlanner {
     /** Time for which the preemptible market counts as unavailable after a rejected order or a reclaim notice. */
     private static final long UNAVAILABLE_MS = 3_000;
-    /** Time beyond the configured start time after which an ordered upstream without an entry is ordered again. */
+    /** Time beyond the configured start time after which an order without the expected effect is sent again. */
     private static final long START_MARGIN_MS = 2_500;
 
     /** Number of guaranteed upstreams that may always replace the preemptible ones of a zone. */
@@ -96,8 +96,11 @@
 
     private void addIfDue(List<Order> orders, Market market, int count, int listed, ScalingBounds bounds, long nowMs) {
         PlacedOrder last = placed.get(market);
-        boolean missing = last != null && listed < count && nowMs - last.atMs > bounds.startMs() + START_MARGIN_MS;
-        if (last == null || last.count != count || missing) {
+        // The platform keeps the operator's lower bound in either market, so an order to release the last guaranteed
+        // upstreams has no effect until preemptible ones run.
+        boolean withoutEffect =
+                last != null && listed != count && nowMs - last.atMs > bounds.startMs() + START_MARGIN_MS;
+        if (last == null || last.count != count || withoutEffect) {
             orders.add(new Order(service, zone, market, count));
         }
     }
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/OrderPlannerTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/OrderPlannerTest.java
@@ -72,6 +72,15 @@
         assertThat(plan(0, 3, false, 6_600)).containsExactly(order(Market.PREEMPTIBLE, 4));
     }
 
+    // Guards against a guaranteed upstream that runs all day: the platform keeps the lower bound while no preemptible
+    // upstream runs, so the first order to release it has no effect.
+    @Test
+    void releaseWithoutEffectIsRepeated() {
+        assertThat(plan(0, 0, false, 0)).contains(order(Market.GUARANTEED, 0));
+        assertThat(plan(1, 4, false, 6_000)).isEmpty();
+        assertThat(plan(1, 4, false, 6_600)).containsExactly(order(Market.GUARANTEED, 0));
+    }
+
     // Guards against orders outside the operator's bounds.
     @Test
     void ordersStayWithinTheBounds() {
