Do not divide the engines of a service whose targets are similar

A third latency class, UNIFORM, uses all engines of the region, and long shared prefixes one engine in all regions as for tolerant requests.

Ruled out: a lower ratio between the classes; it would put two of the three routes on 40 % of the engines.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/configuration/RoutingConfiguration.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/configuration/RoutingConfiguration.java
@@ -17,6 +17,7 @@
     private final long version;
     private final Map<String, List<Route>> routesByHost;
     private final Map<String, Long> tightestTargetMs;
+    private final Map<String, Long> longestTargetMs;
     private final Map<String, ServiceDefinition> services;
     private final Map<String, AccountEntry> accountsByKey;
     private final boolean keysRequired;
@@ -43,11 +44,13 @@
                     .add(route);
         }
         this.tightestTargetMs = new HashMap<>();
+        this.longestTargetMs = new HashMap<>();
         for (Route route : routes) {
             if (route.streaming()) {
-                route.targets()
-                        .forEach(
-                                target -> tightestTargetMs.merge(target.service(), route.targetLatencyMs(), Math::min));
+                for (Route.Target target : route.targets()) {
+                    tightestTargetMs.merge(target.service(), route.targetLatencyMs(), Math::min);
+                    longestTargetMs.merge(target.service(), route.targetLatencyMs(), Math::max);
+                }
             }
         }
         Comparator<Route> longestFirst = Comparator.comparingInt(
@@ -91,9 +94,13 @@
                 .findFirst();
     }
 
-    /** Returns whether a route's target latency is among the tightest of the streaming routes to a service. */
-    public boolean isLatencySensitive(Route route, String service) {
-        return route.targetLatencyMs() <= LATENCY_SENSITIVE_RATIO * tightestTargetMs.getOrDefault(service, 0L);
+    /** Returns the class of a route's target latency among the streaming routes to a service. */
+    public LatencyClass latencyClass(Route route, String service) {
+        double sensitiveLimitMs = LATENCY_SENSITIVE_RATIO * tightestTargetMs.getOrDefault(service, 0L);
+        if (longestTargetMs.getOrDefault(service, 0L) <= sensitiveLimitMs) {
+            return LatencyClass.UNIFORM;
+        }
+        return route.targetLatencyMs() <= sensitiveLimitMs ? LatencyClass.SENSITIVE : LatencyClass.TOLERANT;
     }
 
     /** Returns a service. */
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -81,7 +81,7 @@
     private void dispatch(String reason) {
         long nowMs = services.timeSource().monotonicMs();
         Optional<Upstream> chosen = services.selector()
-                .choose(request.service(), request.prompt(), request.latencySensitive(), attemptedUpstreams, nowMs);
+                .choose(request.service(), request.prompt(), request.latencyClass(), attemptedUpstreams, nowMs);
         if (chosen.isEmpty()) {
             endWithoutResponse("no upstream: " + reason);
             return;
@@ -183,7 +183,7 @@
                 .choose(
                         request.service(),
                         request.prompt(),
-                        request.latencySensitive(),
+                        request.latencyClass(),
                         attemptedUpstreams,
                         services.timeSource().monotonicMs())
                 .isPresent();
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestRouter.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestRouter.java
@@ -135,7 +135,7 @@
                 service,
                 account,
                 priority,
-                version.isLatencySensitive(route, service),
+                version.latencyClass(route, service),
                 parsePrompt(headerValue(head, names.promptParts())),
                 parseOutputTokens(headerValue(head, names.tokenCount())),
                 received.receivedMs(),
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RoutedRequest.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RoutedRequest.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.apache.hc.core5.http.Header;
 import org.cranberrybend.entry.configuration.AccountEntry;
+import org.cranberrybend.entry.configuration.LatencyClass;
 import org.cranberrybend.entry.configuration.RetryRule;
 import org.cranberrybend.entry.configuration.Route;
 import org.cranberrybend.entry.upstream.Prompt;
@@ -20,7 +21,7 @@
  * @param service service selected from the targets of the route
  * @param account account that holds the API key; empty for an anonymous request
  * @param priority priority of the account if it has its own, otherwise that of the route; 0 is the highest
- * @param latencySensitive whether the target latency of the route is among the tightest of the service
+ * @param latencyClass class of the target latency of the route
  * @param prompt prompt; empty if the request has none
  * @param outputTokens maximum number of output tokens; 0 if not stated
  * @param receivedMs time at which the request was received
@@ -38,7 +39,7 @@
         String service,
         Optional<AccountEntry> account,
         int priority,
-        boolean latencySensitive,
+        LatencyClass latencyClass,
         Prompt prompt,
         int outputTokens,
         long receivedMs,
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamSelector.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamSelector.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.cranberrybend.core.routing.RendezvousHash;
+import org.cranberrybend.entry.configuration.LatencyClass;
 
 /**
  * Selects the upstream of an attempt.
@@ -35,8 +36,8 @@
     private static final double MAX_EXCESS_RATIO = 1.6;
 
     /**
-     * Length of a shared prefix from which latency-tolerant requests use one engine for all regions: another prefill
-     * would cost more than the traffic between regions.
+     * Length of a shared prefix from which requests that are not latency-sensitive use one engine for all regions:
+     * another prefill would cost more than the traffic between regions.
      */
     private static final int MIN_FLEET_WIDE_PREFIX_TOKENS = 6_000;
 
@@ -55,11 +56,11 @@
      * Returns the upstream for an attempt; empty if none is left.
      *
      * @param prompt prompt of the request; empty for a plain service
-     * @param latencySensitive whether the target latency of the request is among the tightest of the service
+     * @param latencyClass class of the request's target latency
      * @param excluded upstreams of earlier attempts of the request
      */
     public Optional<Upstream> choose(
-            String service, Prompt prompt, boolean latencySensitive, Set<String> excluded, long nowMs) {
+            String service, Prompt prompt, LatencyClass latencyClass, Set<String> excluded, long nowMs) {
         List<Upstream> listed = table.ofService(service).stream()
                 .filter(Upstream::isListedReady)
                 .filter(each -> !excluded.contains(each.entry().id()))
@@ -70,7 +71,7 @@
         List<Upstream> candidates = usable.isEmpty() ? listed : usable;
         return prompt.isEmpty()
                 ? leastLoaded(candidates, nowMs)
-                : chooseEngine(candidates, prompt, latencySensitive, nowMs);
+                : chooseEngine(candidates, prompt, latencyClass, nowMs);
     }
 
     private Optional<Upstream> leastLoaded(List<Upstream> candidates, long nowMs) {
@@ -99,14 +100,15 @@
      * engine of the region is used, or if that is overloaded, the least loaded engine of all regions.
      */
     private Optional<Upstream> chooseEngine(
-            List<Upstream> candidates, Prompt prompt, boolean latencySensitive, long nowMs) {
+            List<Upstream> candidates, Prompt prompt, LatencyClass latencyClass, long nowMs) {
         List<Upstream> inRegion = candidates.stream()
                 .filter(each -> isSameRegion(each.entry().zone()))
                 .collect(Collectors.toList());
         List<Upstream> region = inRegion.isEmpty() ? candidates : inRegion;
-        List<Upstream> group = prompt.sharedPrefixTokens() >= MIN_FLEET_WIDE_PREFIX_TOKENS && !latencySensitive
-                ? latencyTolerantGroups(candidates)
-                : EngineGroups.group(region, latencySensitive);
+        List<Upstream> group =
+                prompt.sharedPrefixTokens() >= MIN_FLEET_WIDE_PREFIX_TOKENS && latencyClass != LatencyClass.SENSITIVE
+                        ? groupsOfAllRegions(candidates, latencyClass)
+                        : EngineGroups.group(region, latencyClass);
         double mean = group.stream()
                 .mapToInt(each -> each.estimatedRequests(nowMs))
                 .average()
@@ -129,14 +131,14 @@
         return regionOverloaded ? fewestRequests(candidates, nowMs) : leastLoadedInRegion;
     }
 
-    /** Returns the engines for latency-tolerant requests of all regions. */
-    private List<Upstream> latencyTolerantGroups(List<Upstream> candidates) {
+    /** Returns the engines that serve requests of a latency class in any region. */
+    private List<Upstream> groupsOfAllRegions(List<Upstream> candidates, LatencyClass latencyClass) {
         return candidates.stream()
                 .collect(Collectors.groupingBy(each -> regionsByZone.getOrDefault(
                         each.entry().zone(), each.entry().zone())))
                 .values()
                 .stream()
-                .flatMap(engines -> EngineGroups.group(engines, false).stream())
+                .flatMap(engines -> EngineGroups.group(engines, latencyClass).stream())
                 .collect(Collectors.toList());
     }
 
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/RoutedRequestTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/RoutedRequestTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.cranberrybend.entry.configuration.LatencyClass;
 import org.cranberrybend.entry.configuration.RetryRule;
 import org.cranberrybend.entry.configuration.Route;
 import org.cranberrybend.entry.upstream.Prompt;
@@ -34,7 +35,7 @@
                         "model",
                         Optional.empty(),
                         requestPriority,
-                        true,
+                        LatencyClass.SENSITIVE,
                         Prompt.NONE,
                         0,
                         0,
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamSelectorTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamSelectorTest.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.cranberrybend.core.routing.Market;
+import org.cranberrybend.entry.configuration.LatencyClass;
 import org.cranberrybend.entry.http.HttpConnector;
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.port.StoreItem;
@@ -17,6 +18,8 @@
 import org.cranberrybend.entry.testing.TestClock;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 class UpstreamSelectorTest {
     private static final Map<String, String> REGIONS =
@@ -59,8 +62,8 @@
                 : new Prompt(List.of(new Prompt.Part(key, sharedPrefixTokens), new Prompt.Part("unique", 100)));
     }
 
-    private String choose(UpstreamSelector from, String promptKey, boolean latencySensitive) {
-        return from.choose(SERVICE, prompt(promptKey, 300), latencySensitive, Set.of(), clock.monotonicMs())
+    private String choose(UpstreamSelector from, String promptKey, LatencyClass latencyClass) {
+        return from.choose(SERVICE, prompt(promptKey, 300), latencyClass, Set.of(), clock.monotonicMs())
                 .get()
                 .entry()
                 .id();
@@ -76,8 +79,8 @@
     @Test
     void instancesOfARegionChooseTheSameEngineForAPrompt() {
         for (int i = 0; i < 50; i++) {
-            assertThat(choose(selector, "prompt-" + i, false))
-                    .isEqualTo(choose(selectorOfOtherZone, "prompt-" + i, false));
+            assertThat(choose(selector, "prompt-" + i, LatencyClass.TOLERANT))
+                    .isEqualTo(choose(selectorOfOtherZone, "prompt-" + i, LatencyClass.TOLERANT));
         }
     }
 
@@ -87,8 +90,8 @@
         Set<String> sensitive = new HashSet<>();
         Set<String> tolerant = new HashSet<>();
         for (int i = 0; i < 200; i++) {
-            sensitive.add(choose(selector, "prompt-" + i, true));
-            tolerant.add(choose(selector, "prompt-" + i, false));
+            sensitive.add(choose(selector, "prompt-" + i, LatencyClass.SENSITIVE));
+            tolerant.add(choose(selector, "prompt-" + i, LatencyClass.TOLERANT));
         }
         assertThat(sensitive.size()).isAtLeast(2);
         assertThat(tolerant.size()).isAtLeast(3);
@@ -96,25 +99,37 @@
         assertThat(sensitive).isEmpty();
     }
 
+    // Similar targets on all routes: guards against a part of the engines that serves everything while the others idle.
+    @Test
+    void uniformRequestsUseAllEnginesOfTheRegion() {
+        Set<String> chosen = new HashSet<>();
+        for (int i = 0; i < 200; i++) {
+            chosen.add(choose(selector, "prompt-" + i, LatencyClass.UNIFORM));
+        }
+        assertThat(chosen).hasSize(8);
+    }
+
     // Guards against traffic between regions while engines of the instance's region have capacity.
     @Test
     void enginesOfTheSameRegionArePreferred() {
         for (int i = 0; i < 50; i++) {
-            assertThat(choose(selector, "prompt-" + i, i % 2 == 0)).doesNotContain("zone-c");
+            assertThat(choose(selector, "prompt-" + i, LatencyClass.values()[i % 3]))
+                    .doesNotContain("zone-c");
         }
     }
 
     // Guards against the prefill of a long shared prefix in each region.
-    @Test
-    void longSharedPrefixHasOneEngineForAllRegions() {
+    @ParameterizedTest
+    @EnumSource(names = {"TOLERANT", "UNIFORM"})
+    void longSharedPrefixHasOneEngineForAllRegions(LatencyClass latencyClass) {
         UpstreamSelector remote = new UpstreamSelector(table, "zone-c", REGIONS);
         for (int i = 0; i < 50; i++) {
             Prompt prompt = prompt("prompt-" + i, 13_000);
-            String chosenHere = selector.choose(SERVICE, prompt, false, Set.of(), clock.monotonicMs())
+            String chosenHere = selector.choose(SERVICE, prompt, latencyClass, Set.of(), clock.monotonicMs())
                     .get()
                     .entry()
                     .id();
-            String chosenInOtherRegion = remote.choose(SERVICE, prompt, false, Set.of(), clock.monotonicMs())
+            String chosenInOtherRegion = remote.choose(SERVICE, prompt, latencyClass, Set.of(), clock.monotonicMs())
                     .get()
                     .entry()
                     .id();
@@ -125,9 +140,9 @@
     // Guards against requests accumulating at one engine while others of its region have few.
     @Test
     void promptsOfALoadedEngineGoToAnotherOne() {
-        String preferred = choose(selector, "prompt", true);
+        String preferred = choose(selector, "prompt", LatencyClass.SENSITIVE);
         load(preferred, 30);
-        assertThat(choose(selector, "prompt", true)).isNotEqualTo(preferred);
+        assertThat(choose(selector, "prompt", LatencyClass.SENSITIVE)).isNotEqualTo(preferred);
     }
 
     // Guards against requests queueing in one region while another one is idle.
@@ -136,17 +151,17 @@
         table.all().stream()
                 .filter(each -> !each.entry().zone().equals("zone-c"))
                 .forEach(each -> load(each.entry().id(), 45));
-        assertThat(choose(selector, "prompt", true)).contains("zone-c");
+        assertThat(choose(selector, "prompt", LatencyClass.SENSITIVE)).contains("zone-c");
     }
 
     // Guards against loading the upstreams of the instance's zone further while those of another zone are idle.
     @Test
     void plainRequestsStayInTheZoneUntilItsUpstreamsAreBusy() {
-        assertThat(choose(selector, "", false)).contains("zone-a");
+        assertThat(choose(selector, "", LatencyClass.UNIFORM)).contains("zone-a");
         for (int i = 0; i < 4; i++) {
             load("zone-a-" + i, 2);
         }
-        assertThat(choose(selector, "", false)).contains("zone-b");
+        assertThat(choose(selector, "", LatencyClass.UNIFORM)).contains("zone-b");
     }
 
     // Guards against refusing requests because all upstreams are ejected.
@@ -157,7 +172,7 @@
                 each.recordFailure(clock.monotonicMs());
             }
         });
-        assertThat(selector.choose(SERVICE, Prompt.NONE, false, Set.of(), clock.monotonicMs()))
+        assertThat(selector.choose(SERVICE, Prompt.NONE, LatencyClass.UNIFORM, Set.of(), clock.monotonicMs()))
                 .isPresent();
     }
 }
