Fetch changes of upstreams at intervals that follow their drain time

Heartbeats change the entries of upstreams all the time, so each watch returned after 300 ms, and each return is a priced call.

Ruled out: a longer hold of the watches without changes, which make 180 of them in the fleet and detect connections that went silent.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -61,9 +61,12 @@
     /** Limits of requests to the internal servers, and of callers before the first configuration. */
     private static final ServerLimits DEFAULT_LIMITS = new ServerLimits(16 * 1024, 4 * 1024 * 1024, 3_000, 15_000);
 
+    /**
+     * Part of the time for which a draining upstream accepts requests after which the next changes of the upstreams are
+     * fetched. Their heartbeats change them all the time, and each call of the store is billed.
+     */
+    private static final double UPSTREAM_BATCH_DELAY_RATIO = 0.2;
     /** Delay of the next watch after a change, so that one call fetches several changes. */
-    private static final long UPSTREAM_BATCH_DELAY_MS = 300;
-
     private static final long FLEET_BATCH_DELAY_MS = 300;
     /** Time for the last usage counts to reach the store before the process exits. */
     private static final long LAST_WRITE_TIMEOUT_MS = 120;
@@ -114,8 +117,9 @@
         store.setLoadExchange(keys.upstreamPrefix(), loadExchange());
         configurationWatch =
                 new PrefixWatch(store, keys.configurationKey(), 0, loop, timeSource, configurationListener());
+        long upstreamBatchDelayMs = (long) (settings.upstreamDrainMs() * UPSTREAM_BATCH_DELAY_RATIO);
         upstreamWatch =
-                new PrefixWatch(store, keys.upstreamPrefix(), UPSTREAM_BATCH_DELAY_MS, loop, timeSource, upstreams);
+                new PrefixWatch(store, keys.upstreamPrefix(), upstreamBatchDelayMs, loop, timeSource, upstreams);
         directory = new FleetDirectory(
                 store,
                 settings.instance(),
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntrySettings.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntrySettings.java
@@ -22,6 +22,7 @@
  * @param storeAddress address of the key-value store
  * @param dutyAddress address of the platform for calls of duties; null if there are none
  * @param dutyNames names of the duties that the platform assigns
+ * @param upstreamDrainMs time after an upstream starts to drain in which it still accepts requests, in milliseconds
  * @param memoryMb memory limit of the instance, in MB
  * @param shutdownLimitMs time from the stop signal until the process is killed, in milliseconds
  * @param retryRatio retries allowed as a ratio of requests
@@ -42,6 +43,7 @@
         InetSocketAddress storeAddress,
         InetSocketAddress dutyAddress,
         List<String> dutyNames,
+        long upstreamDrainMs,
         int memoryMb,
         long shutdownLimitMs,
         double retryRatio,
@@ -50,6 +52,7 @@
         long usageWindowMs,
         long usageDueMs) {
     private static final double DEFAULT_RETRY_RATIO = 0.1;
+    private static final long DEFAULT_UPSTREAM_DRAIN_MS = 2_500;
 
     public EntrySettings {
         regionsByZone = Map.copyOf(regionsByZone);
@@ -82,6 +85,7 @@
                 json.object("store").address("address"),
                 duties.has("address") ? duties.address("address") : null,
                 duties.strings("names"),
+                json.integer("upstream_drain_ms", DEFAULT_UPSTREAM_DRAIN_MS),
                 (int) json.integer("memory_mb"),
                 json.integer("shutdown_limit_s") * 1_000,
                 retries.decimal("ratio", DEFAULT_RETRY_RATIO),
