Gather the usage counts of a zone before they are written

Each instance wrote its counts at the end of each window, so the calls of the store grew with the fleet: 95 instances and 13 windows are some 1,300 priced calls. Followers now send their counts to the leader of their zone, which writes those of 400 ms in one call; an instance whose leader does not confirm writes itself for 8 s. Within a window all instances write at multiples of the interval, so that these counts are gathered too.

Ruled out: sending counts along with load reports, which would lose the confirmation that each write needs. CountsGathererTest names the load, FleetRelayTest the loss of the leader.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.message.BasicHeader;
 import org.cranberrybend.core.event.EventCode;
@@ -135,7 +136,15 @@
         BodyMemoryLimit bodyMemory =
                 new BodyMemoryLimit((long) (settings.memoryMb() * 1024L * 1024L * BODY_MEMORY_SHARE));
         relay = new FleetRelay(
-                loop, connector, store, configuration, upstreams, directory::peerAddresses, timeSource, log);
+                loop,
+                connector,
+                store,
+                configuration,
+                upstreams,
+                directory::peerAddresses,
+                directory::zoneLeader,
+                timeSource,
+                log);
         duties = createDuties(ports, store, connector, usage, clock);
         RequestPath path = new RequestPath(
                 settings,
@@ -211,6 +220,7 @@
                                 log)::tick)));
         UsageFlusher flusher = new UsageFlusher(
                 relay::write,
+                relay::writeNow,
                 usage,
                 settings.instance(),
                 timeSource.wallMs(),
@@ -350,8 +360,21 @@
         loop.scheduleWithFixedDelay(
                 guarded("drain", monitor::check), 0, DrainMonitor.INTERVAL_MS, TimeUnit.MILLISECONDS);
         drained.await(settings.shutdownLimitMs(), TimeUnit.MILLISECONDS);
+        writeLastCounts();
         loop.submit(() -> log.record(
                         EventCode.PROCESS_STOPPED, settings.instance(), "interrupted", callers.activeConnectionCount()))
                 .await(LAST_EVENT_TIMEOUT_MS);
     }
+
+    /** Writes the counts of the current window, which no other instance knows. */
+    private void writeLastCounts() throws InterruptedException {
+        CompletableFuture<Void> written = new CompletableFuture<>();
+        loop.execute(guarded(
+                "last usage counts", () -> duties.flush().whenComplete((done, failure) -> written.complete(null))));
+        try {
+            written.get(LAST_WRITE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            log.record(EventCode.USAGE_LATE, settings.instance(), "cause", "last counts were not confirmed");
+        }
+    }
 }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetDuties.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetDuties.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 
 /** Runs the duties of the fleet, the lease that they need and the flushing of usage counts from one timer. */
 public final class FleetDuties {
@@ -37,7 +38,7 @@
     }
 
     /** Writes the counts of the current window, because the process stops. */
-    public void flush() {
-        flusher.flushNow();
+    public CompletableFuture<Void> flush() {
+        return flusher.flushNow();
     }
 }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/UsageFlusher.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/UsageFlusher.java
@@ -38,6 +38,7 @@
     private static final long RETRY_BACKOFF_MS = 1_000;
 
     private final Function<StoreWrite, CompletableFuture<Long>> writer;
+    private final Function<StoreWrite, CompletableFuture<Long>> lastWriter;
     private final UsageCounter counter;
     private final String instance;
     private final long incarnation;
@@ -56,17 +57,20 @@
     /**
      * Creates a flusher for one incarnation of an instance.
      *
-     * @param writer writes to the store, or through another instance while the store is unavailable to this one
+     * @param writer writes to the store, possibly through another instance
+     * @param lastWriter writes to the store without delay, for the counts of a process that stops
      * @param instances number of running instances
      */
     public UsageFlusher(
             Function<StoreWrite, CompletableFuture<Long>> writer,
+            Function<StoreWrite, CompletableFuture<Long>> lastWriter,
             UsageCounter counter,
             String instance,
             long incarnation,
             IntSupplier instances,
             TimeSource timeSource) {
         this.writer = writer;
+        this.lastWriter = lastWriter;
         this.counter = counter;
         this.instance = instance;
         this.incarnation = incarnation;
@@ -86,10 +90,12 @@
         if (pending || nowMs < retryAtMs || !windowEnded && nowMs < nextFlushMs) {
             return;
         }
-        flush(settled - 1, nowMs);
+        flush(settled - 1, nowMs, writer);
     }
 
-    private void flush(long lastComplete, long nowMs) {
+    /** Writes the counts that are not in the store yet; completes when the write has succeeded or failed. */
+    private CompletableFuture<Void> flush(
+            long lastComplete, long nowMs, Function<StoreWrite, CompletableFuture<Long>> currentWriter) {
         List<StoreWrite.Put> puts = new ArrayList<>();
         Map<Long, Long> totals = new HashMap<>();
         for (long window = Math.max(lastCompleteWindow + 1, lastComplete - RETAINED_WINDOWS);
@@ -107,12 +113,16 @@
                 totals.put(window, total);
             }
         }
-        nextFlushMs = nowMs + Math.max(FLUSH_INTERVAL_MS, (long) (1_000 * instances.getAsInt() / MAX_WRITES_PER_S));
+        long intervalMs = Math.max(FLUSH_INTERVAL_MS, (long) (1_000 * instances.getAsInt() / MAX_WRITES_PER_S));
+        // Multiples of the interval since the start of the window: all instances of a zone then write at the same time,
+        // and their counts are gathered into one call.
+        nextFlushMs = nowMs + intervalMs - counter.elapsedInWindowMs() % intervalMs;
         if (puts.isEmpty()) {
-            return;
+            return CompletableFuture.completedFuture(null);
         }
         pending = true;
-        writer.apply(new StoreWrite(Map.of(), puts, List.of())).whenComplete((revision, failure) -> {
+        CompletableFuture<Long> written = currentWriter.apply(new StoreWrite(Map.of(), puts, List.of()));
+        return written.handle((revision, failure) -> {
             pending = false;
             if (failure != null) {
                 retryAtMs = timeSource.monotonicMs() + RETRY_BACKOFF_MS;
@@ -126,11 +136,12 @@
                 generation++;
                 writtenRequests.clear();
             }
+            return null;
         });
     }
 
     /** Writes all counts, those of the current window included, because the process stops. */
-    public void flushNow() {
-        flush(counter.currentWindow(), timeSource.monotonicMs());
+    public CompletableFuture<Void> flushNow() {
+        return flush(counter.currentWindow(), timeSource.monotonicMs(), lastWriter);
     }
 }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FleetRelay.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FleetRelay.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
@@ -31,8 +32,11 @@
 
 /**
  * Uses other instances in place of the store while it is unavailable to this one: reads configuration and upstreams
- * from them, and writes usage counts through them. Serves the same requests of other instances. While the store is
- * available, nothing is exchanged. Confined to the event loop.
+ * from them, and writes usage counts through them. Serves the same requests of other instances.
+ *
+ * <p>While the store is available, only usage counts are exchanged: the leader of an availability zone gathers those of
+ * its instances and writes them together. An instance that gets no confirmation from its leader writes them itself.
+ * Confined to the event loop.
  */
 public final class FleetRelay implements RequestHandler {
     private static final String COUNTS_PATH = "/fleet/counts";
@@ -42,6 +46,10 @@
     private static final long BACKOFF_INTERVAL_MS = 1_000;
 
     private static final long CALL_TIMEOUT_MS = 600;
+    /** Time in which the leader gathers counts and writes them; a slow store takes some hundred milliseconds. */
+    private static final long GATHERED_WRITE_TIMEOUT_MS = CountsGatherer.GATHER_MS + 1_000;
+    /** Time for which an instance writes its counts itself after its leader did not confirm them. */
+    private static final long LEADER_RETRY_MS = 8_000;
     /** Instances polled at the same time. */
     private static final int FAN_OUT = 2;
     /** Time without a store response after which other instances are polled; longer than a watch without changes. */
@@ -55,13 +63,20 @@
     private final ConfigurationHolder configuration;
     private final UpstreamTable upstreams;
     private final Supplier<Set<InetSocketAddress>> peers;
+    private final Supplier<Optional<InetSocketAddress>> leader;
+    private final CountsGatherer gatherer;
     private final TimeSource timeSource;
     private final DecisionLog log;
     private final Map<InetSocketAddress, ApiClient> clients = new HashMap<>();
     private long nextPollMs;
+    private long nextLeaderTryMs = Long.MIN_VALUE;
     private int nextPeer;
 
-    /** Creates a relay between the state of this instance and its peers. */
+    /**
+     * Creates a relay between the state of this instance and its peers.
+     *
+     * @param leader control address of the leader of the availability zone; empty if this instance is the leader
+     */
     public FleetRelay(
             EventLoopGroup loop,
             HttpConnector connector,
@@ -69,6 +84,7 @@
             ConfigurationHolder configuration,
             UpstreamTable upstreams,
             Supplier<Set<InetSocketAddress>> peers,
+            Supplier<Optional<InetSocketAddress>> leader,
             TimeSource timeSource,
             DecisionLog log) {
         this.loop = loop;
@@ -77,6 +93,8 @@
         this.configuration = configuration;
         this.upstreams = upstreams;
         this.peers = peers;
+        this.leader = leader;
+        this.gatherer = new CountsGatherer(store, loop);
         this.timeSource = timeSource;
         this.log = log;
     }
@@ -117,24 +135,50 @@
             exchange.respond(400, "Bad Request", List.of(), new byte[0]);
             return;
         }
-        store.write(new StoreWrite(Map.of(), puts, List.of())).whenComplete((revision, failure) -> {
+        gatherer.add(puts).whenComplete((revision, failure) -> {
             boolean done = failure == null;
             exchange.respond(done ? 200 : 503, done ? "OK" : "Service Unavailable", List.of(), new byte[0]);
         });
     }
 
-    /** Writes usage counts to the store, through another instance if the store is unavailable to this one. */
+    /** Writes usage counts to the store: through the leader, or another instance if the store is unavailable here. */
     public CompletableFuture<Long> write(StoreWrite counts) {
         List<InetSocketAddress> addresses = new ArrayList<>(peers.get());
-        if (!upstreams.isStoreUnavailable() || addresses.isEmpty()) {
+        if (upstreams.isStoreUnavailable() && !addresses.isEmpty()) {
+            return sendCounts(addresses.get(Math.floorMod(nextPeer++, addresses.size())), counts);
+        }
+        Optional<InetSocketAddress> leaderAddress = leader.get();
+        if (leaderAddress.isEmpty()) {
+            return gatherer.add(counts.puts());
+        }
+        if (timeSource.monotonicMs() < nextLeaderTryMs) {
             return store.write(counts);
         }
+        return sendCounts(leaderAddress.get(), counts).whenComplete((revision, failure) -> {
+            if (failure != null) {
+                log.record(
+                        EventCode.MEMBER_SUSPECTED,
+                        leaderAddress.get().toString(),
+                        "cause",
+                        String.valueOf(failure.getMessage()),
+                        "pause_ms",
+                        LEADER_RETRY_MS);
+                nextLeaderTryMs = timeSource.monotonicMs() + LEADER_RETRY_MS;
+            }
+        });
+    }
+
+    /** Writes usage counts to the store at once, because the process stops. */
+    public CompletableFuture<Long> writeNow(StoreWrite counts) {
+        return store.write(counts);
+    }
+
+    private CompletableFuture<Long> sendCounts(InetSocketAddress peer, StoreWrite counts) {
         List<StoreItem> items = new ArrayList<>();
         counts.puts().forEach(put -> items.add(new StoreItem(put.key(), put.value(), 0, 0, 0)));
         byte[] body = new FleetState(new byte[0], items, 0, 0).encode();
-        InetSocketAddress peer = addresses.get(Math.floorMod(nextPeer++, addresses.size()));
         return client(peer)
-                .call("POST", COUNTS_PATH, List.of(), body, CALL_TIMEOUT_MS)
+                .call("POST", COUNTS_PATH, List.of(), body, GATHERED_WRITE_TIMEOUT_MS)
                 .thenCompose(response -> response.status() == 200
                         ? CompletableFuture.completedFuture(0L)
                         : CompletableFuture.failedFuture(new StoreException(
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/usage/UsageCounter.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/usage/UsageCounter.java
@@ -31,6 +31,11 @@
         return Math.floorDiv(clock.nowMs(), windowMs);
     }
 
+    /** Returns the time since the start of the current window in milliseconds. */
+    public long elapsedInWindowMs() {
+        return Math.floorMod(clock.nowMs(), windowMs);
+    }
+
     /** Returns the window that was current the given time ago. */
     public long windowBefore(long backMs) {
         return Math.floorDiv(clock.nowMs() - backMs, windowMs);
--- /dev/null
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/CountsGathererTest.java
@@ -0,0 +1,83 @@
+package org.cranberrybend.entry.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.cranberrybend.entry.port.StoreWrite;
+import org.cranberrybend.entry.testing.ForwardingStore;
+import org.cranberrybend.entry.testing.MemoryStore;
+import org.cranberrybend.entry.testing.TestClock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The end of a usage window in a large fleet: all instances of a zone write their counts at the same time. */
+class CountsGathererTest {
+    private final MemoryStore store = new MemoryStore(new TestClock());
+    private final List<StoreWrite> writes = new ArrayList<>();
+    private final Deque<Runnable> scheduled = new ArrayDeque<>();
+    private final ScheduledThreadPoolExecutor loop = new ScheduledThreadPoolExecutor(1) {
+        @Override
+        public ScheduledFuture<?> schedule(Runnable task, long delay, TimeUnit unit) {
+            scheduled.add(task);
+            return null;
+        }
+    };
+
+    private final CountsGatherer gatherer = new CountsGatherer(
+            new ForwardingStore(store) {
+                @Override
+                public CompletableFuture<Long> write(StoreWrite write) {
+                    writes.add(write);
+                    return super.write(write);
+                }
+            },
+            loop);
+
+    @AfterEach
+    void stopLoop() {
+        loop.shutdownNow();
+    }
+
+    private List<CompletableFuture<Long>> addAll(int instances, int keysEach) {
+        List<CompletableFuture<Long>> results = new ArrayList<>();
+        for (int i = 0; i < instances; i++) {
+            List<StoreWrite.Put> puts = new ArrayList<>();
+            for (int k = 0; k < keysEach; k++) {
+                puts.add(new StoreWrite.Put("counts/" + i + "/" + k, new byte[] {1}, 0));
+            }
+            results.add(gatherer.add(puts));
+        }
+        while (!scheduled.isEmpty()) {
+            scheduled.poll().run();
+        }
+        return results;
+    }
+
+    // Guards against calls of the store that grow with the number of instances, and against lost counts.
+    @ParameterizedTest
+    @CsvSource({"1, 1, 1", "19, 1, 1", "19, 2, 2", "32, 1, 1", "33, 1, 2", "70, 1, 3", "3, 20, 3"})
+    void countsOfManyInstancesNeedFewWrites(int instances, int keysEach, int expectedWrites) {
+        List<CompletableFuture<Long>> results = addAll(instances, keysEach);
+        assertThat(writes).hasSize(expectedWrites);
+        assertThat(store.keys("counts/")).hasSize(instances * keysEach);
+        results.forEach(each -> assertThat(each.isDone()).isTrue());
+    }
+
+    // Guards against an instance that takes its counts for written after the shared write failed.
+    @ParameterizedTest
+    @ValueSource(ints = {1, 40})
+    void failureReachesEachInstance(int instances) {
+        store.setDown(true);
+        addAll(instances, 1)
+                .forEach(each -> assertThat(each.isCompletedExceptionally()).isTrue());
+    }
+}
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FleetRelayTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FleetRelayTest.java
@@ -1,6 +1,7 @@
 package org.cranberrybend.entry.fleet;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -11,9 +12,11 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.cranberrybend.core.routing.Market;
 import org.cranberrybend.core.time.TimeSource;
@@ -44,6 +47,7 @@
     private final TimeSource timeSource = TimeSource.system();
     private final DecisionLog log = new DecisionLog("test", 1, timeSource, OutputStream.nullOutputStream());
     private final Set<InetSocketAddress> peers = new LinkedHashSet<>();
+    private Optional<InetSocketAddress> leader = Optional.empty();
     private final Instance connected = new Instance();
     private final Instance cutOff = new Instance();
 
@@ -70,7 +74,15 @@
                 timeSource,
                 log);
         private final FleetRelay relay = new FleetRelay(
-                loop, new HttpConnector(loop), store, configuration, upstreams, () -> peers, timeSource, log);
+                loop,
+                new HttpConnector(loop),
+                store,
+                configuration,
+                upstreams,
+                () -> peers,
+                () -> leader,
+                timeSource,
+                log);
 
         void read(long version, long revision, StoreItem... items) {
             configuration.offer("store", Long.toString(version).getBytes());
@@ -142,6 +154,32 @@
         assertThat(onLoop(this::state)).isEqualTo("version 5 a+ c+");
     }
 
+    // Guards against one call of the store for each instance at the end of a usage window.
+    @Test
+    void countsAreWrittenThroughTheLeader() throws Exception {
+        CompletableFuture<Long> done = onLoop(() -> {
+            leader = Optional.of(peers.iterator().next());
+            return cutOff.relay.write(StoreWrite.put(COUNTS_KEY, "{}".getBytes()));
+        });
+        done.get(WAIT_S, TimeUnit.SECONDS);
+        assertThat(connected.store.text(COUNTS_KEY)).hasValue("{}");
+        assertThat(cutOff.store.text(COUNTS_KEY)).isEmpty();
+    }
+
+    // Guards against counts that are never written because the leader cannot reach the store.
+    @Test
+    void countsAreWrittenDirectlyAfterTheLeaderFailed() throws Exception {
+        connected.store.setDown(true);
+        StoreWrite write = StoreWrite.put(COUNTS_KEY, "{}".getBytes());
+        CompletableFuture<Long> first = onLoop(() -> {
+            leader = Optional.of(peers.iterator().next());
+            return cutOff.relay.write(write);
+        });
+        assertThrows(ExecutionException.class, () -> first.get(WAIT_S, TimeUnit.SECONDS));
+        onLoop(() -> cutOff.relay.write(write)).get(WAIT_S, TimeUnit.SECONDS);
+        assertThat(cutOff.store.text(COUNTS_KEY)).hasValue("{}");
+    }
+
     // Guards against usage reports without the counts of instances that cannot reach the store, and against an instance
     // that writes keys other than counts on behalf of another one.
     @Test
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
@@ -104,7 +104,8 @@
         return EntrySettings.parse(json.getBytes(StandardCharsets.UTF_8));
     }
 
-    private static RoutingConfiguration configuration() {
+    /** Returns a configuration with a route of each kind to the service {@code work}. */
+    public static RoutingConfiguration configuration() {
         List<Route> routes = List.of(
                 route("safe", RetryRule.IDEMPOTENT, false, 2, false),
                 route("once", RetryRule.ONCE, false, 2, false),
@@ -142,7 +143,8 @@
                 open);
     }
 
-    private static UpstreamRecord record(String id, byte[] value) {
+    /** Returns the entry of an upstream of the service {@code work}; the value is its port. */
+    public static UpstreamRecord record(String id, byte[] value) {
         int port = Integer.parseInt(new String(value, StandardCharsets.UTF_8));
         return new UpstreamRecord(
                 id,
