--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetDirectory.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetDirectory.java
@@ -36,6 +36,9 @@
 public final class FleetDirectory implements PrefixWatch.Listener {
     private static final long TTL_MS = 6_000;
     private static final long RENEW_INTERVAL_MS = 2_000;
+    /** The same for a zone leader, which may confirm its state to followers only shortly after a store response. */
+    private static final long LEADER_RENEW_INTERVAL_MS = 600;
+
     private static final int MAX_ADDRESSES = 2_000;
     /** Key of the hash that chooses the zone leader; all instances must use the same text. */
     private static final String LEADER_HASH_KEY = "watcher of the zone";
@@ -129,7 +132,7 @@
             return;
         }
         pending = true;
-        nextCallMs = nowMs + RENEW_INTERVAL_MS;
+        nextCallMs = nowMs + (zoneLeader().isEmpty() ? LEADER_RENEW_INTERVAL_MS : RENEW_INTERVAL_MS);
         if (leaseId != 0) {
             store.renewLease(leaseId).whenComplete((done, failure) -> {
                 pending = false;
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/ChangeFeed.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/ChangeFeed.java
@@ -36,7 +36,7 @@
 final class ChangeFeed implements RequestHandler {
     static final String PATH = "/fleet/changes";
     /** Largest time since the last response of the store at which an empty response is sent. */
-    private static final long STORE_RESPONSE_MAX_AGE_MS = 1_000;
+    private static final long STORE_RESPONSE_MAX_AGE_MS = 1_500;
 
     /** Age up to which load reports are exchanged. */
     static final long LOAD_REPORT_MAX_AGE_MS = 1_000;
--- /dev/null
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/FleetDirectoryTest.java
@@ -0,0 +1,60 @@
+package org.cranberrybend.entry.duty;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.cranberrybend.entry.log.DecisionLog;
+import org.cranberrybend.entry.port.StoreItem;
+import org.cranberrybend.entry.port.StoreSnapshot;
+import org.cranberrybend.entry.testing.ForwardingStore;
+import org.cranberrybend.entry.testing.MemoryStore;
+import org.cranberrybend.entry.testing.TestClock;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class FleetDirectoryTest {
+    private static final long TICK_MS = 250;
+
+    private final TestClock clock = new TestClock();
+    private final AtomicInteger renewals = new AtomicInteger();
+    private final FleetDirectory directory = new FleetDirectory(
+            new ForwardingStore(new MemoryStore(clock)) {
+                @Override
+                public CompletableFuture<Void> renewLease(long leaseId) {
+                    renewals.incrementAndGet();
+                    return super.renewLease(leaseId);
+                }
+            },
+            "own",
+            "zone-a",
+            new InetSocketAddress("127.0.0.1", 1),
+            500,
+            List.of(),
+            clock,
+            new DecisionLog("own", 1, clock, OutputStream.nullOutputStream()));
+
+    private static StoreItem entry(String name, int memoryMb) {
+        String value = "{\"address\":\"127.0.0.1:2\",\"zone\":\"zone-a\",\"memory_mb\":" + memoryMb + "}";
+        return new StoreItem(FleetKeys.INSTANCES + name, value.getBytes(StandardCharsets.UTF_8), 1, 1, 0);
+    }
+
+    // Heartbeats of all upstreams that arrive together, so that a watch returns once in 1.7 s. Guards against a leader
+    // that cannot confirm its state to its followers in between, whereupon all of them would watch the store; and
+    // against followers that renew as often as the leader.
+    @ParameterizedTest
+    @CsvSource({"100, 13", "900, 5"})
+    void leaderRenewsMoreOftenThanFollowers(int memoryOfOtherMb, int expectedRenewals) {
+        directory.tick();
+        directory.onSnapshot(new StoreSnapshot(List.of(entry("own", 500), entry("other", memoryOfOtherMb)), 1), 0);
+        for (long elapsedMs = 0; elapsedMs < 10_000; elapsedMs += TICK_MS) {
+            clock.advance(TICK_MS);
+            directory.tick();
+        }
+        assertThat(renewals.get()).isEqualTo(expectedRenewals);
+    }
+}
--- /dev/null
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/ChangeFeedTest.java
@@ -0,0 +1,109 @@
+package org.cranberrybend.entry.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import java.io.OutputStream;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.cranberrybend.entry.http.ReceivedRequest;
+import org.cranberrybend.entry.http.ServerExchange;
+import org.cranberrybend.entry.log.DecisionLog;
+import org.cranberrybend.entry.testing.TestClock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** A leader that has no changes for its followers. */
+class ChangeFeedTest {
+    private static final String PREFIX = "upstreams/";
+    private static final long HOLD_MS = 400;
+
+    private final TestClock clock = new TestClock();
+    private final Deque<Runnable> scheduled = new ArrayDeque<>();
+    private final ScheduledThreadPoolExecutor loop = new ScheduledThreadPoolExecutor(1) {
+        @Override
+        public ScheduledFuture<?> schedule(Runnable task, long delay, TimeUnit unit) {
+            scheduled.add(task);
+            return null;
+        }
+    };
+
+    private final ChangeFeed feed =
+            new ChangeFeed(loop, clock, new DecisionLog("instance", 1, clock, OutputStream.nullOutputStream()));
+    private int status;
+
+    private final ServerExchange exchange = new ServerExchange() {
+        @Override
+        public void onCallerDisconnected(Runnable listener) {
+            // The follower stays connected.
+        }
+
+        @Override
+        public void respond(int responseStatus, String reason, List<Header> headers, byte[] body) {
+            status = responseStatus;
+        }
+
+        @Override
+        public void begin(int responseStatus, String reason, List<Header> headers, long length) {
+            status = responseStatus;
+        }
+
+        @Override
+        public void onWritable(Runnable listener) {
+            // The follower reads each response.
+        }
+
+        @Override
+        public boolean isWritable() {
+            return true;
+        }
+
+        @Override
+        public void write(ByteBuf piece) {
+            piece.release();
+        }
+
+        @Override
+        public void end() {
+            // Only the status is of interest.
+        }
+
+        @Override
+        public void abort() {
+            status = 0;
+        }
+
+        @Override
+        public boolean isOpen() {
+            return true;
+        }
+    };
+
+    @AfterEach
+    void stopLoop() {
+        loop.shutdownNow();
+    }
+
+    // Guards against a leader that confirms an old state although the store has been silent, and against followers that
+    // all watch the store themselves because it was silent for a moment.
+    @ParameterizedTest
+    @CsvSource({"500, 200", "1000, 200", "1300, 200", "1600, 503", "5000, 503"})
+    void emptyResponseNeedsARecentResponseOfTheStore(long silenceMs, int expectedStatus) {
+        feed.onWatchStarted(PREFIX, 10);
+        feed.onStoreResponse();
+        clock.advance(silenceMs - HOLD_MS);
+        String target = ChangeFeed.PATH + "?prefix=upstreams%2F&after=10&wait_ms=" + HOLD_MS;
+        feed.handle(
+                new ReceivedRequest(new BasicHttpRequest("POST", target), new byte[0], clock.monotonicMs()), exchange);
+        clock.advance(HOLD_MS);
+        scheduled.poll().run();
+        assertThat(status).isEqualTo(expectedStatus);
+    }
+}
