Stop listening before a drained process exits

Since connections are accepted during the whole drain, one that arrived between the end of the drain and the exit of the process, while the last counts are written, would have been accepted and cut off. The listening socket is now closed in the same task that ends the drain.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/DrainMonitor.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/DrainMonitor.java
@@ -52,6 +52,8 @@
         }
         boolean inactive = inactiveSinceMs >= 0 && nowMs - inactiveSinceMs >= FLUSH_MS;
         if (inactive || nowMs - startMs >= limitMs) {
+            // A connection accepted from now on would be cut off by the exit of the process.
+            callers.stopListening();
             onDrained.run();
         }
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -63,8 +63,8 @@
     private static final ServerLimits DEFAULT_LIMITS = new ServerLimits(16 * 1024, 4 * 1024 * 1024, 3_000, 15_000);
 
     /**
-     * Part of the time for which a draining upstream accepts requests after which the next changes of the upstreams are
-     * fetched. Their heartbeats change them all the time, and each call of the store is billed.
+     * Interval between reads of the upstreams' changes, as a fraction of the time for which a draining upstream accepts
+     * requests. Heartbeats change the entries all the time, and each call of the store is billed.
      */
     private static final double UPSTREAM_BATCH_DELAY_RATIO = 0.2;
     /** Delay of the next watch after a change, so that one call fetches several changes. */
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/DrainMonitorTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/DrainMonitorTest.java
@@ -1,10 +1,12 @@
 package org.cranberrybend.entry;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -79,6 +81,22 @@
         }
     }
 
+    // Guards against connections that are accepted after the drain and cut off by the exit of the process.
+    @Test
+    void noConnectionIsAcceptedOnceDrained() throws Exception {
+        int port = listen();
+        clock.advance(2_700);
+        check();
+        try (RawCaller late = new RawCaller(port)) {
+            assertThat(drained.get()).isFalse();
+        }
+        while (!drained.get()) {
+            clock.advance(200);
+            check();
+        }
+        assertThrows(IOException.class, () -> new RawCaller(port));
+    }
+
     // Guards against a drain that ends with a request in flight before the limit, or that exceeds the limit.
     @Test
     void inFlightRequestIsAwaitedUntilLimit() throws Exception {
