--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/EntryServiceTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/EntryServiceTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static org.cranberrybend.entry.testing.EntryFixture.request;
+import static org.cranberrybend.entry.testing.Responses.response;
 import static org.cranberrybend.entry.testing.ScriptedUpstream.write;
 
 import io.netty.channel.EventLoopGroup;
@@ -97,10 +98,8 @@
     // hour, and a fleet of a thousand instances writes within a window only every few minutes.
     @Test
     void plannedStopWritesTheLastUsageCounts() throws Exception {
-        ScriptedUpstream.Script script = (request, connection) -> write(
-                connection,
-                "HTTP/1.1 200 OK\r\nAttempt: " + request.headers().get("attempt")
-                        + "\r\nSignature: s1\r\nContent-Length: 4\r\n\r\ndone");
+        ScriptedUpstream.Script script =
+                (request, connection) -> write(connection, response(request, "200 OK", "done"));
         try (ScriptedUpstream upstream = new ScriptedUpstream(script)) {
             store.write(StoreWrite.put(KEYS.configurationKey(), new byte[0]));
             store.write(StoreWrite.put(
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/ChangeFeedTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/ChangeFeedTest.java
@@ -4,17 +4,13 @@
 
 import io.netty.buffer.ByteBuf;
 import java.io.OutputStream;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.List;
-import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.ScheduledThreadPoolExecutor;
-import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.cranberrybend.entry.http.ReceivedRequest;
 import org.cranberrybend.entry.http.ServerExchange;
 import org.cranberrybend.entry.log.DecisionLog;
+import org.cranberrybend.entry.testing.ManualScheduler;
 import org.cranberrybend.entry.testing.TestClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -26,14 +22,7 @@
     private static final long HOLD_MS = 400;
 
     private final TestClock clock = new TestClock();
-    private final Deque<Runnable> scheduled = new ArrayDeque<>();
-    private final ScheduledThreadPoolExecutor loop = new ScheduledThreadPoolExecutor(1) {
-        @Override
-        public ScheduledFuture<?> schedule(Runnable task, long delay, TimeUnit unit) {
-            scheduled.add(task);
-            return null;
-        }
-    };
+    private final ManualScheduler loop = new ManualScheduler();
 
     private final ChangeFeed feed =
             new ChangeFeed(loop, clock, new DecisionLog("instance", 1, clock, OutputStream.nullOutputStream()));
@@ -103,7 +92,7 @@
         feed.handle(
                 new ReceivedRequest(new BasicHttpRequest("POST", target), new byte[0], clock.monotonicMs()), exchange);
         clock.advance(HOLD_MS);
-        scheduled.poll().run();
+        loop.runNext();
         assertThat(status).isEqualTo(expectedStatus);
     }
 }
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/CountsGathererTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/CountsGathererTest.java
@@ -2,16 +2,12 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.ScheduledThreadPoolExecutor;
-import java.util.concurrent.TimeUnit;
 import org.cranberrybend.entry.port.StoreWrite;
 import org.cranberrybend.entry.testing.ForwardingStore;
+import org.cranberrybend.entry.testing.ManualScheduler;
 import org.cranberrybend.entry.testing.MemoryStore;
 import org.cranberrybend.entry.testing.TestClock;
 import org.junit.jupiter.api.AfterEach;
@@ -23,14 +19,7 @@
 class CountsGathererTest {
     private final MemoryStore store = new MemoryStore(new TestClock());
     private final List<StoreWrite> writes = new ArrayList<>();
-    private final Deque<Runnable> scheduled = new ArrayDeque<>();
-    private final ScheduledThreadPoolExecutor loop = new ScheduledThreadPoolExecutor(1) {
-        @Override
-        public ScheduledFuture<?> schedule(Runnable task, long delay, TimeUnit unit) {
-            scheduled.add(task);
-            return null;
-        }
-    };
+    private final ManualScheduler loop = new ManualScheduler();
 
     private final CountsGatherer gatherer = new CountsGatherer(
             new ForwardingStore(store) {
@@ -56,9 +45,7 @@
             }
             results.add(gatherer.add(puts));
         }
-        while (!scheduled.isEmpty()) {
-            scheduled.poll().run();
-        }
+        loop.runAll();
         return results;
     }
 
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/FaultyUpstreamTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/FaultyUpstreamTest.java
@@ -2,17 +2,24 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static org.cranberrybend.entry.testing.EntryFixture.request;
+import static org.cranberrybend.entry.testing.Responses.chunk;
+import static org.cranberrybend.entry.testing.Responses.event;
+import static org.cranberrybend.entry.testing.Responses.response;
+import static org.cranberrybend.entry.testing.Responses.statusOf;
+import static org.cranberrybend.entry.testing.Responses.streamHead;
+import static org.cranberrybend.entry.testing.Responses.unframedStreamHead;
 import static org.cranberrybend.entry.testing.ScriptedUpstream.write;
 
 import java.io.IOException;
 import java.net.Socket;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Stream;
 import org.cranberrybend.entry.testing.EntryFixture;
 import org.cranberrybend.entry.testing.RawCaller;
 import org.cranberrybend.entry.testing.ScriptedUpstream;
-import org.cranberrybend.entry.testing.ScriptedUpstream.Received;
 import org.cranberrybend.entry.testing.ScriptedUpstream.Script;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -25,32 +32,14 @@
     /** More bytes than the socket buffers and the router's own buffers of one stream can hold. */
     private static final long MAX_UNREAD_STREAM_BYTES = 24L * 1024 * 1024;
 
-    private static String response(String attempt, String status, String body) {
-        return "HTTP/1.1 " + status + "\r\nAttempt: " + attempt + "\r\nSignature: s1\r\nContent-Length: "
-                + body.length() + "\r\n\r\n" + body;
-    }
-
-    private static String streamHead(Received request) {
-        return "HTTP/1.1 200 OK\r\nAttempt: " + request.headers().get("attempt")
-                + "\r\nSignature: s1\r\nContent-Type: text/event-stream\r\n";
-    }
-
-    private static String chunk(String text) {
-        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
-    }
-
-    private static String event(int id) {
-        return "id: " + id + "\ndata: e" + id + "\n\n";
-    }
+    private static final long BYTE_INTERVAL_NS = TimeUnit.MILLISECONDS.toNanos(50);
+    /** Longer than the time after which a silent engine is ejected, shorter than twice the pause that the route allows. */
+    private static final long SLOW_EVENT_INTERVAL_NS = TimeUnit.MILLISECONDS.toNanos(1_400);
 
     private static String longRequest(String method, String path, String attempt, String body) {
         return request(method, path, attempt, body).replace("Deadline: 1400", "Deadline: 30000");
     }
 
-    private static String status(String response) {
-        return response.isEmpty() ? "none" : response.substring(9, 12);
-    }
-
     /** Writes the text again and again until the connection is closed. */
     private static void writeEndlessly(Socket connection, String text) throws IOException {
         while (!connection.isClosed()) {
@@ -80,7 +69,7 @@
             caller.send(request("POST", "/once/x", "a1", "order")).readUntil("done");
             String second =
                     caller.send(request("POST", "/once/x", "a2", "order")).readUntil(OWN_RESPONSE);
-            assertThat(status(second)).isEqualTo("200");
+            assertThat(statusOf(second)).isEqualTo("200");
             assertThat(second).contains("Attempt: a2");
             assertThat(second).doesNotContain("done");
             assertThat(upstream.received()).hasSize(2);
@@ -104,7 +93,7 @@
             caller.send(request("POST", "/once/x", "a1", "order")).readUntil("done");
             String second =
                     caller.send(longRequest("POST", "/once/x", "a2", "order")).readUntil("}}");
-            assertThat(status(second)).isEqualTo("502");
+            assertThat(statusOf(second)).isEqualTo("502");
             assertThat(upstream.awaitClosedConnection()).isTrue();
         }
     }
@@ -120,7 +109,7 @@
             caller.send(request("POST", "/once/x", "a1", "order")).readUntil("done");
             String second =
                     caller.send(request("POST", "/once/x", "a2", "order")).readUntil("}}");
-            assertThat(status(second)).isEqualTo("502");
+            assertThat(statusOf(second)).isEqualTo("502");
             assertThat(second).contains("outcome_unknown");
         }
     }
@@ -153,7 +142,7 @@
                 RawCaller caller = entry.caller()) {
             String response =
                     caller.send(longRequest("POST", "/once/x", "a1", "order")).readUntil("}}");
-            assertThat(status(response)).isEqualTo("502");
+            assertThat(statusOf(response)).isEqualTo("502");
             assertThat(upstream.awaitClosedConnection()).isTrue();
         }
     }
@@ -170,7 +159,7 @@
                 RawCaller caller = entry.caller()) {
             String response =
                     caller.send(longRequest("POST", "/once/x", "a1", "order")).readUntil("}}");
-            assertThat(status(response)).isEqualTo("503");
+            assertThat(statusOf(response)).isEqualTo("503");
             assertThat(upstream.awaitClosedConnection()).isTrue();
         }
     }
@@ -179,7 +168,7 @@
     @Test
     void endlessEventBreaksTheStreamOff() throws Exception {
         Script script = (request, connection) -> {
-            write(connection, streamHead(request) + "Transfer-Encoding: chunked\r\n\r\n" + chunk(event(1)));
+            write(connection, streamHead(request) + chunk(event(1)));
             writeEndlessly(connection, chunk("data: " + "x".repeat(1_000) + "\n"));
         };
         try (ScriptedUpstream upstream = new ScriptedUpstream(script);
@@ -199,7 +188,7 @@
         AtomicLong written = new AtomicLong();
         String many = chunk(("data: " + "x".repeat(1_000) + "\n\n").repeat(16));
         Script script = (request, connection) -> {
-            write(connection, streamHead(request) + "Transfer-Encoding: chunked\r\n\r\n");
+            write(connection, streamHead(request));
             while (written.addAndGet(many.length()) < 4 * MAX_UNREAD_STREAM_BYTES) {
                 write(connection, many);
             }
@@ -219,7 +208,7 @@
         int chunks = 2_000;
         String many = ("data: " + "x".repeat(1_000) + "\n\n").repeat(16);
         Script script = (request, connection) -> {
-            write(connection, streamHead(request) + "Transfer-Encoding: chunked\r\n\r\n");
+            write(connection, streamHead(request));
             for (int i = 0; i < chunks; i++) {
                 write(connection, chunk(many));
             }
@@ -239,7 +228,7 @@
     @Test
     void streamWithoutLengthThatEndsWithinAnEventIsNotComplete() throws Exception {
         Script script = (request, connection) -> {
-            write(connection, streamHead(request) + "\r\n" + event(1) + "id: 2\nda");
+            write(connection, unframedStreamHead(request) + "\r\n" + event(1) + "id: 2\nda");
             connection.close();
         };
         try (ScriptedUpstream upstream = new ScriptedUpstream(script);
@@ -258,16 +247,13 @@
         AtomicInteger requests = new AtomicInteger();
         Script script = (request, connection) -> {
             if (requests.incrementAndGet() > 1) {
-                write(
-                        connection,
-                        streamHead(request) + "Transfer-Encoding: chunked\r\n\r\n" + chunk("id: 2\ndata: rest\n\n")
-                                + "0\r\n\r\n");
+                write(connection, streamHead(request) + chunk("id: 2\ndata: rest\n\n") + "0\r\n\r\n");
                 return;
             }
-            write(connection, streamHead(request) + "Transfer-Encoding: chunked\r\n\r\n" + chunk(event(1)));
+            write(connection, streamHead(request) + chunk(event(1)));
             while (!connection.isClosed()) {
                 write(connection, chunk(":"));
-                java.util.concurrent.locks.LockSupport.parkNanos(50_000_000);
+                LockSupport.parkNanos(BYTE_INTERVAL_NS);
             }
         };
         try (ScriptedUpstream first = new ScriptedUpstream(script);
@@ -286,10 +272,10 @@
     @Test
     void slowStreamStaysAtItsUpstream() throws Exception {
         Script script = (request, connection) -> {
-            write(connection, streamHead(request) + "Transfer-Encoding: chunked\r\n\r\n");
+            write(connection, streamHead(request));
             for (int id = 1; id <= 3; id++) {
                 write(connection, chunk(event(id)));
-                java.util.concurrent.locks.LockSupport.parkNanos(1_400_000_000);
+                LockSupport.parkNanos(SLOW_EVENT_INTERVAL_NS);
             }
             write(connection, "0\r\n\r\n");
         };
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/RequestPathTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/RequestPathTest.java
@@ -2,6 +2,11 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static org.cranberrybend.entry.testing.EntryFixture.request;
+import static org.cranberrybend.entry.testing.Responses.chunk;
+import static org.cranberrybend.entry.testing.Responses.event;
+import static org.cranberrybend.entry.testing.Responses.response;
+import static org.cranberrybend.entry.testing.Responses.statusOf;
+import static org.cranberrybend.entry.testing.Responses.streamHead;
 import static org.cranberrybend.entry.testing.ScriptedUpstream.reset;
 import static org.cranberrybend.entry.testing.ScriptedUpstream.write;
 
@@ -26,28 +31,6 @@
     private static final Script REJECTS =
             (request, connection) -> write(connection, "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
 
-    private static String response(Received request, String status, String body) {
-        return "HTTP/1.1 " + status + "\r\nAttempt: " + request.headers().get("attempt")
-                + "\r\nSignature: s1\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
-    }
-
-    private static String streamHead(Received request) {
-        return "HTTP/1.1 200 OK\r\nAttempt: " + request.headers().get("attempt")
-                + "\r\nSignature: s1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-    }
-
-    private static String chunk(String text) {
-        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
-    }
-
-    private static String event(int id) {
-        return "id: " + id + "\ndata: e" + id + "\n\n";
-    }
-
-    private static String statusOf(String response) {
-        return response.isEmpty() ? "none" : response.substring(9, 12);
-    }
-
     private static String call(EntryFixture entry, String text, String end) throws Exception {
         try (RawCaller caller = entry.caller()) {
             return caller.send(text).readUntil(end);
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/store/PrefixWatchTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/store/PrefixWatchTest.java
@@ -8,11 +8,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.ScheduledThreadPoolExecutor;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.cranberrybend.entry.port.KeyValueStore;
 import org.cranberrybend.entry.port.StoreChange;
@@ -21,24 +16,18 @@
 import org.cranberrybend.entry.port.StoreItem;
 import org.cranberrybend.entry.port.StoreSnapshot;
 import org.cranberrybend.entry.port.StoreWrite;
+import org.cranberrybend.entry.testing.ManualScheduler;
 import org.cranberrybend.entry.testing.TestClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 class PrefixWatchTest {
     private final TestClock clock = new TestClock();
-    private final Deque<Runnable> scheduled = new ArrayDeque<>();
     private final Deque<CompletableFuture<StoreSnapshot>> lists = new ArrayDeque<>();
     private final Deque<CompletableFuture<StoreChanges>> watches = new ArrayDeque<>();
     private final List<String> calls = new ArrayList<>();
     private final AtomicBoolean failingChange = new AtomicBoolean();
-    private final ScheduledExecutorService loop = new ScheduledThreadPoolExecutor(1, Executors.defaultThreadFactory()) {
-        @Override
-        public ScheduledFuture<?> schedule(Runnable task, long delay, TimeUnit unit) {
-            scheduled.add(task);
-            return null;
-        }
-    };
+    private final ManualScheduler loop = new ManualScheduler();
 
     private final KeyValueStore store = new KeyValueStore() {
         @Override
@@ -149,7 +138,7 @@
         lists.poll().complete(new StoreSnapshot(List.of(), 5));
         failingChange.set(true);
         watches.poll().complete(new StoreChanges(List.of(new StoreChange("p/a", 7, Optional.empty())), 8));
-        scheduled.poll().run();
+        loop.runNext();
         lists.poll().complete(new StoreSnapshot(List.of(), 9));
         assertThat(calls.get(calls.size() - 1)).isEqualTo("watch after 9");
     }
@@ -160,10 +149,10 @@
         watch.start();
         lists.poll().complete(new StoreSnapshot(List.of(), 5));
         fail(watches.poll(), StoreException.Kind.UNKNOWN);
-        scheduled.poll().run();
+        loop.runNext();
         clock.advance(4_000);
         fail(watches.poll(), StoreException.Kind.NOT_DONE);
-        scheduled.poll().run();
+        loop.runNext();
         watches.poll().complete(new StoreChanges(List.of(), 6));
         lists.poll().complete(new StoreSnapshot(List.of(), 6));
         assertThat(calls.stream().filter("unavailable"::equals).count()).isEqualTo(1);
