Show that a late heartbeat leaves running requests alone

Operators of similar systems saw the work of a machine that was only slow to report started again elsewhere. Here an entry that expires only takes its upstream off the list: the new cases of FaultyUpstreamTest let the entry expire while a request runs, on a route of each retry rule, and expect its one response and no second send.

--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/FaultyUpstreamTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/FaultyUpstreamTest.java
@@ -10,8 +10,10 @@
 import static org.cranberrybend.entry.testing.Responses.unframedStreamHead;
 import static org.cranberrybend.entry.testing.ScriptedUpstream.write;
 
+import com.google.common.util.concurrent.Uninterruptibles;
 import java.io.IOException;
 import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -25,6 +27,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Upstreams that send surplus, endless, stalled or incomplete responses. */
 class FaultyUpstreamTest {
@@ -268,6 +271,32 @@
         }
     }
 
+    // Guards against giving up the running requests of an upstream that only missed its heartbeats, and against
+    // starting
+    // them again elsewhere.
+    @ParameterizedTest
+    @ValueSource(strings = {"/once/x", "/safe/x", "/stream/x"})
+    void runningRequestGoesOnWhenTheEntryOfItsUpstreamExpires(String path) throws Exception {
+        CountDownLatch entryRemoved = new CountDownLatch(1);
+        Script script = (request, connection) -> {
+            Uninterruptibles.awaitUninterruptibly(entryRemoved);
+            write(connection, response(request, "200 OK", OWN_RESPONSE));
+        };
+        try (ScriptedUpstream first = new ScriptedUpstream(script);
+                ScriptedUpstream second = new ScriptedUpstream(script);
+                EntryFixture entry = new EntryFixture(first, second);
+                RawCaller caller = entry.caller()) {
+            caller.send(request("POST", path, "a1", "order"));
+            while (first.received().size() + second.received().size() == 0) {
+                Thread.onSpinWait();
+            }
+            entry.removeEntry(first.received().isEmpty() ? "u1" : "u0");
+            entryRemoved.countDown();
+            assertThat(statusOf(caller.readUntil(OWN_RESPONSE))).isEqualTo("200");
+            assertThat(first.received().size() + second.received().size()).isEqualTo(1);
+        }
+    }
+
     // Guards against moving a stream whose events come slowly, but within the pause that its route allows.
     @Test
     void slowStreamStaysAtItsUpstream() throws Exception {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.Future;
@@ -29,6 +30,7 @@
 import org.cranberrybend.entry.http.ServerLimits;
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.port.HeaderNames;
+import org.cranberrybend.entry.port.StoreChange;
 import org.cranberrybend.entry.port.StoreItem;
 import org.cranberrybend.entry.port.StoreSnapshot;
 import org.cranberrybend.entry.request.RequestPath;
@@ -116,7 +118,7 @@
         return new RoutingConfiguration(
                 1,
                 routes,
-                List.of(new ServiceDefinition("work", 100, java.util.Optional.empty(), java.util.Optional.empty())),
+                List.of(new ServiceDefinition("work", 100, Optional.empty(), Optional.empty())),
                 Map.of("good-key", new AccountEntry("alpha", AccountEntry.ROUTE_PRIORITY)),
                 true,
                 LIMITS);
@@ -158,6 +160,14 @@
                 0);
     }
 
+    /** Removes the entry of an upstream, as the store does after missed heartbeats. */
+    public void removeEntry(String id) throws Exception {
+        onLoop(() -> {
+            table.onChange(new StoreChange(PREFIX + id, 2, Optional.empty()));
+            return null;
+        });
+    }
+
     /** Waits until the log contains a text; returns whether it appeared in time. */
     public boolean awaitLog(String text) {
         long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(LOG_WAIT_S);
