--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
@@ -20,9 +20,9 @@
  * One attempt to have a request executed by one upstream. Reports exactly one result to its listener, unless aborted.
  *
  * <p>A response with the identifier of another request is not accepted: it may be a late surplus response on a
- * persistent connection, after which the own response may follow. Nor is a response without an identifier on a connection
- * that carried another request before. A successful response must have both the identifier of this request and a
- * signature.
+ * persistent connection, after which the own response may follow. Nor is a response without an identifier accepted on a
+ * connection that carried another request before. A successful response must have both the identifier of this request
+ * and a signature.
  *
  * <p>An upstream may send bytes without end, so whatever is kept or discarded of a response is limited.
  */
@@ -228,9 +228,8 @@
         boolean signed = response.containsHeader(headerNames.signature());
         boolean success = response.getCode() / 100 == 2;
         boolean toOtherRequest = echoed != null && !echoed.getValue().equals(request.attemptId());
-        // The own response may still follow a late copy of an earlier one, or never come if responses were crossed.
-        // Only
-        // a request that cannot be executed again is worth the wait.
+        // The own response may follow a late copy of an earlier one, or never come if responses were crossed. Only a
+        // request that must not be executed again is worth the wait.
         if (toOtherRequest && isReusedConnection() && request.retryRule() == RetryRule.ONCE) {
             connection.skipResponse();
             return;
