Log crashes of upstreams and the prompt parts of lost requests

An instance that loses a connection now connects once more; a refusal shows that the process is gone (UPSTREAM_CRASHED). Lines at the end of a request carry fingerprints of its prompt parts.

Ruled out: load that moves with a prefix, and ends unrelated to requests.

Tests of core, entry and platform pass.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -44,6 +44,7 @@
 import org.cranberrybend.entry.port.StoreChange;
 import org.cranberrybend.entry.port.StoreKeys;
 import org.cranberrybend.entry.port.StoreSnapshot;
+import org.cranberrybend.entry.quarantine.QuarantineService;
 import org.cranberrybend.entry.request.RequestPath;
 import org.cranberrybend.entry.store.ConfigurationHolder;
 import org.cranberrybend.entry.store.CountedStore;
@@ -153,6 +154,7 @@
                 ports.headerNames(),
                 configuration,
                 upstreams,
+                new QuarantineService(connector, timeSource, log),
                 usage,
                 log,
                 directory::maxFleetSize,
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/HttpConnector.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/HttpConnector.java
@@ -2,10 +2,15 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 
 /** Opens connections to servers. Listeners are called on the event loop. */
@@ -37,14 +42,7 @@
         ClientConnection[] created = new ClientConnection[1];
         ClientConnection connection = new ClientConnection(() -> onClosed.accept(created[0]));
         created[0] = connection;
-        ChannelFuture attempt = new Bootstrap()
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.SO_KEEPALIVE, false)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
-                .handler(connection)
-                .connect(address);
+        ChannelFuture attempt = open(address, timeoutMs, connection);
         attempt.addListener(done -> {
             if (done.isSuccess()) {
                 listener.onConnected(connection);
@@ -54,4 +52,33 @@
         });
         return () -> attempt.cancel(false);
     }
+
+    /** Finds out whether a process listens at an address; the future completes on the event loop. */
+    public CompletableFuture<ListenState> probe(InetSocketAddress address, int timeoutMs) {
+        CompletableFuture<ListenState> result = new CompletableFuture<>();
+        open(address, timeoutMs, new ChannelInboundHandlerAdapter()).addListener((ChannelFuture done) -> {
+            if (done.isSuccess()) {
+                done.channel().close();
+                result.complete(ListenState.LISTENING);
+            } else {
+                result.complete(isRefusal(done.cause()) ? ListenState.REFUSED : ListenState.UNKNOWN);
+            }
+        });
+        return result;
+    }
+
+    private static boolean isRefusal(Throwable cause) {
+        return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+    }
+
+    private ChannelFuture open(InetSocketAddress address, int timeoutMs, ChannelHandler handler) {
+        return new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_KEEPALIVE, false)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
+                .handler(handler)
+                .connect(address);
+    }
 }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -1,6 +1,7 @@
 package org.cranberrybend.entry.request;
 
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
@@ -8,10 +9,12 @@
 import org.apache.hc.core5.http.HttpResponse;
 import org.cranberrybend.core.error.ErrorCode;
 import org.cranberrybend.core.event.EventCode;
+import org.cranberrybend.core.quarantine.PartFingerprint;
 import org.cranberrybend.entry.configuration.RetryRule;
 import org.cranberrybend.entry.http.HeaderRules;
 import org.cranberrybend.entry.http.ServerExchange;
 import org.cranberrybend.entry.log.DecisionLog;
+import org.cranberrybend.entry.quarantine.QuarantineService;
 import org.cranberrybend.entry.upstream.Upstream;
 
 /**
@@ -44,6 +47,7 @@
     private final ServerExchange caller;
     private final RequestServices services;
     private final Set<String> attemptedUpstreams = new LinkedHashSet<>();
+    private final List<PartFingerprint> parts;
     private final boolean sampled;
     private UpstreamAttempt attempt;
     private ScheduledFuture<?> deadlineTimer;
@@ -60,6 +64,7 @@
         this.request = request;
         this.caller = caller;
         this.services = services;
+        this.parts = QuarantineService.partsOf(request.service(), request.prompt());
         this.lastEventId = request.resumeAfterEventId();
         this.sampled = DecisionLog.isSampled(request.attemptId());
     }
@@ -194,7 +199,16 @@
             abandoned.abort();
         }
         services.metrics().countSend(true);
-        services.log().record(EventCode.REQUEST_RETRIED, request.attemptId(), "reason", reason, "left_ms", remainingMs);
+        services.log()
+                .record(
+                        EventCode.REQUEST_RETRIED,
+                        request.attemptId(),
+                        "reason",
+                        reason,
+                        "left_ms",
+                        remainingMs,
+                        "parts",
+                        QuarantineService.describe(parts));
         dispatch(reason);
         return true;
     }
@@ -293,6 +307,9 @@
         mayHaveExecuted = true;
         services.metrics().countLostResponse();
         recordUpstreamFailure(ended, cause);
+        if (ended.isConnectionLost()) {
+            services.quarantine().onConnectionLost(ended.upstream(), parts);
+        }
         if (ended.isReusedConnection()) {
             ended.upstream().pool().discardIdle();
         }
@@ -394,6 +411,8 @@
                             String.join(",", attemptedUpstreams),
                             "priority",
                             request.priority(),
+                            "parts",
+                            QuarantineService.describe(parts),
                             "directory_age_ms",
                             services.table().ageMs());
         }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
@@ -8,6 +8,7 @@
 import org.cranberrybend.entry.http.RequestHandler;
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.port.HeaderNames;
+import org.cranberrybend.entry.quarantine.QuarantineService;
 import org.cranberrybend.entry.store.ConfigurationHolder;
 import org.cranberrybend.entry.upstream.UpstreamSelector;
 import org.cranberrybend.entry.upstream.UpstreamTable;
@@ -29,6 +30,7 @@
             HeaderNames names,
             ConfigurationHolder configuration,
             UpstreamTable upstreams,
+            QuarantineService quarantine,
             UsageCounter usage,
             DecisionLog log,
             IntSupplier instances,
@@ -38,7 +40,16 @@
         router = new RequestRouter(
                 configuration,
                 new RequestServices(
-                        loop, timeSource, names, upstreams, selector, budget, usage, log, new RequestMetrics(metrics)));
+                        loop,
+                        timeSource,
+                        names,
+                        upstreams,
+                        selector,
+                        quarantine,
+                        budget,
+                        usage,
+                        log,
+                        new RequestMetrics(metrics)));
     }
 
     /** Returns the handler of callers' requests. */
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestServices.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestServices.java
@@ -4,6 +4,7 @@
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.port.HeaderNames;
+import org.cranberrybend.entry.quarantine.QuarantineService;
 import org.cranberrybend.entry.upstream.UpstreamSelector;
 import org.cranberrybend.entry.upstream.UpstreamTable;
 import org.cranberrybend.entry.usage.UsageCounter;
@@ -16,6 +17,7 @@
  * @param headerNames names of the headers exchanged with callers and upstreams
  * @param table listed upstreams
  * @param selector selects the upstream of an attempt
+ * @param quarantine relates crashes of upstreams to the prompts that ran there
  * @param budget limits retries
  * @param usage counts requests that upstreams began to execute, by client account
  * @param log decision log
@@ -27,6 +29,7 @@
         HeaderNames headerNames,
         UpstreamTable table,
         UpstreamSelector selector,
+        QuarantineService quarantine,
         ServiceRetryBudget budget,
         UsageCounter usage,
         DecisionLog log,
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
@@ -81,6 +81,9 @@
     private ClientConnection connection;
     private HttpResponse head;
     private boolean sent;
+    /** Whether the connection ended, or its bytes became unreadable, before the response was complete. */
+    private boolean connectionLost;
+
     private boolean prefillDone;
     private boolean reading = true;
     private int discardedBytes;
@@ -109,6 +112,11 @@
         return sent;
     }
 
+    /** Returns whether the connection ended, or its bytes became unreadable, before the response was complete. */
+    boolean isConnectionLost() {
+        return connectionLost;
+    }
+
     long sentMs() {
         return sentMs;
     }
@@ -345,6 +353,7 @@
         if (previous == Mode.DISCARDING) {
             listener.onRejected(this, head.getCode());
         } else {
+            connectionLost = true;
             listener.onResponseLost(this, cause);
         }
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Prompt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Prompt.java
@@ -36,6 +36,11 @@
         return parts.size() > 1 ? parts.subList(0, parts.size() - 1) : parts;
     }
 
+    /** Returns the parts that requests of other sessions may have, too; the last part belongs to this one alone. */
+    public List<Part> partsOfOthers() {
+        return parts.isEmpty() ? parts : parts.subList(0, parts.size() - 1);
+    }
+
     /** Returns a key that is equal for prompts with the same shared prefix; empty without a prompt. */
     public String sharedPrefixKey() {
         StringBuilder key = new StringBuilder();
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
@@ -33,6 +33,7 @@
 import org.cranberrybend.entry.port.StoreChange;
 import org.cranberrybend.entry.port.StoreItem;
 import org.cranberrybend.entry.port.StoreSnapshot;
+import org.cranberrybend.entry.quarantine.QuarantineService;
 import org.cranberrybend.entry.request.RequestPath;
 import org.cranberrybend.entry.store.ConfigurationHolder;
 import org.cranberrybend.entry.upstream.UpstreamRecord;
@@ -77,7 +78,8 @@
         log.start();
         ConfigurationHolder configuration = new ConfigurationHolder((name, value) -> configuration(), log);
         configuration.offer("test", new byte[0]);
-        table = new UpstreamTable(PREFIX, EntryFixture::record, new HttpConnector(loop), timeSource, log);
+        HttpConnector connector = new HttpConnector(loop);
+        table = new UpstreamTable(PREFIX, EntryFixture::record, connector, timeSource, log);
         List<StoreItem> items = new ArrayList<>();
         for (ScriptedUpstream upstream : upstreams) {
             String id = "u" + items.size();
@@ -86,7 +88,17 @@
         }
         table.onSnapshot(new StoreSnapshot(items, 1), 0);
         RequestPath path = new RequestPath(
-                settings(), loop, timeSource, NAMES, configuration, table, usage, log, () -> 1, new MetricRegistry());
+                settings(),
+                loop,
+                timeSource,
+                NAMES,
+                configuration,
+                table,
+                new QuarantineService(connector, timeSource, log),
+                usage,
+                log,
+                () -> 1,
+                new MetricRegistry());
         server = new HttpServer(loop, timeSource, path.handler(), () -> LIMITS, new BodyMemoryLimit(1_000_000), log);
         port = ((InetSocketAddress) server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
                         .sync()
