--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 import org.cranberrybend.core.routing.Market;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.EntrySettings;
@@ -182,8 +183,13 @@
 
     /** Waits until the log contains a text; returns whether it appeared in time. */
     public boolean awaitLog(String text) {
+        return awaitLog(text, 1);
+    }
+
+    /** Waits until the log contains a text the given number of times; returns whether it did in time. */
+    public boolean awaitLog(String text, int times) {
         long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(LOG_WAIT_S);
-        while (!logOutput.toString(StandardCharsets.UTF_8).contains(text)) {
+        while (logOutput.toString(StandardCharsets.UTF_8).split(Pattern.quote(text), -1).length <= times) {
             if (System.nanoTime() > endNs) {
                 return false;
             }
@@ -217,6 +223,12 @@
         return onLoop(() -> usage.counts(usage.currentWindow()).getOrDefault(account, 0L));
     }
 
+    /** Returns the text of a request with a valid API key and a prompt of the given parts. */
+    public static String promptRequest(String path, String attempt, String promptParts) {
+        return request("POST", path, attempt, "prompt")
+                .replace("\nDeadline", "\nPrompt: " + promptParts + "\nDeadline");
+    }
+
     /** Returns the text of a request with a valid API key. */
     public static String request(String method, String path, String attempt, String body) {
         return method + " " + path + " HTTP/1.1\nHost: site.example\nAttempt: " + attempt
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/ScriptedUpstream.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/ScriptedUpstream.java
@@ -38,6 +38,7 @@
     private final ServerSocket listener;
     private final Script script;
     private final List<Received> received = new CopyOnWriteArrayList<>();
+    private final List<Socket> connections = new CopyOnWriteArrayList<>();
     private final BlockingQueue<String> closedConnections = new LinkedBlockingQueue<>();
 
     /** Starts an upstream with a script. */
@@ -72,6 +73,7 @@
         while (!listener.isClosed()) {
             try {
                 Socket connection = listener.accept();
+                connections.add(connection);
                 startThread(() -> serve(connection));
             } catch (IOException e) {
                 return;
@@ -136,6 +138,19 @@
         connection.close();
     }
 
+    /** Ends as a crashed process does: nothing listens any more, and all connections end. */
+    public void crash() throws IOException {
+        listener.close();
+        for (Socket connection : connections) {
+            connection.close();
+        }
+    }
+
+    /** Returns whether {@link #crash()} or {@link #close()} was called. */
+    public boolean isClosed() {
+        return listener.isClosed();
+    }
+
     @Override
     public void close() throws IOException {
         listener.close();
