Refuse requests with a prompt part that crashes engines

Cause: a request that crashes its engine was treated like one whose connection was lost, so it was repeated at the next engine, and nothing kept the next request with the same content from the next one. The class of fault is a poison pill: work that ends whoever takes it, handed on by retries.

An instance now records with each crash (connection lost, and the host refuses a new one) the prompt parts of the requests lost with it. A normal answer on a part clears it of the crashes before. The part with the most crashes explains them for the parts beside it; three crashes quarantine it. Parts that cannot be told apart are refused only together, so a request with one of them clears it. Crashes within 100 ms count as one, so a failed rack proves nothing, and an upstream that leaves as planned is not looked at. Repeats are judged like new requests. Instances spread records by gossip without the store, bounded in records, parts and bytes; a started or paused instance asks for them. After a block one request of the whole fleet may probe, by a key in the store; a crash of the probe doubles the block. A refused request gets 503 prompt_quarantined with run_state not_run and Retry-After, and is no failure of an upstream.

Ruled out: refusing after one crash (a crash ends all requests of an engine); quarantining the first part (sound requests share it).

Their engines now read the prompt for 150 ms before they crash: two crashes within 100 ms are one.

--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/event/EventCode.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/event/EventCode.java
@@ -42,6 +42,8 @@
     REQUEST_QUEUED(409, Severity.INFO, "A request waits for a slot."),
     REQUEST_SHED(410, Severity.INFO, "A waiting request was shed."),
     IDEMPOTENCY_REPLAYED(411, Severity.INFO, "A stored response was replayed."),
+    PROMPT_QUARANTINED(412, Severity.WARNING, "Requests with prompt parts that crash upstreams are refused."),
+    PROMPT_RELEASED(413, Severity.INFO, "Requests with prompt parts are no longer refused."),
     UPSTREAM_JOINED(501, Severity.INFO, "An upstream can be used."),
     UPSTREAM_LEAVING(502, Severity.INFO, "An upstream is leaving and receives no new requests."),
     UPSTREAM_UNHEALTHY(503, Severity.WARNING, "An upstream's circuit breaker opened."),
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -11,6 +11,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
@@ -27,6 +28,7 @@
 import org.cranberrybend.entry.duty.OrderDuty;
 import org.cranberrybend.entry.duty.UsageDuty;
 import org.cranberrybend.entry.duty.UsageFlusher;
+import org.cranberrybend.entry.fleet.CrashExchange;
 import org.cranberrybend.entry.fleet.FleetRelay;
 import org.cranberrybend.entry.fleet.FollowingStore;
 import org.cranberrybend.entry.fleet.LoadExchange;
@@ -95,6 +97,7 @@
     private final FleetDirectory directory;
     private final FleetDuties duties;
     private final FleetRelay relay;
+    private final CrashExchange crashExchange;
     private final HttpServer control;
     private final HttpServer metricsServer;
     private final CountDownLatch drained = new CountDownLatch(1);
@@ -147,6 +150,16 @@
                 timeSource,
                 log);
         duties = createDuties(ports, store, connector, usage, clock);
+        QuarantineService quarantine = new QuarantineService(store, settings.instance(), connector, timeSource, log);
+        crashExchange = new CrashExchange(
+                loop,
+                connector,
+                quarantine,
+                directory::peerAddresses,
+                upstreams::isStoreUnavailable,
+                timeSource,
+                log,
+                new Random(settings.instance().hashCode()));
         RequestPath path = new RequestPath(
                 settings,
                 loop,
@@ -154,7 +167,7 @@
                 ports.headerNames(),
                 configuration,
                 upstreams,
-                new QuarantineService(connector, timeSource, log),
+                quarantine,
                 usage,
                 log,
                 directory::maxFleetSize,
@@ -162,7 +175,7 @@
         control = new HttpServer(loop, timeSource, instanceHandler(store), () -> DEFAULT_LIMITS, bodyMemory, log);
         callers = new HttpServer(loop, timeSource, path.handler(), this::callerLimits, bodyMemory, log);
         metricsServer = new HttpServer(loop, timeSource, this::serveMetrics, () -> DEFAULT_LIMITS, bodyMemory, log);
-        registerGauges(bodyMemory);
+        registerGauges(bodyMemory, quarantine);
         readiness = new HttpServer(loop, timeSource, this::serveReadiness, () -> DEFAULT_LIMITS, bodyMemory, log);
     }
 
@@ -187,8 +200,14 @@
 
     private RequestHandler instanceHandler(FollowingStore store) {
         return (request, exchange) -> {
-            boolean follower = FollowingStore.isFollowerRequest(request.head().getRequestUri());
-            (follower ? store.feed() : relay).handle(request, exchange);
+            String target = request.head().getRequestUri();
+            if (FollowingStore.isFollowerRequest(target)) {
+                store.feed().handle(request, exchange);
+            } else if (CrashExchange.isExchangeRequest(target)) {
+                crashExchange.handle(request, exchange);
+            } else {
+                relay.handle(request, exchange);
+            }
         };
     }
 
@@ -267,7 +286,8 @@
         return !stopping && configuration.current().isPresent() && upstreams.isLoaded();
     }
 
-    private void registerGauges(BodyMemoryLimit bodyMemory) {
+    private void registerGauges(BodyMemoryLimit bodyMemory, QuarantineService quarantine) {
+        metrics.gauge("prompt_quarantines", () -> () -> quarantine.quarantineCount());
         metrics.gauge("configuration_version", () -> () -> configuration.version());
         metrics.gauge("upstreams_age_ms", () -> () -> upstreams.ageMs());
         metrics.gauge("upstreams_listed", () -> () -> upstreams.all().size());
@@ -324,6 +344,7 @@
         runPeriodically("upstream expiry", () -> upstreams.removeExpired(timeSource.monotonicMs()));
         runPeriodically("duties", duties::tick);
         runPeriodically("relay", relay::tick);
+        runPeriodically("crash exchange", crashExchange::tick);
         log.record(EventCode.PROCESS_STARTED, settings.instance(), "zone", settings.zone());
     }
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -10,6 +10,7 @@
 import org.cranberrybend.core.error.ErrorCode;
 import org.cranberrybend.core.event.EventCode;
 import org.cranberrybend.core.quarantine.PartFingerprint;
+import org.cranberrybend.core.quarantine.Verdict;
 import org.cranberrybend.entry.configuration.RetryRule;
 import org.cranberrybend.entry.http.HeaderRules;
 import org.cranberrybend.entry.http.ServerExchange;
@@ -42,6 +43,7 @@
     private static final long MIN_ATTEMPT_TIME_MS = 60;
 
     private static final int MIN_SERVER_ERROR_STATUS = 500;
+    private static final int SUCCESS_STATUS_CLASS = 2;
 
     private final RoutedRequest request;
     private final ServerExchange caller;
@@ -58,6 +60,9 @@
     private boolean usageCounted;
     private boolean headSent;
     private boolean finished;
+    /** Whether this request probes a quarantine; a probe is not sent again. */
+    private boolean probe;
+
     private String lastEventId;
 
     Exchange(RoutedRequest request, ServerExchange caller, RequestServices services) {
@@ -80,10 +85,48 @@
         }
         services.budget().recordRequest(request.service());
         services.metrics().countAccepted();
-        dispatch("first attempt");
+        admit();
+    }
+
+    /** Sends the request unless its prompt is quarantined. */
+    private void admit() {
+        Verdict verdict = services.quarantine().verdict(parts);
+        if (verdict.kind() == Verdict.Kind.PROBE) {
+            services.quarantine()
+                    .claimProbe(verdict.quarantine().get())
+                    .thenAccept(claimed -> onProbeClaimed(claimed, verdict));
+        } else {
+            dispatch("first attempt");
+        }
+    }
+
+    private void onProbeClaimed(boolean claimed, Verdict verdict) {
+        if (finished) {
+            return;
+        }
+        probe = claimed;
+        if (claimed) {
+            dispatch("probe of a quarantined prompt");
+        } else {
+            refuseQuarantined(verdict);
+        }
+    }
+
+    private void refuseQuarantined(Verdict verdict) {
+        services.metrics().countQuarantineRefusal();
+        finish(EventCode.REQUEST_REFUSED, "refused", "quarantined prompt");
+        // Spread, so that callers do not return at the same time.
+        long spreadMs = Math.floorMod((long) request.attemptId().hashCode(), 1 + verdict.retryAfterMs() / 4);
+        ErrorResponse.notRun(ErrorCode.PROMPT_QUARANTINED, verdict.retryAfterMs() + spreadMs)
+                .send(caller, request.attemptId());
     }
 
     private void dispatch(String reason) {
+        Verdict verdict = services.quarantine().verdict(parts);
+        if (verdict.kind() != Verdict.Kind.ADMIT && !probe) {
+            endQuarantined(verdict);
+            return;
+        }
         long nowMs = services.timeSource().monotonicMs();
         Optional<Upstream> chosen = services.selector()
                 .choose(request.service(), request.prompt(), request.latencyClass(), attemptedUpstreams, nowMs);
@@ -117,7 +160,10 @@
     private void checkResponsiveness() {
         long nowMs = services.timeSource().monotonicMs();
         UpstreamAttempt current = attempt;
-        if (current.isSent() && current.isReading() && request.retryRule().allowsReexecution(headSent)) {
+        if (current != null
+                && current.isSent()
+                && current.isReading()
+                && request.retryRule().allowsReexecution(headSent)) {
             if (isUpstreamUnresponsive(current, nowMs)) {
                 current.upstream().ejectUnresponsive(nowMs);
                 services.log()
@@ -184,6 +230,9 @@
         if (sends >= request.route().maxAttempts() || remainingMs < MIN_ATTEMPT_TIME_MS) {
             return false;
         }
+        if (probe || services.quarantine().verdict(parts).kind() != Verdict.Kind.ADMIT) {
+            return false;
+        }
         boolean upstreamAvailable = services.selector()
                 .choose(
                         request.service(),
@@ -255,6 +304,7 @@
         } else {
             ended.upstream().recordSuccess();
         }
+        recordAnswer(ended, head);
         if (headSent) {
             abortStream("status " + head.getCode() + " instead of the rest of the stream");
             return;
@@ -285,10 +335,17 @@
         }
     }
 
+    private void recordAnswer(UpstreamAttempt ended, HttpResponse head) {
+        if (head.getCode() / 100 == SUCCESS_STATUS_CLASS) {
+            services.quarantine().onAnswered(ended.upstream(), parts, ended.isDelimitedByClose());
+        }
+    }
+
     @Override
     public void onStreamEnd(UpstreamAttempt ended, HttpResponse head, byte[] trailingBytes) {
         sends++;
         ended.upstream().recordSuccess();
+        recordAnswer(ended, head);
         if (!headSent) {
             headSent = true;
             onExecutionStarted(ended);
@@ -347,6 +404,17 @@
         }
     }
 
+    /** Ends a request whose prompt was quarantined after its admission. */
+    private void endQuarantined(Verdict verdict) {
+        if (headSent) {
+            abortStream("quarantined prompt");
+        } else if (mayHaveExecuted) {
+            fail(ErrorResponse.outcomeUnknown(ErrorCode.UPSTREAM_FAILED, "upstream crashed"), "quarantined prompt");
+        } else {
+            refuseQuarantined(verdict);
+        }
+    }
+
     private void fail(ErrorResponse response, String cause) {
         finish(EventCode.REQUEST_FAILED, "failed", cause);
         response.send(caller, request.attemptId());
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestMetrics.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestMetrics.java
@@ -33,6 +33,10 @@
         registry.counter("upstream_rejections").inc();
     }
 
+    void countQuarantineRefusal() {
+        registry.counter("requests_refused_quarantined").inc();
+    }
+
     void countLostResponse() {
         registry.counter("upstream_lost_answers").inc();
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
@@ -117,6 +117,11 @@
         return connectionLost;
     }
 
+    /** Returns whether the response ended with its connection. */
+    boolean isDelimitedByClose() {
+        return connection != null && connection.isDelimitedByClose();
+    }
+
     long sentMs() {
         return sentMs;
     }
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/CrashingPromptTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/CrashingPromptTest.java
@@ -10,6 +10,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.cranberrybend.entry.testing.EntryFixture;
 import org.cranberrybend.entry.testing.RawCaller;
 import org.cranberrybend.entry.testing.ScriptedUpstream;
@@ -25,6 +27,9 @@
     /** Crashes up to which a harmful part may remain unknown. */
     private static final int MAX_CRASHES = 5;
 
+    /** Time for which an engine reads a prompt before it crashes; crashes at the same moment would count as one. */
+    private static final long PREFILL_NS = TimeUnit.MILLISECONDS.toNanos(150);
+
     private final List<ScriptedUpstream> engines = new ArrayList<>();
 
     @BeforeEach
@@ -33,6 +38,7 @@
             ScriptedUpstream[] engine = new ScriptedUpstream[1];
             engine[0] = new ScriptedUpstream((request, connection) -> {
                 if (request.headers().get("prompt").contains(HARMFUL_PART)) {
+                    LockSupport.parkNanos(PREFILL_NS);
                     engine[0].crash();
                 } else {
                     write(connection, streamHead(request) + chunk(event(1)) + "0\r\n\r\n");
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
@@ -95,7 +95,7 @@
                 NAMES,
                 configuration,
                 table,
-                new QuarantineService(connector, timeSource, log),
+                new QuarantineService(new MemoryStore(timeSource), "instance", connector, timeSource, log),
                 usage,
                 log,
                 () -> 1,
