Do not present a stream as complete that ended before its first event

Callers got an empty stream as a success, or a broken stream ended as if it were complete, when an engine answered without length or chunks and its connection ended before the first event. Cause: the end of the connection is the end of such a response, and only an end within an event counted as broken off. An engine that crashes ends its connections just so.

streamWithoutLengthThatEndsWithoutAnEventIsNotComplete failed before (200 instead of 502), and errorInPlaceOfTheRestBreaksTheStreamOff failed for this response of the second engine only (the resumed stream ended as complete). Its other cases passed before: error texts, heads, rejections and responses to others never reach a stream that has begun. So did lateCopyOfARejectionIsNotTrusted on each kind of route: a repeated rejection is recognised by its attempt identifier and is neither forwarded nor a reason to run the request twice.

A stream that has events and ends between two of them is still complete: that is the framing.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
@@ -335,12 +335,17 @@
         if (previous == Mode.ENDED) {
             return;
         }
+        boolean hadEvents = hasEvents();
         markEnded();
         upstream.release(connection);
         if (previous == Mode.DISCARDING) {
             listener.onRejected(this, head.getCode());
         } else if (previous == Mode.STREAMING && connection.isDelimitedByClose() && splitter.incompleteBytes() > 0) {
+            connectionLost = true;
             listener.onResponseLost(this, "connection ended within an event");
+        } else if (previous == Mode.STREAMING && connection.isDelimitedByClose() && !hadEvents) {
+            connectionLost = true;
+            listener.onResponseLost(this, "connection ended before the first event");
         } else if (previous == Mode.STREAMING) {
             listener.onStreamEnd(this, head, splitter.incompleteEvent());
         } else {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/FaultyUpstreamTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/FaultyUpstreamTest.java
@@ -125,6 +125,82 @@
         }
     }
 
+    // A late copy of an earlier rejection on a reused connection. Taking it for the own response would promise that a
+    // request did not run that is running, and would have it run at a second upstream.
+    @ParameterizedTest
+    @ValueSource(strings = {"/once/x", "/single/x", "/safe/x", "/stream/x"})
+    void lateCopyOfARejectionIsNotTrusted(String path) throws Exception {
+        String rejection = "HTTP/1.1 503 Busy\r\nAttempt: a1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+        AtomicInteger requests = new AtomicInteger();
+        Script script = (request, connection) -> write(
+                connection,
+                requests.incrementAndGet() == 1 ? rejection : rejection + response(request, "200 OK", OWN_RESPONSE));
+        try (ScriptedUpstream upstream = new ScriptedUpstream(script);
+                EntryFixture entry = new EntryFixture(upstream);
+                RawCaller caller = entry.caller()) {
+            assertThat(statusOf(
+                            caller.send(request("POST", path, "a1", "order")).readUntil("}}")))
+                    .isEqualTo("503");
+            String second =
+                    caller.send(request("POST", path, "a2", "order")).readUntil(path.contains("/s") ? "}" : "n");
+            assertThat(statusOf(second)).isNotEqualTo("503");
+            assertThat(upstream.received()).hasSize(2);
+        }
+    }
+
+    static Stream<Arguments> responsesInPlaceOfTheRest() {
+        String error = "Attempt: a1\r\nSignature: s2\r\nContent-Length: 9\r\n\r\nodd error";
+        return Stream.of(
+                Arguments.of("error", "HTTP/1.1 500 Odd\r\n" + error),
+                Arguments.of("not found", "HTTP/1.1 404 Odd\r\n" + error),
+                Arguments.of("success that is no stream", "HTTP/1.1 200 Odd\r\nContent-Type: text/plain\r\n" + error),
+                Arguments.of("rejection", "HTTP/1.1 503 Odd\r\nNot-Run: 1\r\n" + error),
+                Arguments.of("stream to another request", "HTTP/1.1 200 Odd\r\n" + error.replace("a1", "a7")),
+                Arguments.of("no response", "odd odd odd\r\n\r\n"),
+                Arguments.of(
+                        "unframed stream without an event",
+                        "HTTP/1.1 200 Odd\r\nAttempt: a1\r\nSignature: s2\r\nContent-Type: text/event-stream\r\n\r\n"));
+    }
+
+    // Guards against the text or the head of an error in the middle of a stream that was to be resumed, and against
+    // ending such a stream as if it were complete.
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("responsesInPlaceOfTheRest")
+    void errorInPlaceOfTheRestBreaksTheStreamOff(String name, String otherResponse) throws Exception {
+        AtomicInteger requests = new AtomicInteger();
+        Script script = (request, connection) -> {
+            boolean first = requests.incrementAndGet() == 1;
+            write(connection, first ? streamHead(request) + chunk(event(1)) + "5\r\nid" : otherResponse);
+            connection.close();
+        };
+        try (ScriptedUpstream first = new ScriptedUpstream(script);
+                ScriptedUpstream second = new ScriptedUpstream(script);
+                EntryFixture entry = new EntryFixture(first, second);
+                RawCaller caller = entry.caller()) {
+            String response =
+                    caller.send(request("POST", "/stream/x", "a1", "prompt")).readAll();
+            assertThat(response).endsWith(chunk(event(1)));
+            assertThat(response).doesNotContainMatch("(?i)odd");
+            assertThat(requests.get()).isEqualTo(2);
+        }
+    }
+
+    // Guards against presenting a stream as complete that ended before its first event: so ends a crashed engine.
+    @Test
+    void streamWithoutLengthThatEndsWithoutAnEventIsNotComplete() throws Exception {
+        Script script = (request, connection) -> {
+            write(connection, unframedStreamHead(request) + "\r\n");
+            connection.close();
+        };
+        try (ScriptedUpstream upstream = new ScriptedUpstream(script);
+                EntryFixture entry = new EntryFixture(upstream);
+                RawCaller caller = entry.caller()) {
+            String response =
+                    caller.send(request("POST", "/single/x", "a1", "prompt")).readUntil("}}");
+            assertThat(statusOf(response)).isEqualTo("502");
+        }
+    }
+
     // A late rejection or error without an attempt identifier may belong to the previous request of the connection.
     // Taking it for this request's would promise that a request did not run that may be running.
     @Test
