Detect the crash of an engine that listens a moment longer

Cause: an ending process may close its connections before it stops listening, and the single connection attempt that tells a crash from a reset then succeeds. Such a crash was missed, so a harmful part cost one more engine. The upstream is now tried a second time 200 ms later if it still listens.

--- a/cranberrybend-core/src/test/java/org/cranberrybend/core/quarantine/PromptQuarantineTest.java
+++ b/cranberrybend-core/src/test/java/org/cranberrybend/core/quarantine/PromptQuarantineTest.java
@@ -104,6 +104,16 @@
         assertThat(verdict("part")).isEqualTo(Verdict.Kind.REFUSE);
     }
 
+    // Guards against refusing parts that were in some of the crashes only, if all parts were answered before.
+    @Test
+    void partsOfSomeCrashesAreNotQuarantinedWithTheHarmfulOne() {
+        answer("harmful", "beside1", "beside2");
+        crash("harmful", "beside1");
+        crash("harmful", "beside2");
+        crash("harmful");
+        assertThat(verdict("harmful")).isEqualTo(Verdict.Kind.REFUSE);
+    }
+
     // Guards against taking the failure of a rack for evidence: its engines end at the same moment.
     @Test
     void enginesThatEndTogetherCountAsOneCrash() {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -150,7 +150,8 @@
                 timeSource,
                 log);
         duties = createDuties(ports, store, connector, usage, clock);
-        QuarantineService quarantine = new QuarantineService(store, settings.instance(), connector, timeSource, log);
+        QuarantineService quarantine =
+                new QuarantineService(loop, store, settings.instance(), connector, timeSource, log);
         crashExchange = new CrashExchange(
                 loop,
                 connector,
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/quarantine/CrashDetector.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/quarantine/CrashDetector.java
@@ -5,6 +5,9 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import org.cranberrybend.core.quarantine.PartFingerprint;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.http.HttpConnector;
@@ -15,11 +18,14 @@
  * Finds out whether an upstream whose connection ended has crashed. Confined to the event loop.
  *
  * <p>A connection also ends when the network resets it or the upstream closes it, so the upstream is connected to once
- * more: after a crash, its host refuses. An upstream that leaves as planned is not checked. Neither silence nor an
- * unreachable host counts as a crash, because a lost host or a partition says nothing about the requests.
+ * more: after a crash, its host refuses. A process that ends may close its connections before it stops listening, so an
+ * upstream that still listens is tried a second time. An upstream that leaves as planned is not checked. Neither silence
+ * nor an unreachable host counts as a crash, because a lost host or a partition says nothing about the requests.
  */
 public final class CrashDetector {
     private static final int PROBE_TIMEOUT_MS = 600;
+    /** Time in which an ending process stops listening. */
+    private static final long SECOND_PROBE_DELAY_MS = 200;
 
     /** Receives crashes. */
     public interface Listener {
@@ -31,6 +37,7 @@
         void onCrash(Upstream upstream, long crashedAtMs, Collection<PartFingerprint> parts);
     }
 
+    private final ScheduledExecutorService loop;
     private final HttpConnector connector;
     private final TimeSource timeSource;
     private final Listener listener;
@@ -38,7 +45,9 @@
     private final Map<Upstream, Set<PartFingerprint>> lostParts = new HashMap<>();
 
     /** Creates a detector. */
-    public CrashDetector(HttpConnector connector, TimeSource timeSource, Listener listener) {
+    public CrashDetector(
+            ScheduledExecutorService loop, HttpConnector connector, TimeSource timeSource, Listener listener) {
+        this.loop = loop;
         this.connector = connector;
         this.timeSource = timeSource;
         this.listener = listener;
@@ -56,9 +65,25 @@
         }
         lostParts.put(upstream, new LinkedHashSet<>(parts));
         long lostAtMs = timeSource.monotonicMs();
-        connector
-                .probe(upstream.entry().address(), PROBE_TIMEOUT_MS)
-                .thenAccept(state -> onProbed(upstream, lostAtMs, state));
+        probeTwice(upstream).thenAccept(state -> onProbed(upstream, lostAtMs, state));
+    }
+
+    /** Finds out whether an upstream listens and goes on listening. */
+    public CompletableFuture<ListenState> probeTwice(Upstream upstream) {
+        return probe(upstream)
+                .thenCompose(state -> state == ListenState.LISTENING
+                        ? afterDelay().thenCompose(done -> probe(upstream))
+                        : CompletableFuture.completedFuture(state));
+    }
+
+    private CompletableFuture<ListenState> probe(Upstream upstream) {
+        return connector.probe(upstream.entry().address(), PROBE_TIMEOUT_MS);
+    }
+
+    private CompletableFuture<Void> afterDelay() {
+        CompletableFuture<Void> elapsed = new CompletableFuture<>();
+        loop.schedule(() -> elapsed.complete(null), SECOND_PROBE_DELAY_MS, TimeUnit.MILLISECONDS);
+        return elapsed;
     }
 
     private void onProbed(Upstream upstream, long lostAtMs, ListenState state) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/quarantine/QuarantineService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/quarantine/QuarantineService.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.stream.Collectors;
 import org.cranberrybend.core.event.EventCode;
 import org.cranberrybend.core.quarantine.CrashRecord;
@@ -29,12 +30,9 @@
     /** Prompt parts that a log line lists. */
     private static final int MAX_LOGGED_PARTS = 8;
 
-    private static final int PROBE_TIMEOUT_MS = 600;
-
     private final PromptQuarantine quarantine = new PromptQuarantine();
     private final CrashDetector detector;
     private final ProbeClaims claims;
-    private final HttpConnector connector;
     private final TimeSource timeSource;
     private final DecisionLog log;
     private Set<Set<PartFingerprint>> quarantinedParts = Set.of();
@@ -42,10 +40,14 @@
 
     /** Creates the service without knowledge. */
     public QuarantineService(
-            KeyValueStore store, String instance, HttpConnector connector, TimeSource timeSource, DecisionLog log) {
-        this.detector = new CrashDetector(connector, timeSource, this::onCrash);
+            ScheduledExecutorService loop,
+            KeyValueStore store,
+            String instance,
+            HttpConnector connector,
+            TimeSource timeSource,
+            DecisionLog log) {
+        this.detector = new CrashDetector(loop, connector, timeSource, this::onCrash);
         this.claims = new ProbeClaims(store, instance, timeSource);
-        this.connector = connector;
         this.timeSource = timeSource;
         this.log = log;
     }
@@ -108,7 +110,7 @@
         if (!delimitedByClose) {
             recordAnswer(parts);
         } else if (parts.stream().anyMatch(quarantine::isImplicated)) {
-            connector.probe(upstream.entry().address(), PROBE_TIMEOUT_MS).thenAccept(state -> {
+            detector.probeTwice(upstream).thenAccept(state -> {
                 if (state == ListenState.LISTENING) {
                     recordAnswer(parts);
                 }
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
@@ -69,6 +69,7 @@
     private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final TimeSource timeSource = TimeSource.system();
     private final UpstreamTable table;
+    private final QuarantineService quarantine;
     private final HttpServer server;
     private final UsageCounter usage = new UsageCounter(3_600_000, new SteadyWallClock(timeSource));
     private final int port;
@@ -88,6 +89,7 @@
                     PREFIX + id, Integer.toString(upstream.port()).getBytes(StandardCharsets.UTF_8), 1, 1, 0));
         }
         table.onSnapshot(new StoreSnapshot(items, 1), 0);
+        quarantine = new QuarantineService(loop, new MemoryStore(timeSource), "instance", connector, timeSource, log);
         RequestPath path = new RequestPath(
                 settings(),
                 loop,
@@ -95,7 +97,7 @@
                 NAMES,
                 configuration,
                 table,
-                new QuarantineService(new MemoryStore(timeSource), "instance", connector, timeSource, log),
+                quarantine,
                 usage,
                 log,
                 () -> 1,
@@ -181,6 +183,11 @@
         });
     }
 
+    /** Returns the quarantine of prompt parts, which may be used on the event loop only. */
+    public QuarantineService quarantine() {
+        return quarantine;
+    }
+
     /** Waits until the log contains a text; returns whether it appeared in time. */
     public boolean awaitLog(String text) {
         return awaitLog(text, 1);
@@ -198,6 +205,11 @@
         return true;
     }
 
+    /** Returns what was logged so far. */
+    public String log() {
+        return logOutput.toString(StandardCharsets.UTF_8);
+    }
+
     /** Returns a new connection of a caller. */
     public RawCaller caller() throws Exception {
         return new RawCaller(port);
