Read the list of upstreams although an entry has no bytes

An instance that read the list of upstreams while another writer had left an entry without bytes never got a list: it refused all requests, or went on with what it knew. Cause: the adapter took the empty text of a value for a field of the wrong type, so the whole response counted as unreadable, on each retry again. The same holds for a peer's state, which passes items on.

OddEntryTest reads odd entries through the store's protocol; the case "no bytes" failed before (nothing listed after 10 s). Deep nesting (100,000 levels), numbers of 100,000 digits, ports out of range, null and bytes that are no text passed before: they name no upstream and the others hold. Three copies of the same special case became JsonObject.text.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/ChangeFormat.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/ChangeFormat.java
@@ -71,7 +71,7 @@
             long revision = row.integer("revision");
             Optional<StoreItem> item = Optional.empty();
             if (row.has("created_revision")) {
-                String value = row.isEmptyString("value") ? "" : row.string("value");
+                String value = row.text("value");
                 try {
                     item = Optional.of(new StoreItem(
                             key,
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FleetState.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FleetState.java
@@ -49,11 +49,11 @@
         try {
             for (JsonObject row : state.objects("upstreams")) {
                 long revision = row.integer("revision");
-                byte[] value = Base64.getDecoder().decode(row.string("value"));
+                byte[] value = Base64.getDecoder().decode(row.text("value"));
                 items.add(new StoreItem(row.string("key"), value, revision, revision, 0));
             }
             return new FleetState(
-                    state.has("configuration") ? Base64.getDecoder().decode(configurationText(state)) : new byte[0],
+                    Base64.getDecoder().decode(state.text("configuration")),
                     items,
                     state.integer("revision"),
                     state.integer("age_ms"));
@@ -61,8 +61,4 @@
             throw new JsonFormatException("a value is not base64 text", e);
         }
     }
-
-    private static String configurationText(JsonObject state) throws JsonFormatException {
-        return state.isEmptyString("configuration") ? "" : state.string("configuration");
-    }
 }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/json/JsonObject.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/json/JsonObject.java
@@ -71,9 +71,9 @@
         }
     }
 
-    /** Returns whether the field is an empty string. */
-    public boolean isEmptyString(String name) {
-        return "".equals(fields.get(name));
+    /** Returns a string field, which may be empty; an empty string if the field is absent or null. */
+    public String text(String name) throws JsonFormatException {
+        return "".equals(fields.get(name)) ? "" : string(name, "");
     }
 
     /** Returns an integer field, which must be present. A fraction with an integral value such as 2.0 is accepted. */
