Refuse numbers out of range in the entries of upstreams

Cause: integers were cut to 32 bits, and a fraction without a fractional part counted as an integer however large it was.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/json/JsonObject.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/json/JsonObject.java
@@ -10,6 +10,9 @@
 
 /** A JSON object with type-checked access to its fields. Fields that are not accessed are ignored. Immutable. */
 public final class JsonObject {
+    /** Largest number up to which a fraction such as 2.0 is an exact integer. */
+    private static final double MAX_EXACT_INTEGER = 1L << 53;
+
     private final String path;
     private final Map<String, Object> fields;
 
@@ -65,7 +68,11 @@
             throw typeError(name, "an address of the form ip:port");
         }
         try {
-            return new InetSocketAddress(host, Integer.parseInt(text.substring(colon + 1)));
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (port == 0) {
+                throw typeError(name, "an address with a port");
+            }
+            return new InetSocketAddress(host, port);
         } catch (IllegalArgumentException e) {
             throw typeError(name, "an address of the form ip:port");
         }
@@ -82,12 +89,25 @@
         if (value instanceof Long) {
             return (Long) value;
         }
-        if (value instanceof Double && ((Double) value) == Math.rint((Double) value)) {
+        if (value instanceof Double && isExactInteger((Double) value)) {
             return ((Double) value).longValue();
         }
         throw typeError(name, "an integer");
     }
 
+    private static boolean isExactInteger(double value) {
+        return value == Math.rint(value) && Math.abs(value) <= MAX_EXACT_INTEGER;
+    }
+
+    /** Returns an integer field, which must be present and in the given range. */
+    public long integer(String name, long min, long max) throws JsonFormatException {
+        long value = integer(name);
+        if (value < min || value > max) {
+            throw typeError(name, "an integer from " + min + " to " + max);
+        }
+        return value;
+    }
+
     /** Returns an integer field, or the default if the field is absent or null. */
     public long integer(String name, long defaultValue) throws JsonFormatException {
         return has(name) ? integer(name) : defaultValue;
