Let crash records reach every instance within seconds

In a fleet of 40 one instance had not learned of a quarantine after 4 s: it would have sent on what the others knew to crash engines. The generators that choose the receivers were seeded with consecutive numbers (in service: hash codes of instance names, which differ in the last digit), and such generators choose the same receivers. And an instance that was passed over was never asked: comparing digests told only the one that asked. Seeds are now mixed, news are sent for 1 s instead of 0.7 s, and a comparison that finds a difference sends the records to the other side.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -20,6 +20,7 @@
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.message.BasicHeader;
 import org.cranberrybend.core.event.EventCode;
+import org.cranberrybend.core.routing.RendezvousHash;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.duty.DutyLease;
 import org.cranberrybend.entry.duty.FleetDirectory;
@@ -160,7 +161,7 @@
                 upstreams::isStoreUnavailable,
                 timeSource,
                 log,
-                new Random(settings.instance().hashCode()));
+                new Random(RendezvousHash.hash(settings.instance(), "peers")));
         RequestPath path = new RequestPath(
                 settings,
                 loop,
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/CrashExchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/CrashExchange.java
@@ -30,9 +30,9 @@
 /**
  * Spreads crash records among all instances without the store, by gossip: an instance sends new crashes to a few others
  * at random for some rounds, and all records when its quarantines have changed. While it has any records, it also
- * compares digests with one other instance regularly. The messages of an instance do not grow with the fleet, and their
- * size is bounded; the time until all instances know grows with the logarithm of their number. Confined to the event
- * loop.
+ * compares digests with one other instance regularly, and both exchange their records if these differ. The messages of
+ * an instance do not grow with the fleet, and their size is bounded; the time until all instances know grows with the
+ * logarithm of their number. Confined to the event loop.
  *
  * <p>An instance without records asks others after its start, after a pause of its process and while the store is
  * unavailable to it, since it may have missed news then.
@@ -43,9 +43,9 @@
     private static final int FAN_OUT = 3;
 
     /** Time for which news are sent, once in each tick. */
-    private static final long NEWS_MS = 700;
+    private static final long NEWS_MS = 1_000;
 
-    private static final long COMPARE_INTERVAL_MS = 2_000;
+    private static final long COMPARE_INTERVAL_MS = 1_000;
     private static final long CALL_TIMEOUT_MS = 600;
     /** Time between two ticks that shows that the process was paused. */
     private static final long PAUSE_MS = 1_500;
@@ -64,13 +64,14 @@
     private final Map<InetSocketAddress, ApiClient> clients = new HashMap<>();
     private long nextCompareMs = Long.MIN_VALUE;
     private long lastTickMs;
+    private int pendingCalls;
     /** Whether news may have been missed since another instance responded last. */
     private boolean mayHaveMissedNews = true;
 
     /**
      * Creates the exchange.
      *
-     * @param random chooses the instances that receive news
+     * @param random chooses the instances that receive news; generators with similar seeds would choose the same ones
      */
     public CrashExchange(
             EventLoopGroup loop,
@@ -127,18 +128,33 @@
 
     private void send(InetSocketAddress peer, byte[] records) {
         String target = PATH + Long.toHexString(quarantine.digest());
+        pendingCalls++;
         clients.computeIfAbsent(peer, address -> new ApiClient(loop, connector, address))
                 .call("POST", target, JSON, records, CALL_TIMEOUT_MS)
-                .thenAccept(response -> onResponse(peer, response));
+                .whenComplete((response, failure) -> {
+                    pendingCalls--;
+                    if (failure == null) {
+                        onResponse(peer, response, records.length > 0);
+                    }
+                });
     }
 
-    private void onResponse(InetSocketAddress peer, ApiResponse response) {
+    /** Returns the number of calls to other instances that have no response yet. */
+    int pendingCalls() {
+        return pendingCalls;
+    }
+
+    private void onResponse(InetSocketAddress peer, ApiResponse response, boolean sentRecords) {
         if (response.status() != 200) {
             return;
         }
         mayHaveMissedNews = false;
-        if (response.body().length > 0) {
-            merge(response.body(), peer.toString());
+        if (response.body().length == 0) {
+            return;
+        }
+        merge(response.body(), peer.toString());
+        if (!sentRecords && quarantine.digest() != 0) {
+            send(peer, CrashFormat.encode(quarantine.records(), timeSource.monotonicMs()));
         }
     }
 
