--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -14,7 +14,6 @@
 import org.cranberrybend.entry.configuration.RetryRule;
 import org.cranberrybend.entry.http.HeaderRules;
 import org.cranberrybend.entry.http.ServerExchange;
-import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.quarantine.QuarantineService;
 import org.cranberrybend.entry.upstream.Upstream;
 
@@ -50,7 +49,7 @@
     private final RequestServices services;
     private final Set<String> attemptedUpstreams = new LinkedHashSet<>();
     private final List<PartFingerprint> parts;
-    private final boolean sampled;
+    private final RequestLog requestLog;
     private UpstreamAttempt attempt;
     private ScheduledFuture<?> deadlineTimer;
     private ScheduledFuture<?> responsivenessTimer;
@@ -71,7 +70,7 @@
         this.services = services;
         this.parts = QuarantineService.partsOf(request.service(), request.prompt());
         this.lastEventId = request.resumeAfterEventId();
-        this.sampled = DecisionLog.isSampled(request.attemptId());
+        this.requestLog = new RequestLog(request, parts, services);
     }
 
     void start() {
@@ -136,22 +135,7 @@
         }
         Upstream upstream = chosen.get();
         attemptedUpstreams.add(upstream.entry().id());
-        if (sampled || attemptedUpstreams.size() > 1) {
-            services.log()
-                    .record(
-                            EventCode.REQUEST_DISPATCHED,
-                            request.attemptId(),
-                            "route",
-                            request.route().name(),
-                            "upstream",
-                            upstream.entry().id(),
-                            "reason",
-                            reason,
-                            "estimated_requests",
-                            upstream.estimatedRequests(nowMs),
-                            "directory_age_ms",
-                            services.table().ageMs());
-        }
+        requestLog.recordDispatch(upstream, reason, attemptedUpstreams.size() == 1);
         attempt = new UpstreamAttempt(request, upstream, services.headerNames(), services.timeSource(), this);
         attempt.start(lastEventId);
     }
@@ -166,12 +150,7 @@
                 && request.retryRule().allowsReexecution(headSent)) {
             if (isUpstreamUnresponsive(current, nowMs)) {
                 current.upstream().ejectUnresponsive(nowMs);
-                services.log()
-                        .record(
-                                EventCode.UPSTREAM_UNHEALTHY,
-                                current.upstream().entry().id(),
-                                "cause",
-                                "silent");
+                recordUnhealthy(current.upstream(), "silent");
                 if (moveFrom(current, "unresponsive upstream")) {
                     current.upstream().pool().discardIdle();
                 }
@@ -248,16 +227,7 @@
             abandoned.abort();
         }
         services.metrics().countSend(true);
-        services.log()
-                .record(
-                        EventCode.REQUEST_RETRIED,
-                        request.attemptId(),
-                        "reason",
-                        reason,
-                        "left_ms",
-                        remainingMs,
-                        "parts",
-                        QuarantineService.describe(parts));
+        requestLog.recordRetry(reason, remainingMs);
         dispatch(reason);
         return true;
     }
@@ -382,15 +352,14 @@
 
     private void recordUpstreamFailure(UpstreamAttempt ended, String cause) {
         if (ended.upstream().recordFailure(services.timeSource().monotonicMs())) {
-            services.log()
-                    .record(
-                            EventCode.UPSTREAM_UNHEALTHY,
-                            ended.upstream().entry().id(),
-                            "cause",
-                            cause);
+            recordUnhealthy(ended.upstream(), cause);
         }
     }
 
+    private void recordUnhealthy(Upstream upstream, String cause) {
+        services.log().record(EventCode.UPSTREAM_UNHEALTHY, upstream.entry().id(), "cause", cause);
+    }
+
     /** Ends a request that is not retried: as refused if it was certainly not executed, otherwise as failed. */
     private void endWithoutResponse(String cause) {
         if (headSent) {
@@ -462,27 +431,6 @@
         }
         long elapsedMs = services.timeSource().monotonicMs() - request.receivedMs();
         services.metrics().recordOutcome(outcome, elapsedMs);
-        if (sampled || code != EventCode.REQUEST_COMPLETED || sends > 1) {
-            services.log()
-                    .record(
-                            code,
-                            request.attemptId(),
-                            "route",
-                            request.route().name(),
-                            "cause",
-                            cause,
-                            "sends",
-                            sends,
-                            "elapsed_ms",
-                            elapsedMs,
-                            "upstreams",
-                            String.join(",", attemptedUpstreams),
-                            "priority",
-                            request.priority(),
-                            "parts",
-                            QuarantineService.describe(parts),
-                            "directory_age_ms",
-                            services.table().ageMs());
-        }
+        requestLog.recordEnd(code, cause, sends, elapsedMs, attemptedUpstreams);
     }
 }
--- /dev/null
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestLog.java
@@ -0,0 +1,88 @@
+package org.cranberrybend.entry.request;
+
+import java.util.Collection;
+import java.util.List;
+import org.cranberrybend.core.event.EventCode;
+import org.cranberrybend.core.quarantine.PartFingerprint;
+import org.cranberrybend.core.time.TimeSource;
+import org.cranberrybend.entry.log.DecisionLog;
+import org.cranberrybend.entry.quarantine.QuarantineService;
+import org.cranberrybend.entry.upstream.Upstream;
+
+/**
+ * Log lines of one request: where it was sent and why, why it was retried, and how it ended. The lines of requests that
+ * succeed at once are sampled, since they are many.
+ */
+final class RequestLog {
+    private final RoutedRequest request;
+    private final List<PartFingerprint> parts;
+    private final RequestServices services;
+    private final boolean sampled;
+
+    RequestLog(RoutedRequest request, List<PartFingerprint> parts, RequestServices services) {
+        this.request = request;
+        this.parts = parts;
+        this.services = services;
+        this.sampled = DecisionLog.isSampled(request.attemptId());
+    }
+
+    void recordDispatch(Upstream upstream, String reason, boolean first) {
+        if (!sampled && first) {
+            return;
+        }
+        TimeSource timeSource = services.timeSource();
+        services.log()
+                .record(
+                        EventCode.REQUEST_DISPATCHED,
+                        request.attemptId(),
+                        "route",
+                        request.route().name(),
+                        "upstream",
+                        upstream.entry().id(),
+                        "reason",
+                        reason,
+                        "estimated_requests",
+                        upstream.estimatedRequests(timeSource.monotonicMs()),
+                        "directory_age_ms",
+                        services.table().ageMs());
+    }
+
+    void recordRetry(String reason, long remainingMs) {
+        services.log()
+                .record(
+                        EventCode.REQUEST_RETRIED,
+                        request.attemptId(),
+                        "reason",
+                        reason,
+                        "left_ms",
+                        remainingMs,
+                        "parts",
+                        QuarantineService.describe(parts));
+    }
+
+    void recordEnd(EventCode code, String cause, int sends, long elapsedMs, Collection<String> upstreams) {
+        if (!sampled && code == EventCode.REQUEST_COMPLETED && sends <= 1) {
+            return;
+        }
+        services.log()
+                .record(
+                        code,
+                        request.attemptId(),
+                        "route",
+                        request.route().name(),
+                        "cause",
+                        cause,
+                        "sends",
+                        sends,
+                        "elapsed_ms",
+                        elapsedMs,
+                        "upstreams",
+                        String.join(",", upstreams),
+                        "priority",
+                        request.priority(),
+                        "parts",
+                        QuarantineService.describe(parts),
+                        "directory_age_ms",
+                        services.table().ageMs());
+    }
+}
