Keep the crash records of quarantines in the store

When all instances end at once, nobody is left to ask, and a fleet that has just found a harmful prompt part loses three more engines to it. The holder of the duty lease now writes the records when quarantines change, and each instance reads them once after its start, with ages by the wall clock. Without the store nothing changes: instances ask each other.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -47,6 +47,7 @@
 import org.cranberrybend.entry.port.StoreChange;
 import org.cranberrybend.entry.port.StoreKeys;
 import org.cranberrybend.entry.port.StoreSnapshot;
+import org.cranberrybend.entry.quarantine.QuarantineArchive;
 import org.cranberrybend.entry.quarantine.QuarantineService;
 import org.cranberrybend.entry.request.RequestPath;
 import org.cranberrybend.entry.store.ConfigurationHolder;
@@ -150,9 +151,9 @@
                 directory::zoneLeader,
                 timeSource,
                 log);
-        duties = createDuties(ports, store, connector, usage, clock);
         QuarantineService quarantine =
                 new QuarantineService(loop, store, settings.instance(), connector, timeSource, log);
+        duties = createDuties(ports, store, connector, usage, clock, quarantine);
         crashExchange = new CrashExchange(
                 loop,
                 connector,
@@ -214,7 +215,12 @@
     }
 
     private FleetDuties createDuties(
-            EntryPorts ports, KeyValueStore store, HttpConnector connector, UsageCounter usage, SteadyWallClock clock) {
+            EntryPorts ports,
+            KeyValueStore store,
+            HttpConnector connector,
+            UsageCounter usage,
+            SteadyWallClock clock,
+            QuarantineService quarantine) {
         DutyLease lease = new DutyLease(store, settings.instance(), settings.leaseMs(), timeSource, log);
         List<Runnable> tasks = new ArrayList<>();
         ports.openUsageReports(loop, connector, settings)
@@ -241,6 +247,8 @@
                                 () -> directory.liveInstances().size(),
                                 timeSource,
                                 log)::tick)));
+        tasks.add(guarded(
+                "quarantine archive", new QuarantineArchive(store, quarantine, lease::isHeld, timeSource, log)::tick));
         UsageFlusher flusher = new UsageFlusher(
                 relay::write,
                 relay::writeNow,
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetKeys.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetKeys.java
@@ -13,6 +13,9 @@
     /** Instances that held the duty lease recently, the latest first; does not expire. */
     static final String RECENT_HOLDERS = FLEET + "duty/recent-holders";
 
+    /** Crash records that justify the quarantines in force. */
+    public static final String CRASHES = "cranberrybend/quarantine/crashes";
+
     /** Prefix of the claims to probe quarantined prompt parts, each under a lease of its own. */
     public static final String PROBES = "cranberrybend/quarantine/probes/";
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/CrashExchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/CrashExchange.java
@@ -25,6 +25,7 @@
 import org.cranberrybend.entry.http.ServerExchange;
 import org.cranberrybend.entry.json.JsonFormatException;
 import org.cranberrybend.entry.log.DecisionLog;
+import org.cranberrybend.entry.quarantine.CrashFormat;
 import org.cranberrybend.entry.quarantine.QuarantineService;
 
 /**
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/CrashFormat.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/quarantine/CrashFormat.java
@@ -1,4 +1,4 @@
-package org.cranberrybend.entry.fleet;
+package org.cranberrybend.entry.quarantine;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -16,14 +16,30 @@
 import org.cranberrybend.entry.json.JsonFormatException;
 import org.cranberrybend.entry.json.JsonObject;
 
-/** JSON format of the crash records that instances exchange. Times are sent as ages, since the clocks differ. */
-final class CrashFormat {
+/**
+ * JSON format of the crash records that instances exchange and keep in the store. Times are written as ages, since the
+ * clocks differ; a stored document also states when it was written.
+ */
+public final class CrashFormat {
     /** Largest number of prompt parts in one message, which bounds its size to about 50 KB. */
     private static final int MAX_PARTS = 2_000;
 
+    private static final String CRASHES = "crashes";
+    private static final String WRITTEN = "written_wall_ms";
+
     private CrashFormat() {}
 
-    static byte[] encode(List<CrashRecord> latestFirst, long nowMs) {
+    /** Encodes records for another instance. */
+    public static byte[] encode(List<CrashRecord> latestFirst, long nowMs) {
+        return Json.write(Map.of(CRASHES, rows(latestFirst, nowMs)));
+    }
+
+    /** Encodes records for the store. */
+    static byte[] encodeStored(List<CrashRecord> latestFirst, long nowMs, long wallMs) {
+        return Json.write(Map.of(WRITTEN, wallMs, CRASHES, rows(latestFirst, nowMs)));
+    }
+
+    private static List<Object> rows(List<CrashRecord> latestFirst, long nowMs) {
         List<Object> rows = new ArrayList<>();
         int parts = 0;
         for (CrashRecord each : latestFirst) {
@@ -40,7 +56,7 @@
             }
             rows.add(row);
         }
-        return Json.write(Map.of("crashes", rows));
+        return rows;
     }
 
     private static String fieldName(Standing standing) {
@@ -57,17 +73,30 @@
         return parts;
     }
 
-    static Collection<CrashRecord> decode(byte[] text, long nowMs) throws JsonFormatException {
+    /** Decodes records of another instance. */
+    public static Collection<CrashRecord> decode(byte[] text, long nowMs) throws JsonFormatException {
+        return records(Json.readObject(text), nowMs);
+    }
+
+    /** Decodes records from the store. */
+    static Collection<CrashRecord> decodeStored(byte[] text, long nowMs, long wallMs) throws JsonFormatException {
+        JsonObject document = Json.readObject(text);
+        // A clock that was stepped back must not move crashes into the future.
+        long documentAgeMs = Math.max(0, wallMs - document.integer(WRITTEN));
+        return records(document, nowMs - documentAgeMs);
+    }
+
+    private static Collection<CrashRecord> records(JsonObject document, long nowMs) throws JsonFormatException {
         List<CrashRecord> crashes = new ArrayList<>();
-        for (JsonObject row : Json.readObject(text).objects("crashes")) {
+        for (JsonObject row : document.objects(CRASHES)) {
             if (crashes.size() < PromptQuarantine.MAX_RECORDS) {
-                crashes.add(decode(row, nowMs));
+                crashes.add(record(row, nowMs));
             }
         }
         return crashes;
     }
 
-    private static CrashRecord decode(JsonObject row, long nowMs) throws JsonFormatException {
+    private static CrashRecord record(JsonObject row, long nowMs) throws JsonFormatException {
         Map<PartFingerprint, Standing> standings = new HashMap<>();
         for (Standing standing : Standing.values()) {
             for (String part : row.strings(fieldName(standing))) {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/CrashExchangeTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/CrashExchangeTest.java
@@ -33,6 +33,7 @@
 import org.cranberrybend.entry.http.ServerLimits;
 import org.cranberrybend.entry.json.JsonFormatException;
 import org.cranberrybend.entry.log.DecisionLog;
+import org.cranberrybend.entry.quarantine.CrashFormat;
 import org.cranberrybend.entry.quarantine.QuarantineService;
 import org.cranberrybend.entry.testing.MemoryStore;
 import org.cranberrybend.entry.testing.TestClock;
