--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/quarantine/CrashRecord.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/quarantine/CrashRecord.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.TreeMap;
+import org.cranberrybend.core.routing.RendezvousHash;
 
 /**
  * A crash of an upstream and the prompt parts that were in progress there. Several instances lose requests with the
@@ -16,6 +17,9 @@
     /** Largest number of prompt parts of one record. */
     public static final int MAX_PARTS = 128;
 
+    /** Odd constant of the golden ratio, which spreads the bits of a product. */
+    private static final long DIGEST_MULTIPLIER = 0x9E3779B97F4A7C15L;
+
     public CrashRecord {
         TreeMap<PartFingerprint, Standing> kept = new TreeMap<>(standings);
         while (kept.size() > MAX_PARTS) {
@@ -30,6 +34,17 @@
         return standing != null && standing.isImplicated();
     }
 
+    /** Returns a number that is equal for equal knowledge of the crash; the time is left out, as clocks differ. */
+    long digest() {
+        long upstreamHash = RendezvousHash.hash(upstream.upstreamId(), Long.toString(upstream.startedAtMs()));
+        long digest = upstreamHash;
+        for (Map.Entry<PartFingerprint, Standing> each : standings.entrySet()) {
+            long part = (upstreamHash ^ each.getKey().value()) + each.getValue().ordinal();
+            digest += Long.rotateLeft(part * DIGEST_MULTIPLIER, Integer.SIZE) * DIGEST_MULTIPLIER;
+        }
+        return digest;
+    }
+
     /** Returns the record with the knowledge of another record of the same crash. */
     CrashRecord merge(CrashRecord other) {
         Map<PartFingerprint, Standing> merged = new TreeMap<>(standings);
--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/quarantine/PartFingerprint.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/quarantine/PartFingerprint.java
@@ -1,6 +1,6 @@
 package org.cranberrybend.core.quarantine;
 
-import java.util.Locale;
+import java.util.HexFormat;
 import org.cranberrybend.core.routing.RendezvousHash;
 
 /**
@@ -33,6 +33,6 @@
 
     @Override
     public String toString() {
-        return String.format(Locale.ROOT, "%016x", value);
+        return HexFormat.of().toHexDigits(value);
     }
 }
--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/quarantine/PromptQuarantine.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/quarantine/PromptQuarantine.java
@@ -10,11 +10,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
-import org.cranberrybend.core.routing.RendezvousHash;
 
 /**
  * Knows the recent crashes of upstreams and the normal answers to prompts, and decides which requests are refused. Each
- * instance decides alone, from what it has seen and what others have told it. Not thread-safe; times are monotonic.
+ * instance decides alone, from what it has seen and what others report. Not thread-safe; times are monotonic.
  *
  * <p>Memory is bounded: the records of crashes, the parts of each record and the remembered answers are limited in
  * number, and records expire.
@@ -55,9 +54,11 @@
      * Records that this instance lost requests with a crash.
      *
      * @param parts prompt parts of the lost requests
+     * @param crashedAtMs time at which the first request was lost, before the crash was certain
      * @return whether anything new became known
      */
-    public boolean recordCrash(UpstreamIncarnation upstream, Collection<PartFingerprint> parts, long crashedAtMs) {
+    public boolean recordCrash(
+            UpstreamIncarnation upstream, Collection<PartFingerprint> parts, long crashedAtMs, long nowMs) {
         List<PartFingerprint> unansweredFirst = new ArrayList<>(parts);
         unansweredFirst.sort(
                 (left, right) -> Boolean.compare(lastAnswerMs.containsKey(left), lastAnswerMs.containsKey(right)));
@@ -65,7 +66,7 @@
         unansweredFirst.stream()
                 .limit(CrashRecord.MAX_PARTS)
                 .forEach(part -> standings.put(part, standingAt(crashedAtMs, part)));
-        return merge(List.of(new CrashRecord(upstream, crashedAtMs, standings)), crashedAtMs);
+        return merge(List.of(new CrashRecord(upstream, crashedAtMs, standings)), nowMs);
     }
 
     private Standing standingAt(long crashedAtMs, PartFingerprint part) {
@@ -177,11 +178,11 @@
         implicated.clear();
         digest = 0;
         for (CrashRecord record : records.values()) {
+            digest += record.digest();
             record.standings().forEach((part, standing) -> {
                 if (standing.isImplicated()) {
                     implicated.add(part);
                 }
-                digest += RendezvousHash.hash(record.upstream().toString(), part + " " + standing);
             });
         }
     }
--- a/cranberrybend-core/src/test/java/org/cranberrybend/core/quarantine/CrashRecordFuzzTest.java
+++ b/cranberrybend-core/src/test/java/org/cranberrybend/core/quarantine/CrashRecordFuzzTest.java
@@ -78,7 +78,7 @@
             for (Running each : engines.get(engine)) {
                 lost.computeIfAbsent(each.instance(), key -> new HashSet<>()).addAll(each.parts());
             }
-            lost.forEach((instance, parts) -> instances.get(instance).recordCrash(incarnation, parts, nowMs));
+            lost.forEach((instance, parts) -> instances.get(instance).recordCrash(incarnation, parts, nowMs, nowMs));
             engines.get(engine).clear();
         }
 
--- a/cranberrybend-core/src/test/java/org/cranberrybend/core/quarantine/PromptQuarantineTest.java
+++ b/cranberrybend-core/src/test/java/org/cranberrybend/core/quarantine/PromptQuarantineTest.java
@@ -32,7 +32,7 @@
     }
 
     private void crashNow(String... names) {
-        quarantine.recordCrash(new UpstreamIncarnation("engine" + crashed++, START_MS), parts(names), nowMs);
+        quarantine.recordCrash(new UpstreamIncarnation("engine" + crashed++, START_MS), parts(names), nowMs, nowMs);
     }
 
     private void answer(String... names) {
@@ -131,7 +131,8 @@
     @Test
     void crashSeenBySeveralInstancesCountsOnce() {
         for (int i = 0; i < 5; i++) {
-            quarantine.recordCrash(new UpstreamIncarnation("engine", START_MS), parts("part"), nowMs + i * 200);
+            quarantine.recordCrash(
+                    new UpstreamIncarnation("engine", START_MS), parts("part"), nowMs + i * 200, nowMs + i * 200);
         }
         assertThat(verdict("part")).isEqualTo(Verdict.Kind.ADMIT);
     }
@@ -140,7 +141,8 @@
     @Test
     void crashesOfFurtherIncarnationsCount() {
         for (int i = 0; i < 3; i++) {
-            quarantine.recordCrash(new UpstreamIncarnation("engine", START_MS + i), parts("part"), nowMs + i * 200);
+            quarantine.recordCrash(
+                    new UpstreamIncarnation("engine", START_MS + i), parts("part"), nowMs + i * 200, nowMs + i * 200);
         }
         assertThat(verdict("part")).isEqualTo(Verdict.Kind.REFUSE);
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/quarantine/QuarantineService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/quarantine/QuarantineService.java
@@ -96,7 +96,7 @@
                 parts.size(),
                 "parts",
                 describe(parts));
-        if (quarantine.recordCrash(incarnation, parts, crashedAtMs)) {
+        if (quarantine.recordCrash(incarnation, parts, crashedAtMs, timeSource.monotonicMs())) {
             logChanges("crash of " + incarnation.upstreamId());
         }
     }
