Report wrong values of ctl options as wrong usage

Both are refused with the exit status for wrong usage. The two new cases of CtlMainTest.exitCodes failed before (NumberFormatException; NOT_FOUND).

--- a/cranberrybend-ctl/src/main/java/org/cranberrybend/ctl/command/ChangeCommands.java
+++ b/cranberrybend-ctl/src/main/java/org/cranberrybend/ctl/command/ChangeCommands.java
@@ -93,11 +93,10 @@
     }
 
     private static Map<String, Object> request(
-            CommandContext context, long revision, List<JsonNode> changes, boolean dryRun) {
-        String seen = context.option("seen-revision", Long.toString(revision));
+            CommandContext context, long revision, List<JsonNode> changes, boolean dryRun) throws CommandException {
         return Map.of(
                 "seen_revision",
-                Long.parseLong(seen),
+                seenRevision(context, revision),
                 "author",
                 context.client().author(),
                 "changes",
@@ -106,6 +105,15 @@
                 dryRun);
     }
 
+    private static long seenRevision(CommandContext context, long current) throws CommandException {
+        String seen = context.option("seen-revision", Long.toString(current));
+        try {
+            return Long.parseLong(seen);
+        } catch (NumberFormatException e) {
+            throw new CommandException(ExitCode.USAGE, "--seen-revision must be a number: " + seen);
+        }
+    }
+
     private static EntityId id(CommandContext context) throws CommandException {
         try {
             return new EntityId(kind(context.argument(0, "KIND")), context.argument(1, "NAME"));
--- a/cranberrybend-ctl/src/main/java/org/cranberrybend/ctl/command/TimelineCommand.java
+++ b/cranberrybend-ctl/src/main/java/org/cranberrybend/ctl/command/TimelineCommand.java
@@ -6,8 +6,10 @@
 import java.time.Instant;
 import java.time.format.DateTimeParseException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import org.cranberrybend.core.configuration.CanonicalJson;
+import org.cranberrybend.core.error.Severity;
 import org.cranberrybend.core.event.TimelineEntry;
 import org.cranberrybend.core.event.TimelineFilter;
 import org.cranberrybend.core.event.TimelineMerger;
@@ -94,7 +96,16 @@
                 context.option("zone", ""),
                 context.option("member", ""),
                 sinceMs(context.option("since", "")),
-                context.option("severity", ""));
+                severity(context.option("severity", "")));
+    }
+
+    private static String severity(String name) throws CommandException {
+        boolean known = name.isEmpty()
+                || Arrays.stream(Severity.values()).anyMatch(each -> each.name().equals(name));
+        if (!known) {
+            throw new CommandException(ExitCode.USAGE, "--severity must be INFO, WARNING or ERROR: " + name);
+        }
+        return name;
     }
 
     private static long sinceMs(String since) throws CommandException {
--- a/cranberrybend-ctl/src/test/java/org/cranberrybend/ctl/CtlMainTest.java
+++ b/cranberrybend-ctl/src/test/java/org/cranberrybend/ctl/CtlMainTest.java
@@ -93,6 +93,9 @@
         "status, UNREACHABLE",
         "key nonsense acme, USAGE",
         "completion, SUCCESS",
+        "delete model stub --seen-revision abc, USAGE",
+        "delete model stub --seen-revision 7, SUCCESS",
+        "timeline --severity LOUD, USAGE",
     })
     void exitCodes(String arguments, ExitCode expected) {
         assertThat(run(arguments.split(" "))).isEqualTo(expected);
