--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/quarantine/CrashAttribution.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/quarantine/CrashAttribution.java
@@ -19,7 +19,7 @@
  * elsewhere and then cleared. So the part with the most crashes is taken as their cause. It explains them for the other
  * parts, too, and the search goes on with the crashes that remain.
  *
- * <p>Hard cases: parts that were in progress at exactly the same crashes cannot be told apart and are refused only
+ * <p>Hard cases: parts that were in progress at exactly the same crashes cannot be distinguished and are refused only
  * together, so that a request with one of them alone can clear it. Upstreams that end at the same moment, as when a
  * rack fails, count as a single crash.
  */
--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/quarantine/Quarantine.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/quarantine/Quarantine.java
@@ -6,7 +6,7 @@
 /**
  * The refusal of requests whose prompts have certain parts.
  *
- * @param parts parts; a request is refused if it has all of them, because crashes cannot tell them apart
+ * @param parts parts; a request is refused if it has all of them, because their crashes are the same
  * @param crashes number of crashes that the parts explain
  * @param blockedUntilMs monotonic time until which all such requests are refused; afterwards single ones are admitted
  *     as probes
