--- a/review/standin/Client.java
+++ b/review/standin/Client.java
@@ -32,16 +32,40 @@
         return String.format(Locale.ROOT, "%016x", LAST_ID.incrementAndGet() * 0x9E3779B97F4A7C15L);
     }
 
+    /** Sends one request on a new connection. */
     static Answer send(
             Record record, int port, String method, String path, Map<String, String> headers, byte[] body, int timeoutMs) {
+        try (Socket socket = connect(port, timeoutMs)) {
+            return sendOn(socket, record, port, method, path, headers, body);
+        } catch (IOException e) {
+            return new Answer(
+                    newAttemptId(),
+                    port,
+                    path,
+                    0,
+                    Map.of("failure", e.toString()),
+                    new byte[0],
+                    record.nowMs(),
+                    record.nowMs());
+        }
+    }
+
+    static Socket connect(int port, int timeoutMs) throws IOException {
+        Socket socket = new Socket();
+        socket.connect(new InetSocketAddress("127.0.0.1", port), 1_000);
+        socket.setSoTimeout(timeoutMs);
+        return socket;
+    }
+
+    /** Sends one request on an open connection, which can be kept if the answer does not say close. */
+    static Answer sendOn(
+            Socket socket, Record record, int port, String method, String path, Map<String, String> headers, byte[] body) {
         String attempt = newAttemptId();
         long sentMs = record.nowMs();
         Map<String, String> received = new LinkedHashMap<>();
         int status = 0;
         byte[] content = new byte[0];
-        try (Socket socket = new Socket()) {
-            socket.connect(new InetSocketAddress("127.0.0.1", port), 1_000);
-            socket.setSoTimeout(timeoutMs);
+        try {
             StringBuilder head = new StringBuilder(method + " " + path + " HTTP/1.1\r\n");
             head.append("X-Attempt-Id: ").append(attempt).append("\r\n");
             headers.forEach((name, value) -> head.append(name + ": " + value + "\r\n"));
@@ -50,13 +74,7 @@
             socket.getOutputStream().write(body);
             socket.getOutputStream().flush();
             InputStream in = new BufferedInputStream(socket.getInputStream());
-            int code = Integer.parseInt(line(in).split(" ")[1]);
-            String each = line(in);
-            while (!each.isEmpty()) {
-                int colon = each.indexOf(':');
-                received.put(each.substring(0, colon).toLowerCase(Locale.ROOT), each.substring(colon + 1).trim());
-                each = line(in);
-            }
+            int code = readHead(in, received);
             content = "chunked".equalsIgnoreCase(received.get("transfer-encoding"))
                     ? chunks(in)
                     : bytes(in, Integer.parseInt(received.getOrDefault("content-length", "0")));
@@ -67,6 +85,18 @@
         return new Answer(attempt, port, path, status, received, content, sentMs, record.nowMs());
     }
 
+    /** Reads the head of an answer; returns its status. */
+    static int readHead(InputStream in, Map<String, String> received) throws IOException {
+        int code = Integer.parseInt(line(in).split(" ")[1]);
+        String each = line(in);
+        while (!each.isEmpty()) {
+            int colon = each.indexOf(':');
+            received.put(each.substring(0, colon).toLowerCase(Locale.ROOT), each.substring(colon + 1).trim());
+            each = line(in);
+        }
+        return code;
+    }
+
     private static String line(InputStream in) throws IOException {
         ByteArrayOutputStream text = new ByteArrayOutputStream();
         int next = in.read();
