Pass an entry on that was written again after its expiry

Cause: a leader sends its followers only changes that alter its own table of upstreams. The table is not a copy of the store: for 2.2 s after an outage it keeps upstreams whose entries have expired, and it may know changes from a peer.

The leader logs STORE_AVAILABLE and no UPSTREAM_GONE; both followers log STORE_AVAILABLE, 2.4 s later UPSTREAM_GONE "not listed after a store outage" for all three upstreams, and no UPSTREAM_JOINED afterwards. Ruled out: a lost response to a follower (all registrations of instances, which are not filtered, arrived through the same feed) and a second outage.

Fix: a change is a heartbeat only if the entry also has the same revision of creation as the known one. An entry that expired and was written again has another one; entries learned from a peer have none. This holds for whatever reason the leader's table differs from the store.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FleetState.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FleetState.java
@@ -50,7 +50,7 @@
             for (JsonObject row : state.objects("upstreams")) {
                 long revision = row.integer("revision");
                 byte[] value = Base64.getDecoder().decode(row.text("value"));
-                items.add(new StoreItem(row.string("key"), value, revision, revision, 0));
+                items.add(new StoreItem(row.string("key"), value, revision, StoreItem.UNKNOWN_REVISION, 0));
             }
             return new FleetState(
                     Base64.getDecoder().decode(state.text("configuration")),
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/port/StoreItem.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/port/StoreItem.java
@@ -6,8 +6,11 @@
  * @param key key
  * @param value stored bytes
  * @param revision revision of the last change
- * @param createdRevision revision at which the key was created
+ * @param createdRevision revision at which the key was created; {@link #UNKNOWN_REVISION} if it is not known
  * @param leaseId lease with which the item expires; 0 if none
  */
 @SuppressWarnings("ArrayRecordComponent")
-public record StoreItem(String key, byte[] value, long revision, long createdRevision, long leaseId) {}
+public record StoreItem(String key, byte[] value, long revision, long createdRevision, long leaseId) {
+    /** Revision of a creation that is not known; no item of the store has it. */
+    public static final long UNKNOWN_REVISION = 0;
+}
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
@@ -229,16 +229,24 @@
     }
 
     /**
-     * Returns whether a change alters the table. Upstreams also rewrite their entries unchanged as a heartbeat.
+     * Returns whether a change alters the entries in the store. Upstreams also rewrite their entries unchanged as a
+     * heartbeat, which keeps the revision of their creation.
+     *
+     * <p>The table alone cannot tell: it keeps upstreams whose entries have expired, and may know changes from a peer
+     * before the store sends them. Both differ in the revision of the creation.
      */
     public boolean isMaterialChange(StoreChange change) {
         String id = change.key().substring(prefix.length());
-        Upstream known = byId.get(id);
+        StoreItem known = itemsById.get(id);
         if (known == null || change.item().isEmpty()) {
             return true;
         }
+        StoreItem item = change.item().get();
+        if (item.createdRevision() != known.createdRevision()) {
+            return true;
+        }
         try {
-            return !decoder.decode(id, change.item().get().value()).equals(known.entry());
+            return !decoder.decode(id, item.value()).equals(byId.get(id).entry());
         } catch (JsonFormatException | RuntimeException e) {
             return true;
         }
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/ChangeFeedTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/ChangeFeedTest.java
@@ -2,15 +2,12 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import io.netty.buffer.ByteBuf;
 import java.io.OutputStream;
-import java.util.List;
-import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.cranberrybend.entry.http.ReceivedRequest;
-import org.cranberrybend.entry.http.ServerExchange;
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.testing.ManualScheduler;
+import org.cranberrybend.entry.testing.ResponseRecorder;
 import org.cranberrybend.entry.testing.TestClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -26,54 +23,7 @@
 
     private final ChangeFeed feed =
             new ChangeFeed(loop, clock, new DecisionLog("instance", 1, clock, OutputStream.nullOutputStream()));
-    private int status;
-
-    private final ServerExchange exchange = new ServerExchange() {
-        @Override
-        public void onCallerDisconnected(Runnable listener) {
-            // The follower stays connected.
-        }
-
-        @Override
-        public void respond(int responseStatus, String reason, List<Header> headers, byte[] body) {
-            status = responseStatus;
-        }
-
-        @Override
-        public void begin(int responseStatus, String reason, List<Header> headers, long length) {
-            status = responseStatus;
-        }
-
-        @Override
-        public void onWritable(Runnable listener) {
-            // The follower reads each response.
-        }
-
-        @Override
-        public boolean isWritable() {
-            return true;
-        }
-
-        @Override
-        public void write(ByteBuf piece) {
-            piece.release();
-        }
-
-        @Override
-        public void end() {
-            // Only the status is of interest.
-        }
-
-        @Override
-        public void abort() {
-            status = 0;
-        }
-
-        @Override
-        public boolean isOpen() {
-            return true;
-        }
-    };
+    private final ResponseRecorder exchange = new ResponseRecorder();
 
     @AfterEach
     void stopLoop() {
@@ -93,6 +43,6 @@
                 new ReceivedRequest(new BasicHttpRequest("POST", target), new byte[0], clock.monotonicMs()), exchange);
         clock.advance(HOLD_MS);
         loop.runNext();
-        assertThat(status).isEqualTo(expectedStatus);
+        assertThat(exchange.status()).isEqualTo(expectedStatus);
     }
 }
