Begin the grace period of expired entries anew at each return of the store

What callers would see: the store is away for some seconds, comes back for a moment and fails again before the upstreams have written their expired entries anew. Each instance then removed its upstreams, in the middle of the second outage or at its end, and refused all requests with 503 for up to two seconds, although the upstreams run.

Cause: the grace period ran on while the store was unavailable, and an outage counted only by its own length. An outage of 1.5 s after one of 6.8 s started no grace period, and two outages of 2 s never did, although no upstream may have reached the store in between.

Fix: outages with less than a grace period between them count as one, each return of the store begins the grace period of the missing entries anew, and nothing is removed for its expiry while the store is unavailable. The rule is in a class of its own, ExpiryGracePeriod.

StoreOutageTest.upstreamIsKeptWhenStoreFailsAgainAfterItsReturn failed before in its 3 cases (second outage of 1.5 s and of 4 s after one of 6.8 s, two of 2 s); it passes now. It also checks that an upstream that does not return is removed at the end of the grace period.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -25,14 +24,9 @@
  *
  * <p>Entries expire while the store is unavailable, because upstreams cannot renew them, and are written again within
  * about two seconds after its return. During a grace period after an outage, an upstream whose entry is missing is
- * therefore kept.
+ * therefore kept ({@link ExpiryGracePeriod}).
  */
 public final class UpstreamTable implements PrefixWatch.Listener {
-    /** Length of an outage from which entries may have expired: three missed heartbeats of an upstream. */
-    private static final long EXPIRY_OUTAGE_MS = 3_000;
-    /** Time after the store's return for which an upstream with an expired entry is kept. */
-    private static final long EXPIRY_GRACE_MS = 2_200;
-
     private final String prefix;
     private final Decoder<UpstreamRecord> decoder;
     private final HttpConnector connector;
@@ -41,10 +35,9 @@
     private final Map<String, Upstream> byId = new TreeMap<>();
     /** Entries of the upstreams in {@link #byId} as read from the store. */
     private final Map<String, StoreItem> itemsById = new TreeMap<>();
-    /** Monotonic time until which an upstream without an entry is kept. */
-    private final Map<String, Long> expiredKeptUntilMs = new HashMap<>();
 
-    private long graceEndMs = Long.MIN_VALUE;
+    private final ExpiryGracePeriod gracePeriod = new ExpiryGracePeriod();
+
     private long lastProgressMs = Long.MIN_VALUE / 2;
     private long revision = -1;
     private boolean storeUnavailable;
@@ -113,8 +106,7 @@
     @Override
     public void onSnapshot(StoreSnapshot snapshot, long outageMs) {
         long nowMs = timeSource.monotonicMs();
-        if (outageMs >= EXPIRY_OUTAGE_MS) {
-            graceEndMs = nowMs + EXPIRY_GRACE_MS;
+        if (outageMs > 0 && gracePeriod.onStoreReturn(outageMs, nowMs)) {
             log.record(EventCode.STORE_AVAILABLE, prefix, "outage_ms", outageMs);
         }
         Set<String> listed = snapshot.items().stream().map(StoreItem::key).collect(Collectors.toSet());
@@ -154,26 +146,25 @@
         if (!byId.containsKey(id)) {
             return;
         }
-        if (nowMs < graceEndMs) {
-            expiredKeptUntilMs.putIfAbsent(id, graceEndMs);
-        } else {
+        if (!gracePeriod.tryKeep(id, nowMs)) {
             remove(id, "not listed");
         }
     }
 
-    /** Removes the upstreams without an entry whose grace period after an outage has ended. Called periodically. */
+    /**
+     * Removes the upstreams without an entry whose grace period after an outage has ended. Called periodically; has no
+     * effect while the store is unavailable, because no upstream can write its entry then.
+     */
     public void removeExpired(long nowMs) {
-        for (String id : new ArrayList<>(expiredKeptUntilMs.keySet())) {
-            if (nowMs >= expiredKeptUntilMs.get(id)) {
-                expiredKeptUntilMs.remove(id);
-                remove(id, "not listed after a store outage");
-            }
+        if (!storeUnavailable) {
+            gracePeriod.endedAt(nowMs).forEach(id -> remove(id, "not listed after a store outage"));
         }
     }
 
     private void remove(String id, String cause) {
         Upstream upstream = byId.remove(id);
         itemsById.remove(id);
+        gracePeriod.remove(id);
         if (upstream != null) {
             upstream.markRemoved();
             log.record(
@@ -188,7 +179,7 @@
 
     private void applyEntry(StoreItem item) {
         String id = item.key().substring(prefix.length());
-        expiredKeptUntilMs.remove(id);
+        gracePeriod.remove(id);
         UpstreamRecord record;
         try {
             record = decoder.decode(id, item.value());
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/StoreOutageTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/StoreOutageTest.java
@@ -133,6 +133,12 @@
         follower.onProgress(leader.revision());
     }
 
+    private void failStore(UpstreamTable table, long outageMs) {
+        table.onStoreUnavailable("connection refused");
+        clock.advance(outageMs);
+        table.removeExpired(clock.monotonicMs());
+    }
+
     private List<String> usable(UpstreamTable table) {
         return table.all().stream()
                 .filter(each -> each.accepts(clock.monotonicMs()))
@@ -186,6 +192,35 @@
         assertThat(String.join(",", usable(follower))).isEqualTo(expected);
     }
 
+    // Guards against an instance that drops sound upstreams because the store failed again before their entries were
+    // written again: neither an outage that is too short for an expiry nor the time without the store proves that an
+    // upstream is gone.
+    @ParameterizedTest
+    @CsvSource({"6800, 500, 1500, true", "6800, 500, 4000, true", "2000, 300, 2000, false"})
+    void upstreamIsKeptWhenStoreFailsAgainAfterItsReturn(
+            long firstMs, long returnMs, long secondMs, boolean expiresAtFirstReturn) {
+        load(leader, ENTRY_WRITTEN, 0, item("a", "ready", ENTRY_WRITTEN, ENTRY_WRITTEN));
+        failStore(leader, firstMs);
+        load(leader, ENTRY_WRITTEN + 1, firstMs, item("a", "ready", ENTRY_WRITTEN, ENTRY_WRITTEN));
+        if (expiresAtFirstReturn) {
+            leader.onChange(deletion("a", ENTRY_EXPIRED));
+        }
+        clock.advance(returnMs);
+        failStore(leader, secondMs);
+        assertWithMessage("upstreams in the second outage").that(usable(leader)).containsExactly("a");
+        load(leader, FOLLOWER_SNAPSHOT, secondMs);
+        clock.advance(REGISTRATION_MS);
+        leader.removeExpired(clock.monotonicMs());
+        assertWithMessage("upstreams before their registration")
+                .that(usable(leader))
+                .containsExactly("a");
+        clock.advance(GRACE_PERIOD_MS - REGISTRATION_MS);
+        leader.removeExpired(clock.monotonicMs());
+        assertWithMessage("upstreams that were not registered again")
+                .that(usable(leader))
+                .isEmpty();
+    }
+
     // Guards against responses to all followers at each heartbeat of each upstream.
     @Test
     void heartbeatIsNotPassedOn() throws JsonFormatException {
