Keep the upstreams of peers when a process has started in an outage

What callers would see: an instance that was restarted while the store was away learned the upstreams from its peers and served. When the store came back without the expired entries, the instance dropped all upstreams at once and refused every request for up to two seconds, while its peers, which had known the store before, kept them.

Cause: PrefixWatch reported the length of an outage as 0 if the process had had no response before it, so the table took the missing entries for deleted ones.

Fix: such an outage has an unknown length, which counts as long enough for entries to expire.

PrefixWatchTest.outageAtTheStartIsOfUnknownLength failed before (outage 0). StoreOutageTest.instanceThatStartsInAnOutageKeepsUpstreamsOfPeer checks what the table does with it; it uses the new constant and could not fail by itself.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/store/PrefixWatch.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/store/PrefixWatch.java
@@ -23,9 +23,17 @@
     private static final long FIRST_RETRY_MS = 100;
     private static final long MAX_RETRY_MS = 800;
 
+    /** Length of an outage that may have begun before the start of the process. */
+    public static final long UNKNOWN_OUTAGE_MS = TimeUnit.DAYS.toMillis(1);
+
     /** Receives snapshots and changes. */
     public interface Listener {
-        /** Receives all items; {@code outageMs} is the time without a response before, 0 if there was no outage. */
+        /**
+         * Receives all items.
+         *
+         * @param outageMs time without a response before; 0 if there was no outage, {@link #UNKNOWN_OUTAGE_MS} if there
+         *     has been no response since the start
+         */
         void onSnapshot(StoreSnapshot snapshot, long outageMs);
 
         /** Receives one change. */
@@ -83,7 +91,7 @@
             retryLater(failure);
             return;
         }
-        long outageMs = unavailable && lastResponseMs > 0 ? timeSource.monotonicMs() - lastResponseMs : 0;
+        long outageMs = outageMs();
         recordResponse();
         revision = snapshot.revision();
         if (deliver(() -> listener.onSnapshot(snapshot, outageMs))) {
@@ -91,6 +99,13 @@
         }
     }
 
+    private long outageMs() {
+        if (!unavailable) {
+            return 0;
+        }
+        return lastResponseMs > 0 ? timeSource.monotonicMs() - lastResponseMs : UNKNOWN_OUTAGE_MS;
+    }
+
     private void onWatch(StoreChanges changes, Throwable failure) {
         if (failure != null) {
             if (StoreException.kindOf(failure) == StoreException.Kind.HISTORY_LOST) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
@@ -107,7 +107,8 @@
     public void onSnapshot(StoreSnapshot snapshot, long outageMs) {
         long nowMs = timeSource.monotonicMs();
         if (outageMs > 0 && gracePeriod.onStoreReturn(outageMs, nowMs)) {
-            log.record(EventCode.STORE_AVAILABLE, prefix, "outage_ms", outageMs);
+            Object length = outageMs == PrefixWatch.UNKNOWN_OUTAGE_MS ? "unknown" : outageMs;
+            log.record(EventCode.STORE_AVAILABLE, prefix, "outage_ms", length);
         }
         Set<String> listed = snapshot.items().stream().map(StoreItem::key).collect(Collectors.toSet());
         for (String id : new ArrayList<>(byId.keySet())) {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/StoreOutageTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/StoreOutageTest.java
@@ -19,6 +19,7 @@
 import org.cranberrybend.entry.port.StoreChanges;
 import org.cranberrybend.entry.port.StoreItem;
 import org.cranberrybend.entry.port.StoreSnapshot;
+import org.cranberrybend.entry.store.PrefixWatch;
 import org.cranberrybend.entry.testing.ManualScheduler;
 import org.cranberrybend.entry.testing.ResponseRecorder;
 import org.cranberrybend.entry.testing.TestClock;
@@ -221,6 +222,21 @@
                 .isEmpty();
     }
 
+    // Guards against an instance that starts in an outage, learns the upstreams from a peer, and drops them because
+    // the store returns without their entries.
+    @Test
+    void instanceThatStartsInAnOutageKeepsUpstreamsOfPeer() {
+        follower.onStoreUnavailable("connection refused");
+        follower.mergePeerState(List.of(item("a", "ready", ENTRY_WRITTEN, ENTRY_WRITTEN)), HEARTBEAT);
+        load(follower, FOLLOWER_SNAPSHOT, PrefixWatch.UNKNOWN_OUTAGE_MS);
+        clock.advance(REGISTRATION_MS);
+        follower.removeExpired(clock.monotonicMs());
+        assertThat(usable(follower)).containsExactly("a");
+        clock.advance(GRACE_PERIOD_MS - REGISTRATION_MS);
+        follower.removeExpired(clock.monotonicMs());
+        assertThat(usable(follower)).isEmpty();
+    }
+
     // Guards against responses to all followers at each heartbeat of each upstream.
     @Test
     void heartbeatIsNotPassedOn() throws JsonFormatException {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/store/PrefixWatchTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/store/PrefixWatchTest.java
@@ -158,4 +158,15 @@
         assertThat(calls.stream().filter("unavailable"::equals).count()).isEqualTo(1);
         assertThat(calls).contains("snapshot at 6 outage 4000");
     }
+
+    // Guards against a process that started in an outage, and removes the upstreams that its peers still use because
+    // their entries expired before its start.
+    @Test
+    void outageAtTheStartIsOfUnknownLength() {
+        watch.start();
+        fail(lists.poll(), StoreException.Kind.NOT_DONE);
+        loop.runNext();
+        lists.poll().complete(new StoreSnapshot(List.of(), 6));
+        assertThat(calls).contains("snapshot at 6 outage " + PrefixWatch.UNKNOWN_OUTAGE_MS);
+    }
 }
