Keep upstreams that a peer does not list after an outage of the store

What callers would see: at the end of an outage in which entries expired, an instance that has not reached the store yet asks its peers. If one of them started in the outage, its state is newer and lists no upstreams, and the instance dropped all of its own at once: 503 for every request for up to two seconds.

Fix: if the store has been away for an instance so long that entries may have expired, an upstream that a peer does not list is kept for the grace period, which begins when it is missing for the first time. In a shorter interruption it is removed at once as before. Leaving upstreams are not affected: they are listed as leaving before their entries go.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/ExpiryGracePeriod.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/ExpiryGracePeriod.java
@@ -51,6 +51,19 @@
         return true;
     }
 
+    /**
+     * Returns whether an upstream is kept whose entry is missing at a peer while the store is unavailable here. Its grace
+     * period begins when the entry is missing for the first time.
+     *
+     * @param outageMs time without a response of the store so far
+     */
+    boolean tryKeepWithoutStore(String id, long outageMs, long nowMs) {
+        if (outageMs < EXPIRY_OUTAGE_MS) {
+            return false;
+        }
+        return nowMs < keptUntilMs.computeIfAbsent(id, missing -> nowMs + GRACE_MS);
+    }
+
     /** Ends the grace period of an upstream whose entry was written again, or which was removed. */
     void remove(String id) {
         keptUntilMs.remove(id);
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
@@ -82,14 +82,18 @@
         return List.copyOf(itemsById.values());
     }
 
-    /** Applies the entries known to a peer if they are of a later revision of the store. */
+    /**
+     * Applies the entries known to a peer if they are of a later revision of the store. An upstream that the peer does
+     * not know is kept for a grace period if the store may have been away for all: the peer may have read it first.
+     */
     public void mergePeerState(List<StoreItem> items, long peerRevision) {
         if (peerRevision <= revision) {
             return;
         }
+        long nowMs = timeSource.monotonicMs();
         Set<String> listed = items.stream().map(StoreItem::key).collect(Collectors.toSet());
         for (String id : new ArrayList<>(byId.keySet())) {
-            if (!listed.contains(prefix + id)) {
+            if (!listed.contains(prefix + id) && !gracePeriod.tryKeepWithoutStore(id, ageMs(), nowMs)) {
                 remove(id, "not listed by a peer");
             }
         }
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/StoreOutageTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/StoreOutageTest.java
@@ -237,6 +237,31 @@
         assertThat(usable(follower)).isEmpty();
     }
 
+    // Guards against an instance that drops all upstreams after an outage because a peer reached the store first, and
+    // had no upstreams to keep: it had just started.
+    @Test
+    void upstreamsMissingInThePeersStateAreKeptAfterAnOutage() {
+        load(leader, ENTRY_WRITTEN, 0, item("a", "ready", ENTRY_WRITTEN, ENTRY_WRITTEN));
+        failStore(leader, OUTAGE_MS);
+        leader.mergePeerState(List.of(), FOLLOWER_SNAPSHOT);
+        clock.advance(REGISTRATION_MS);
+        leader.mergePeerState(List.of(), FOLLOWER_SNAPSHOT + 1);
+        assertThat(usable(leader)).containsExactly("a");
+        clock.advance(GRACE_PERIOD_MS - REGISTRATION_MS);
+        leader.mergePeerState(List.of(), FOLLOWER_SNAPSHOT + 2);
+        assertThat(usable(leader)).isEmpty();
+    }
+
+    // Guards against requests to an upstream that has left: an instance that is cut off from the store for a moment
+    // learns of it from its peers.
+    @Test
+    void upstreamMissingInThePeersStateIsRemovedAtOnceWithoutAnOutage() {
+        load(leader, ENTRY_WRITTEN, 0, item("a", "ready", ENTRY_WRITTEN, ENTRY_WRITTEN));
+        failStore(leader, 400);
+        leader.mergePeerState(List.of(), HEARTBEAT);
+        assertThat(usable(leader)).isEmpty();
+    }
+
     // Guards against responses to all followers at each heartbeat of each upstream.
     @Test
     void heartbeatIsNotPassedOn() throws JsonFormatException {
