Do not take a line that was cut off for a whole one

What callers saw (in the test; reported by operators of similar systems for a response that stops in its head): an upstream that closes its connection within the line of a chunk size whose digits begin with 0, such as "05", gave the caller a 200 with an empty or short body and a matching Content-Length. A stream that broke off there ended with the final chunk, as complete.

Cause: ReceiveBuffer.readLine returned the rest at the end of the input as a line. ChunkDecoder then read the size 0 out of "05" and took the body for complete.

Ruled out: a response cut within its head does not reach the caller as a success, at any byte, with a length, chunks, an interim response or neither. HttpCore's parser would take the lines received so far for a head at the end of the input; today no head is parsed then, and readHead no longer tells the parser of the end, so that it stays so.

Fix: a line is read only with its line feed, so that the decoder reports a body that ends early.

A body whose chunk of size zero was received whole counts as complete, as HTTP/1.1 has it.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/MessageReader.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/MessageReader.java
@@ -76,9 +76,10 @@
         return buffer.length();
     }
 
-    /** Returns the next head, or null while it is incomplete. */
+    /** Returns the next head, or null while it is incomplete, also at the end of the input. */
     T readHead() throws HttpException, IOException {
-        T head = parser.parse(buffer, inputEnded);
+        // At the end of the input the parser would take the lines received so far for a head.
+        T head = parser.parse(buffer, false);
         if (head != null) {
             parser.reset();
         }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ReceiveBuffer.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ReceiveBuffer.java
@@ -108,6 +108,10 @@
         return read(target, length());
     }
 
+    /**
+     * Reads a line if its end was received. The rest at the end of the input is not a line: the size of a chunk that was
+     * cut off could be a smaller one, or the 0 of the last chunk.
+     */
     @Override
     public boolean readLine(CharArrayBuffer line, boolean endOfInput) throws IOException {
         int newline = indexOfNewline();
@@ -115,12 +119,12 @@
         if (lineEnd - start > maxLineBytes) {
             throw new MessageConstraintException("line exceeds " + maxLineBytes + " bytes");
         }
-        if (newline < 0 && !(endOfInput && hasData())) {
+        if (newline < 0) {
             return false;
         }
         int textEnd = lineEnd > start && bytes[lineEnd - 1] == '\r' ? lineEnd - 1 : lineEnd;
         line.append(bytes, start, textEnd - start);
-        consume((newline < 0 ? lineEnd : newline + 1) - start);
+        consume(newline + 1 - start);
         return true;
     }
 
