Limit the memory of all responses that upstreams send at the same time

What callers would see: a faulty upstream sends bytes without end on many connections. Each response had a limit of its own (1 MiB of body or event, 256 KiB of head), their number had none, and trailers were kept up to 200 lines of 64 KiB. A hundred responses of 0.8 MiB need more than the heap of 112 MB, and the process and the requests of all its callers would end with them.

Cause: the limits looked at one response at a time.

Fix: what is kept of all responses (head, framing and trailers, buffered body, incomplete event) shares one limit, 4 % of the instance's memory. The first 32 KiB of a response need no share, so that small responses do not depend on the large ones. A response that gets no more memory ends as a lost one: 502, or a retry where the route allows it. Calls of the store and of peers have a limit of their own, so that no upstream can make them fail. A new gauge, response_bytes, shows the use.

ResponseMemoryTest holds 40 responses of 180 to 800 KB open. Without the reservation none of them ended (4 of 4 cases failed within 5 s; the case with trailers failed until their bytes were counted, too); now the test passes in its 5 cases, a small response beside them completes, and all memory is released.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -33,9 +33,9 @@
 import org.cranberrybend.entry.fleet.FleetRelay;
 import org.cranberrybend.entry.fleet.FollowingStore;
 import org.cranberrybend.entry.fleet.LoadExchange;
-import org.cranberrybend.entry.http.BodyMemoryLimit;
 import org.cranberrybend.entry.http.HttpConnector;
 import org.cranberrybend.entry.http.HttpServer;
+import org.cranberrybend.entry.http.MessageMemoryLimit;
 import org.cranberrybend.entry.http.ReceivedRequest;
 import org.cranberrybend.entry.http.RequestHandler;
 import org.cranberrybend.entry.http.ServerExchange;
@@ -83,6 +83,8 @@
     private static final long MAINTENANCE_INTERVAL_MS = 250;
     /** Share of the instance's memory that buffered request bodies may use. */
     private static final double BODY_MEMORY_SHARE = 0.08;
+    /** Share of the instance's memory that responses may use which have not been passed on. */
+    private static final double RESPONSE_MEMORY_SHARE = 0.04;
 
     private final EntrySettings settings;
     private final DecisionLog log;
@@ -109,7 +111,10 @@
     public EntryService(EntrySettings settings, EntryPorts ports, DecisionLog log) {
         this.settings = settings;
         this.log = log;
-        HttpConnector connector = new HttpConnector(loop);
+        MessageMemoryLimit responseMemory = memoryLimit(RESPONSE_MEMORY_SHARE);
+        HttpConnector upstreamConnector = new HttpConnector(loop, responseMemory);
+        // Calls of the store and of peers must not fail for responses of upstreams, so they have a limit of their own.
+        HttpConnector connector = new HttpConnector(loop, memoryLimit(RESPONSE_MEMORY_SHARE));
         FollowingStore store = new FollowingStore(
                 new CountedStore(ports.openStore(loop, connector, settings.storeAddress()), metrics),
                 loop,
@@ -119,7 +124,8 @@
                 log);
         StoreKeys keys = ports.storeKeys();
         configuration = new ConfigurationHolder(ports.configurationDecoder(), log);
-        upstreams = new UpstreamTable(keys.upstreamPrefix(), ports.upstreamDecoder(), connector, timeSource, log);
+        upstreams =
+                new UpstreamTable(keys.upstreamPrefix(), ports.upstreamDecoder(), upstreamConnector, timeSource, log);
         store.setRelayFilter(keys.upstreamPrefix(), upstreams::isMaterialChange);
         store.setLoadExchange(keys.upstreamPrefix(), loadExchange());
         configurationWatch =
@@ -139,8 +145,7 @@
         fleetWatch = new PrefixWatch(store, FleetKeys.FLEET, FLEET_BATCH_DELAY_MS, loop, timeSource, directory);
         SteadyWallClock clock = new SteadyWallClock(timeSource);
         UsageCounter usage = new UsageCounter(settings.usageWindowMs(), clock);
-        BodyMemoryLimit bodyMemory =
-                new BodyMemoryLimit((long) (settings.memoryMb() * 1024L * 1024L * BODY_MEMORY_SHARE));
+        MessageMemoryLimit bodyMemory = memoryLimit(BODY_MEMORY_SHARE);
         relay = new FleetRelay(
                 loop,
                 connector,
@@ -178,10 +183,14 @@
         control = new HttpServer(loop, timeSource, instanceHandler(store), () -> DEFAULT_LIMITS, bodyMemory, log);
         callers = new HttpServer(loop, timeSource, path.handler(), this::callerLimits, bodyMemory, log);
         metricsServer = new HttpServer(loop, timeSource, this::serveMetrics, () -> DEFAULT_LIMITS, bodyMemory, log);
-        registerGauges(bodyMemory, quarantine);
+        registerGauges(bodyMemory, responseMemory, quarantine);
         readiness = new HttpServer(loop, timeSource, this::serveReadiness, () -> DEFAULT_LIMITS, bodyMemory, log);
     }
 
+    private MessageMemoryLimit memoryLimit(double share) {
+        return new MessageMemoryLimit((long) (settings.memoryMb() * 1024L * 1024L * share));
+    }
+
     private LoadExchange loadExchange() {
         return new LoadExchange() {
             @Override
@@ -296,7 +305,8 @@
         return !stopping && configuration.current().isPresent() && upstreams.isLoaded();
     }
 
-    private void registerGauges(BodyMemoryLimit bodyMemory, QuarantineService quarantine) {
+    private void registerGauges(
+            MessageMemoryLimit bodyMemory, MessageMemoryLimit responseMemory, QuarantineService quarantine) {
         metrics.gauge("prompt_quarantines", () -> () -> quarantine.quarantineCount());
         metrics.gauge("configuration_version", () -> () -> configuration.version());
         metrics.gauge("upstreams_age_ms", () -> () -> upstreams.ageMs());
@@ -304,6 +314,7 @@
         metrics.gauge("caller_connections", () -> () -> callers.connectionCount());
         metrics.gauge("requests_in_progress", () -> () -> callers.activeConnectionCount());
         metrics.gauge("body_bytes", () -> () -> bodyMemory.usedBytes());
+        metrics.gauge("response_bytes", () -> () -> responseMemory.usedBytes());
         metrics.gauge(
                 "instances_registered", () -> () -> directory.liveInstances().size());
         metrics.gauge("log_lines_dropped", () -> () -> log.droppedLines());
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ApiClient.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ApiClient.java
@@ -118,6 +118,11 @@
             }
         }
 
+        @Override
+        public int keptBytes() {
+            return received.size();
+        }
+
         @Override
         public void onComplete() {
             timer.cancel(false);
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ClientConnection.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ClientConnection.java
@@ -29,18 +29,22 @@
  * arrives after the next request was sent is recognized by the listener, which has it {@link #skipResponse() skipped}.
  *
  * <p>A server may send bytes without end. Heads are therefore limited as a whole, including interim responses, and so
- * are skipped responses; the listener limits the bodies that it receives.
+ * are skipped responses; the listener limits the bodies that it receives. It may also send them on many connections, so
+ * that what is kept of all responses shares a {@link MessageMemoryLimit}.
  */
 public final class ClientConnection extends ChannelInboundHandlerAdapter {
     private static final int MAX_HEAD_LINE_BYTES = 64 * 1024;
-    /** Largest number of bytes received before the head of a response is complete, interim responses included. */
+    /** Largest number of bytes of the head of a response, interim responses included, and of its trailers. */
     private static final int MAX_HEAD_BYTES = 256 * 1024;
+    /** Size up to which a response needs no share of the memory limit: small ones do not depend on others. */
+    private static final int UNLIMITED_BYTES = 32 * 1024;
     /** Surplus responses that are skipped for one request. */
     private static final int MAX_SKIPPED_RESPONSES = 3;
 
     private static final int MAX_SKIPPED_BODY_BYTES = 1024 * 1024;
     private static final long UNKNOWN = -1;
 
+    private final MessageMemoryLimit memory;
     private final Runnable onClosed;
     private final MessageReader<HttpResponse> reader = new MessageReader<>(
             new DefaultHttpResponseParser<>(
@@ -61,11 +65,18 @@
 
     private int skippedResponses;
     private int skippedBodyBytes;
+    /** Bytes of the head, interim responses included. */
     private int headBytes;
+    /** Bytes received since the last piece of the body: the framing of a chunk, or trailers. */
+    private int framingBytes;
+    /** Bytes acquired from the memory limit for the current response. */
+    private long acquiredBytes;
+
     private int requestCount;
     private long idleTimeoutMs = UNKNOWN;
 
-    ClientConnection(Runnable onClosed) {
+    ClientConnection(MessageMemoryLimit memory, Runnable onClosed) {
+        this.memory = memory;
         this.onClosed = onClosed;
     }
 
@@ -77,6 +88,9 @@
         /** A piece of the body was received; its buffer is not reused. */
         void onBody(ByteBuffer piece);
 
+        /** Returns the number of bytes of the current response that the listener keeps. */
+        int keptBytes();
+
         /** The response is complete; the connection can be reused if it is still {@link #isOpen() open}. */
         void onComplete();
 
@@ -110,6 +124,7 @@
         skippedResponses = 0;
         skippedBodyBytes = 0;
         headBytes = 0;
+        framingBytes = 0;
         requestCount++;
         ByteBuf message = HeadFormatter.request(method, target, all);
         if (body.length > 0) {
@@ -160,13 +175,13 @@
 
     /** Closes the connection without a further call to the listener. */
     public void close() {
-        listener = null;
+        removeListener();
         context.close();
     }
 
     /** Closes the connection with a TCP reset, so that undelivered bytes are discarded; the listener is not called. */
     public void reset() {
-        listener = null;
+        removeListener();
         if (context.channel() instanceof SocketChannel) {
             ((SocketChannel) context.channel()).config().setSoLinger(0);
         }
@@ -182,15 +197,42 @@
                 return;
             }
             responseStarted = true;
-            headBytes = head == null ? headBytes + received.readableBytes() : 0;
+            if (head == null) {
+                headBytes += received.readableBytes();
+            } else {
+                framingBytes += received.readableBytes();
+            }
             reader.append(received);
         } finally {
             received.release();
         }
         process();
-        if (listener != null && head == null && headBytes > MAX_HEAD_BYTES) {
-            fail("head of the response exceeds " + MAX_HEAD_BYTES + " bytes");
+        if (listener != null && Math.max(headBytes, framingBytes) > MAX_HEAD_BYTES) {
+            fail("head or trailers of the response exceed " + MAX_HEAD_BYTES + " bytes");
+        }
+        if (listener != null && !tryAcquireMemory()) {
+            fail("memory for responses is used up");
+        }
+    }
+
+    private boolean tryAcquireMemory() {
+        long keptBytes = headBytes + framingBytes + listener.keptBytes();
+        long neededBytes = Math.max(0, keptBytes - UNLIMITED_BYTES);
+        if (neededBytes > acquiredBytes && !memory.tryAcquire(neededBytes - acquiredBytes)) {
+            return false;
         }
+        memory.release(Math.max(0, acquiredBytes - neededBytes));
+        acquiredBytes = neededBytes;
+        return true;
+    }
+
+    /** Returns the listener of the response, which has ended, and releases the memory of the response. */
+    private ResponseListener removeListener() {
+        ResponseListener removed = listener;
+        listener = null;
+        memory.release(acquiredBytes);
+        acquiredBytes = 0;
+        return removed;
     }
 
     private void process() {
@@ -221,6 +263,8 @@
             throw new HttpException("malformed headers");
         }
         head = next;
+        framingBytes = reader.unreadBytes();
+        headBytes -= framingBytes;
         long length = bodyLength(next);
         delimitedByClose = length < 0 && length != ContentLengthStrategy.CHUNKED;
         reusable = !delimitedByClose
@@ -260,6 +304,9 @@
     private boolean readBody() throws HttpException, IOException {
         ByteBuffer piece = reader.readBody();
         boolean progress = piece.hasRemaining();
+        if (progress) {
+            framingBytes = reader.unreadBytes();
+        }
         if (skipping) {
             return skipBody(piece.remaining()) || progress;
         }
@@ -287,12 +334,13 @@
         }
         skipping = false;
         head = null;
+        headBytes = reader.unreadBytes();
+        framingBytes = 0;
         return true;
     }
 
     private void complete() {
-        ResponseListener completed = listener;
-        listener = null;
+        ResponseListener completed = removeListener();
         setReading(true);
         if (!reusable || !requestWritten || reader.unreadBytes() > 0) {
             inputEnded = true;
@@ -323,8 +371,7 @@
         if (listener == null) {
             return;
         }
-        ResponseListener failed = listener;
-        listener = null;
+        ResponseListener failed = removeListener();
         inputEnded = true;
         context.close();
         failed.onFailure(cause, responseStarted);
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/HttpConnector.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/HttpConnector.java
@@ -16,10 +16,16 @@
 /** Opens connections to servers. Listeners are called on the event loop. */
 public final class HttpConnector {
     private final EventLoopGroup loop;
+    private final MessageMemoryLimit responseMemory;
 
-    /** Creates a connector whose connections run on the given loop. */
-    public HttpConnector(EventLoopGroup loop) {
+    /**
+     * Creates a connector whose connections run on the given loop.
+     *
+     * @param responseMemory memory for the responses that all connections receive
+     */
+    public HttpConnector(EventLoopGroup loop, MessageMemoryLimit responseMemory) {
         this.loop = loop;
+        this.responseMemory = responseMemory;
     }
 
     /** Receives the outcome of a connection attempt. */
@@ -40,7 +46,7 @@
     public Runnable connect(
             InetSocketAddress address, int timeoutMs, Consumer<ClientConnection> onClosed, Listener listener) {
         ClientConnection[] created = new ClientConnection[1];
-        ClientConnection connection = new ClientConnection(() -> onClosed.accept(created[0]));
+        ClientConnection connection = new ClientConnection(responseMemory, () -> onClosed.accept(created[0]));
         created[0] = connection;
         ChannelFuture attempt = open(address, timeoutMs, connection);
         attempt.addListener(done -> {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/HttpServer.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/HttpServer.java
@@ -32,7 +32,7 @@
     private final TimeSource timeSource;
     private final RequestHandler handler;
     private final Supplier<ServerLimits> limits;
-    private final BodyMemoryLimit bodyMemory;
+    private final MessageMemoryLimit bodyMemory;
     private final DecisionLog log;
     private final Set<ServerConnection> connections = new LinkedHashSet<>();
     private Channel channel;
@@ -50,7 +50,7 @@
             TimeSource timeSource,
             RequestHandler handler,
             Supplier<ServerLimits> limits,
-            BodyMemoryLimit bodyMemory,
+            MessageMemoryLimit bodyMemory,
             DecisionLog log) {
         this.loop = loop;
         this.timeSource = timeSource;
@@ -151,7 +151,7 @@
         return limits.get();
     }
 
-    BodyMemoryLimit bodyMemory() {
+    MessageMemoryLimit bodyMemory() {
         return bodyMemory;
     }
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/BodyMemoryLimit.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/MessageMemoryLimit.java
@@ -1,12 +1,12 @@
 package org.cranberrybend.entry.http;
 
-/** Limits the total size of the request bodies that a process holds in memory. Confined to one event loop. */
-public final class BodyMemoryLimit {
+/** Limits the total size of the messages of one kind that a process holds in memory. Confined to one event loop. */
+public final class MessageMemoryLimit {
     private final long limitBytes;
     private long usedBytes;
 
     /** Creates the limit of a process. */
-    public BodyMemoryLimit(long limitBytes) {
+    public MessageMemoryLimit(long limitBytes) {
         this.limitBytes = limitBytes;
     }
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/EventStreamSplitter.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/EventStreamSplitter.java
@@ -54,6 +54,11 @@
         return lastEventId;
     }
 
+    /** Returns the number of bytes that are kept for the incomplete event, part of them twice. */
+    int keptBytes() {
+        return pending.size() + line.size();
+    }
+
     /** Returns the number of bytes received after the last complete event. */
     int incompleteBytes() {
         return pending.size();
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
@@ -329,6 +329,11 @@
         }
     }
 
+    @Override
+    public int keptBytes() {
+        return buffered.size() + splitter.keptBytes();
+    }
+
     @Override
     public void onComplete() {
         Mode previous = mode;
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/DrainMonitorTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/DrainMonitorTest.java
@@ -12,8 +12,8 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.cranberrybend.entry.http.BodyMemoryLimit;
 import org.cranberrybend.entry.http.HttpServer;
+import org.cranberrybend.entry.http.MessageMemoryLimit;
 import org.cranberrybend.entry.http.ServerLimits;
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.testing.RawCaller;
@@ -32,7 +32,7 @@
             clock,
             (request, exchange) -> {},
             () -> new ServerLimits(8_192, 1_000, 60_000, 60_000),
-            new BodyMemoryLimit(1_000),
+            new MessageMemoryLimit(1_000),
             new DecisionLog("instance", 1, clock, OutputStream.nullOutputStream()));
 
     private final AtomicBoolean drained = new AtomicBoolean();
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/CrashExchangeTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/CrashExchangeTest.java
@@ -27,14 +27,15 @@
 import org.cranberrybend.core.routing.RendezvousHash;
 import org.cranberrybend.entry.http.ApiClient;
 import org.cranberrybend.entry.http.ApiResponse;
-import org.cranberrybend.entry.http.BodyMemoryLimit;
 import org.cranberrybend.entry.http.HttpConnector;
 import org.cranberrybend.entry.http.HttpServer;
+import org.cranberrybend.entry.http.MessageMemoryLimit;
 import org.cranberrybend.entry.http.ServerLimits;
 import org.cranberrybend.entry.json.JsonFormatException;
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.quarantine.CrashFormat;
 import org.cranberrybend.entry.quarantine.QuarantineService;
+import org.cranberrybend.entry.testing.Connectors;
 import org.cranberrybend.entry.testing.MemoryStore;
 import org.cranberrybend.entry.testing.TestClock;
 import org.junit.jupiter.api.AfterEach;
@@ -55,7 +56,7 @@
     private static final int MAX_MESSAGE_BYTES = 64 * 1024;
 
     private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final HttpConnector connector = new HttpConnector(loop);
+    private final HttpConnector connector = Connectors.on(loop);
     private final TestClock clock = new TestClock();
     private final DecisionLog log = new DecisionLog("test", 1, clock, OutputStream.nullOutputStream());
     private final Set<InetSocketAddress> peers = new LinkedHashSet<>();
@@ -78,7 +79,7 @@
 
         Instance() throws Exception {
             HttpServer server =
-                    new HttpServer(loop, clock, exchange, () -> LIMITS, new BodyMemoryLimit(10_000_000), log);
+                    new HttpServer(loop, clock, exchange, () -> LIMITS, new MessageMemoryLimit(10_000_000), log);
             address = (InetSocketAddress) server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
                     .sync()
                     .channel()
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FleetRelayTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FleetRelayTest.java
@@ -21,15 +21,15 @@
 import org.cranberrybend.core.routing.Market;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.configuration.RoutingConfiguration;
-import org.cranberrybend.entry.http.BodyMemoryLimit;
-import org.cranberrybend.entry.http.HttpConnector;
 import org.cranberrybend.entry.http.HttpServer;
+import org.cranberrybend.entry.http.MessageMemoryLimit;
 import org.cranberrybend.entry.http.ServerLimits;
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.port.StoreItem;
 import org.cranberrybend.entry.port.StoreSnapshot;
 import org.cranberrybend.entry.port.StoreWrite;
 import org.cranberrybend.entry.store.ConfigurationHolder;
+import org.cranberrybend.entry.testing.Connectors;
 import org.cranberrybend.entry.testing.MemoryStore;
 import org.cranberrybend.entry.upstream.UpstreamRecord;
 import org.cranberrybend.entry.upstream.UpstreamTable;
@@ -70,19 +70,11 @@
                         Market.GUARANTEED,
                         1,
                         0),
-                new HttpConnector(loop),
+                Connectors.on(loop),
                 timeSource,
                 log);
         private final FleetRelay relay = new FleetRelay(
-                loop,
-                new HttpConnector(loop),
-                store,
-                configuration,
-                upstreams,
-                () -> peers,
-                () -> leader,
-                timeSource,
-                log);
+                loop, Connectors.on(loop), store, configuration, upstreams, () -> peers, () -> leader, timeSource, log);
 
         void read(long version, long revision, StoreItem... items) {
             configuration.offer("store", Long.toString(version).getBytes());
@@ -94,7 +86,7 @@
     @BeforeEach
     void startInstances() throws Exception {
         HttpServer control =
-                new HttpServer(loop, timeSource, connected.relay, () -> LIMITS, new BodyMemoryLimit(1_000_000), log);
+                new HttpServer(loop, timeSource, connected.relay, () -> LIMITS, new MessageMemoryLimit(1_000_000), log);
         peers.add((InetSocketAddress) control.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
                 .sync()
                 .channel()
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FollowingStoreTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FollowingStoreTest.java
@@ -18,14 +18,15 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.cranberrybend.core.time.TimeSource;
-import org.cranberrybend.entry.http.BodyMemoryLimit;
 import org.cranberrybend.entry.http.HttpConnector;
 import org.cranberrybend.entry.http.HttpServer;
+import org.cranberrybend.entry.http.MessageMemoryLimit;
 import org.cranberrybend.entry.http.ServerLimits;
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.port.StoreChange;
 import org.cranberrybend.entry.port.StoreChanges;
 import org.cranberrybend.entry.port.StoreItem;
+import org.cranberrybend.entry.testing.Connectors;
 import org.cranberrybend.entry.testing.ForwardingStore;
 import org.cranberrybend.entry.testing.MemoryStore;
 import org.cranberrybend.entry.upstream.LoadReport;
@@ -43,7 +44,7 @@
     private final DecisionLog log = new DecisionLog("test", 1, timeSource, OutputStream.nullOutputStream());
     private final PendingWatchStore leaderStore = new PendingWatchStore();
     private final PendingWatchStore followerStore = new PendingWatchStore();
-    private final HttpConnector connector = new HttpConnector(loop);
+    private final HttpConnector connector = Connectors.on(loop);
     private final FollowingStore leaderInstance =
             new FollowingStore(leaderStore, loop, connector, Optional::empty, timeSource, log);
     private Optional<InetSocketAddress> leaderAddress = Optional.empty();
@@ -69,7 +70,7 @@
     @BeforeEach
     void startLeader() throws Exception {
         control = new HttpServer(
-                loop, timeSource, leaderInstance.feed(), () -> LIMITS, new BodyMemoryLimit(1_000_000), log);
+                loop, timeSource, leaderInstance.feed(), () -> LIMITS, new MessageMemoryLimit(1_000_000), log);
         leaderAddress = Optional.of(
                 (InetSocketAddress) control.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
                         .sync()
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/StoreOutageTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/StoreOutageTest.java
@@ -11,7 +11,6 @@
 import java.util.stream.Collectors;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.cranberrybend.core.routing.Market;
-import org.cranberrybend.entry.http.HttpConnector;
 import org.cranberrybend.entry.http.ReceivedRequest;
 import org.cranberrybend.entry.json.JsonFormatException;
 import org.cranberrybend.entry.log.DecisionLog;
@@ -20,6 +19,7 @@
 import org.cranberrybend.entry.port.StoreItem;
 import org.cranberrybend.entry.port.StoreSnapshot;
 import org.cranberrybend.entry.store.PrefixWatch;
+import org.cranberrybend.entry.testing.Connectors;
 import org.cranberrybend.entry.testing.ManualScheduler;
 import org.cranberrybend.entry.testing.ResponseRecorder;
 import org.cranberrybend.entry.testing.TestClock;
@@ -83,7 +83,7 @@
     }
 
     private UpstreamTable table() {
-        return new UpstreamTable(PREFIX, StoreOutageTest::decode, new HttpConnector(null), clock, log);
+        return new UpstreamTable(PREFIX, StoreOutageTest::decode, Connectors.on(null), clock, log);
     }
 
     /** Decodes the values {@code ready} and {@code leaving}. */
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/http/HttpServerTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/http/HttpServerTest.java
@@ -25,7 +25,7 @@
     private static final String REQUEST = "GET / HTTP/1.1\nHost: h\n\n";
 
     private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final BodyMemoryLimit bodyMemory = new BodyMemoryLimit(100_000);
+    private final MessageMemoryLimit bodyMemory = new MessageMemoryLimit(100_000);
     private final AtomicInteger disconnects = new AtomicInteger();
     private final HttpServer server = new HttpServer(
             loop,
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
@@ -25,9 +25,9 @@
 import org.cranberrybend.entry.configuration.Route;
 import org.cranberrybend.entry.configuration.RoutingConfiguration;
 import org.cranberrybend.entry.configuration.ServiceDefinition;
-import org.cranberrybend.entry.http.BodyMemoryLimit;
 import org.cranberrybend.entry.http.HttpConnector;
 import org.cranberrybend.entry.http.HttpServer;
+import org.cranberrybend.entry.http.MessageMemoryLimit;
 import org.cranberrybend.entry.http.ServerLimits;
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.port.HeaderNames;
@@ -63,6 +63,9 @@
     private static final ServerLimits LIMITS = new ServerLimits(8_192, 100_000, 2_000, 10_000);
     private static final String PREFIX = "upstreams/";
 
+    /** Memory for responses that have not been passed on. */
+    public static final long RESPONSE_MEMORY_BYTES = 4 * 1024 * 1024;
+
     private static final long LOG_WAIT_S = 5;
 
     private final ByteArrayOutputStream logOutput = new ByteArrayOutputStream();
@@ -70,6 +73,7 @@
     private final TimeSource timeSource = TimeSource.system();
     private final UpstreamTable table;
     private final QuarantineService quarantine;
+    private final MessageMemoryLimit responseMemory = new MessageMemoryLimit(RESPONSE_MEMORY_BYTES);
     private final HttpServer server;
     private final UsageCounter usage = new UsageCounter(3_600_000, new SteadyWallClock(timeSource));
     private final int port;
@@ -80,7 +84,7 @@
         log.start();
         ConfigurationHolder configuration = new ConfigurationHolder((name, value) -> configuration(), log);
         configuration.offer("test", new byte[0]);
-        HttpConnector connector = new HttpConnector(loop);
+        HttpConnector connector = new HttpConnector(loop, responseMemory);
         table = new UpstreamTable(PREFIX, EntryFixture::record, connector, timeSource, log);
         List<StoreItem> items = new ArrayList<>();
         for (ScriptedUpstream upstream : upstreams) {
@@ -102,7 +106,7 @@
                 log,
                 () -> 1,
                 new MetricRegistry());
-        server = new HttpServer(loop, timeSource, path.handler(), () -> LIMITS, new BodyMemoryLimit(1_000_000), log);
+        server = new HttpServer(loop, timeSource, path.handler(), () -> LIMITS, new MessageMemoryLimit(1_000_000), log);
         port = ((InetSocketAddress) server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
                         .sync()
                         .channel()
@@ -225,6 +229,11 @@
         return loop.submit(task).get();
     }
 
+    /** Returns the memory for responses, which may be used on the event loop only. */
+    public MessageMemoryLimit responseMemory() {
+        return responseMemory;
+    }
+
     /** Returns the server that serves callers. */
     public HttpServer server() {
         return server;
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/Upstreams.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/Upstreams.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import org.cranberrybend.core.routing.Market;
-import org.cranberrybend.entry.http.HttpConnector;
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.port.StoreItem;
 import org.cranberrybend.entry.port.StoreSnapshot;
@@ -34,7 +33,7 @@
                         Market.GUARANTEED,
                         1,
                         0),
-                new HttpConnector(null),
+                Connectors.on(null),
                 clock,
                 new DecisionLog("instance", 1, clock, OutputStream.nullOutputStream()));
         table.onSnapshot(new StoreSnapshot(List.of(new StoreItem(PREFIX + id, zone.getBytes(), 1, 1, 0)), 1), 0);
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamSelectorTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamSelectorTest.java
@@ -11,10 +11,10 @@
 import java.util.Set;
 import org.cranberrybend.core.routing.Market;
 import org.cranberrybend.entry.configuration.LatencyClass;
-import org.cranberrybend.entry.http.HttpConnector;
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.port.StoreItem;
 import org.cranberrybend.entry.port.StoreSnapshot;
+import org.cranberrybend.entry.testing.Connectors;
 import org.cranberrybend.entry.testing.TestClock;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -39,7 +39,7 @@
                     Market.GUARANTEED,
                     1,
                     0),
-            new HttpConnector(null),
+            Connectors.on(null),
             clock,
             new DecisionLog("instance", 1, clock, OutputStream.nullOutputStream()));
     private final UpstreamSelector selector = new UpstreamSelector(table, "zone-a", REGIONS);
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamTableTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamTableTest.java
@@ -12,12 +12,12 @@
 import java.util.Optional;
 import java.util.stream.Collectors;
 import org.cranberrybend.core.routing.Market;
-import org.cranberrybend.entry.http.HttpConnector;
 import org.cranberrybend.entry.json.JsonFormatException;
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.port.StoreChange;
 import org.cranberrybend.entry.port.StoreItem;
 import org.cranberrybend.entry.port.StoreSnapshot;
+import org.cranberrybend.entry.testing.Connectors;
 import org.cranberrybend.entry.testing.TestClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -30,7 +30,7 @@
     private final UpstreamTable table = new UpstreamTable(
             PREFIX,
             UpstreamTableTest::decode,
-            new HttpConnector(loop),
+            Connectors.on(loop),
             clock,
             new DecisionLog("instance", 1, clock, OutputStream.nullOutputStream()));
 
