Refuse requests late in a planned stop, and answer those left at its end

What callers would see: a request whose body arrives slowly is received completely up to six seconds after SIGTERM, passed on, and cut off at the shutdown limit without a response, perhaps after it was executed; the same with a request that an upstream rejected late and that was sent to another one. A request that was taken in time and is still running at the limit was cut off, too, so that its caller does not learn whether it may have run.

Cause: DrainMonitor closes idle connections 2.9 s after the signal, and a connection that is receiving a request is not idle. At the limit the process exited without ending its requests.

Ruled out: new connections (the listener is closed 2.65 s after the signal) and pipelined requests (a connection is closed after its response, and what was not read is not passed on).

Fix: from 2.9 s on, requests get 503 shutting_down with a Retry-After, which is true: they were not passed on; what may run only once is not sent again. At 7.15 s of 8 s the requests in progress end: 502 with outcome_unknown if they were sent, 503 if not; a stream that has begun is broken off. Their connections to upstreams are closed.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/DrainMonitor.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/DrainMonitor.java
@@ -2,6 +2,7 @@
 
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.http.HttpServer;
+import org.cranberrybend.entry.request.RequestsInProgress;
 
 /** Decides when a draining process may exit. Confined to the event loop. */
 final class DrainMonitor {
@@ -18,7 +19,11 @@
     /** Time for written responses to leave the process after the last connection became inactive. */
     private static final long FLUSH_MS = 150;
 
+    /** Time before the end of the drain for the responses of requests that are ended by it. */
+    private static final long LAST_RESPONSE_MS = 250;
+
     private final HttpServer callers;
+    private final RequestsInProgress requests;
     private final TimeSource timeSource;
     private final Runnable onDrained;
     private final long startMs;
@@ -26,8 +31,14 @@
     private long inactiveSinceMs = -1;
     private boolean gracefulCloseStarted;
 
-    DrainMonitor(HttpServer callers, TimeSource timeSource, long shutdownLimitMs, Runnable onDrained) {
+    DrainMonitor(
+            HttpServer callers,
+            RequestsInProgress requests,
+            TimeSource timeSource,
+            long shutdownLimitMs,
+            Runnable onDrained) {
         this.callers = callers;
+        this.requests = requests;
         this.timeSource = timeSource;
         this.onDrained = onDrained;
         this.startMs = timeSource.monotonicMs();
@@ -35,8 +46,8 @@
     }
 
     void check() {
-        long nowMs = timeSource.monotonicMs();
-        if (nowMs - startMs < READINESS_NOTICE_MS) {
+        long elapsedMs = timeSource.monotonicMs() - startMs;
+        if (elapsedMs < READINESS_NOTICE_MS) {
             return;
         }
         if (gracefulCloseStarted) {
@@ -46,15 +57,22 @@
             gracefulCloseStarted = true;
             callers.closeGracefully();
         }
-        long minIdleMs = nowMs - startMs < LAST_REQUEST_MS ? MIN_IDLE_BEFORE_CLOSE_MS : 0;
+        if (elapsedMs >= LAST_REQUEST_MS) {
+            // A request that is still being received may arrive completely at any later time.
+            requests.refuseNew();
+        }
+        if (elapsedMs >= limitMs - LAST_RESPONSE_MS) {
+            requests.endAll();
+        }
+        long minIdleMs = elapsedMs < LAST_REQUEST_MS ? MIN_IDLE_BEFORE_CLOSE_MS : 0;
         callers.closeIdleConnections(minIdleMs);
         if (callers.isBusy(minIdleMs)) {
             inactiveSinceMs = -1;
         } else if (inactiveSinceMs < 0) {
-            inactiveSinceMs = nowMs;
+            inactiveSinceMs = elapsedMs;
         }
-        boolean inactive = inactiveSinceMs >= 0 && nowMs - inactiveSinceMs >= FLUSH_MS;
-        if (inactive || nowMs - startMs >= limitMs) {
+        boolean inactive = inactiveSinceMs >= 0 && elapsedMs - inactiveSinceMs >= FLUSH_MS;
+        if (inactive || elapsedMs >= limitMs) {
             // A connection accepted from now on would be cut off by the exit of the process.
             callers.stopListening();
             onDrained.run();
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -50,6 +50,7 @@
 import org.cranberrybend.entry.quarantine.QuarantineArchive;
 import org.cranberrybend.entry.quarantine.QuarantineService;
 import org.cranberrybend.entry.request.RequestPath;
+import org.cranberrybend.entry.request.RequestsInProgress;
 import org.cranberrybend.entry.store.ConfigurationHolder;
 import org.cranberrybend.entry.store.CountedStore;
 import org.cranberrybend.entry.store.PrefixWatch;
@@ -93,6 +94,7 @@
     private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final HttpServer callers;
     private final HttpServer readiness;
+    private final RequestsInProgress requests;
     private final ConfigurationHolder configuration;
     private final UpstreamTable upstreams;
     private final PrefixWatch configurationWatch;
@@ -180,6 +182,7 @@
                 log,
                 directory::maxFleetSize,
                 metrics);
+        requests = path.requests();
         control = new HttpServer(loop, timeSource, instanceHandler(store), () -> DEFAULT_LIMITS, bodyMemory, log);
         callers = new HttpServer(loop, timeSource, path.handler(), this::callerLimits, bodyMemory, log);
         metricsServer = new HttpServer(loop, timeSource, this::serveMetrics, () -> DEFAULT_LIMITS, bodyMemory, log);
@@ -400,7 +403,8 @@
             duties.release();
             log.record(EventCode.PROCESS_STOPPING, settings.instance(), "busy", callers.activeConnectionCount());
         });
-        DrainMonitor monitor = new DrainMonitor(callers, timeSource, settings.shutdownLimitMs(), drained::countDown);
+        DrainMonitor monitor =
+                new DrainMonitor(callers, requests, timeSource, settings.shutdownLimitMs(), drained::countDown);
         loop.scheduleWithFixedDelay(
                 guarded("drain", monitor::check), 0, DrainMonitor.INTERVAL_MS, TimeUnit.MILLISECONDS);
         drained.await(settings.shutdownLimitMs(), TimeUnit.MILLISECONDS);
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -82,6 +82,7 @@
             responsivenessTimer = services.loop()
                     .schedule(this::checkResponsiveness, FIRST_RESPONSIVENESS_CHECK_MS, TimeUnit.MILLISECONDS);
         }
+        services.requests().add(this);
         services.budget().recordRequest(request.service());
         services.metrics().countAccepted();
         admit();
@@ -209,6 +210,9 @@
         if (sends >= request.route().maxAttempts() || remainingMs < MIN_ATTEMPT_TIME_MS) {
             return false;
         }
+        if (services.requests().isRefusing() && request.retryRule() == RetryRule.ONCE) {
+            return false;
+        }
         if (probe || services.quarantine().verdict(parts).kind() != Verdict.Kind.ADMIT) {
             return false;
         }
@@ -367,9 +371,7 @@
         } else if (mayHaveExecuted) {
             fail(ErrorResponse.outcomeUnknown(ErrorCode.UPSTREAM_FAILED, cause), cause);
         } else {
-            finish(EventCode.REQUEST_REFUSED, "refused", cause);
-            ErrorResponse.notRun(ErrorCode.NO_UPSTREAM, RETRY_AFTER_MS, request.service())
-                    .send(caller, request.attemptId());
+            refuse(ErrorResponse.notRun(ErrorCode.NO_UPSTREAM, RETRY_AFTER_MS, request.service()), cause);
         }
     }
 
@@ -395,6 +397,23 @@
     }
 
     private void onTimeout() {
+        long limitMs = request.deadlineMs() - request.receivedMs();
+        end("time limit", ErrorResponse.outcomeUnknown(ErrorCode.UPSTREAM_TIMEOUT, limitMs), ErrorCode.NO_UPSTREAM);
+    }
+
+    /** Ends the request because the process stops. */
+    void endForShutdown() {
+        String cause = "the instance stopped before the response was complete";
+        end(cause, ErrorResponse.outcomeUnknown(ErrorCode.UPSTREAM_FAILED, cause), ErrorCode.SHUTTING_DOWN);
+    }
+
+    /**
+     * Ends the request, and its attempt, with a response that states whether it may have been executed.
+     *
+     * @param ifSent response if the request was sent to an upstream
+     * @param ifNotSent error otherwise
+     */
+    private void end(String cause, ErrorResponse ifSent, ErrorCode ifNotSent) {
         if (finished) {
             return;
         }
@@ -403,17 +422,19 @@
             attempt.abort();
         }
         if (headSent) {
-            abortStream("time limit");
+            abortStream(cause);
         } else if (sent) {
-            fail(
-                    ErrorResponse.outcomeUnknown(
-                            ErrorCode.UPSTREAM_TIMEOUT, request.deadlineMs() - request.receivedMs()),
-                    "time limit");
+            fail(ifSent, cause);
         } else {
-            endWithoutResponse("time limit before an upstream was reached");
+            refuse(ErrorResponse.notRun(ifNotSent, RETRY_AFTER_MS, request.service()), cause);
         }
     }
 
+    private void refuse(ErrorResponse response, String cause) {
+        finish(EventCode.REQUEST_REFUSED, "refused", cause);
+        response.send(caller, request.attemptId());
+    }
+
     private void onCallerDisconnected() {
         if (!finished) {
             finish(EventCode.REQUEST_ABANDONED, "abandoned", "caller disconnected");
@@ -425,6 +446,7 @@
 
     private void finish(EventCode code, String outcome, String cause) {
         finished = true;
+        services.requests().remove(this);
         deadlineTimer.cancel(false);
         if (responsivenessTimer != null) {
             responsivenessTimer.cancel(false);
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
@@ -17,6 +17,7 @@
 /** Creates and connects the components that handle callers' requests. */
 public final class RequestPath {
     private final RequestRouter router;
+    private final RequestsInProgress requests = new RequestsInProgress();
 
     /**
      * Creates the components of one process.
@@ -49,7 +50,13 @@
                         budget,
                         usage,
                         log,
-                        new RequestMetrics(metrics)));
+                        new RequestMetrics(metrics),
+                        requests));
+    }
+
+    /** Returns the requests in progress. */
+    public RequestsInProgress requests() {
+        return requests;
     }
 
     /** Returns the handler of callers' requests. */
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestRouter.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestRouter.java
@@ -27,6 +27,9 @@
 public final class RequestRouter implements RequestHandler {
     private static final String BEARER = "bearer ";
     private static final long NO_CONFIGURATION_RETRY_AFTER_MS = 500;
+    /** Other instances serve meanwhile, so that the caller may come back soon. */
+    static final long SHUTDOWN_RETRY_AFTER_MS = 100;
+
     /** Time after its receipt for which a request waits for the first configuration and the first list of upstreams. */
     private static final long MAX_STARTUP_WAIT_MS = 300;
 
@@ -46,6 +49,14 @@
     public void handle(ReceivedRequest received, ServerExchange caller) {
         HttpRequest head = received.head();
         String attemptId = headerValue(head, services.headerNames().attemptId());
+        if (services.requests().isRefusing()) {
+            refuse(
+                    caller,
+                    attemptId,
+                    configuration.version(),
+                    ErrorResponse.notRun(ErrorCode.SHUTTING_DOWN, SHUTDOWN_RETRY_AFTER_MS));
+            return;
+        }
         RoutingConfiguration version = configuration.current().orElse(null);
         if (version == null || !services.table().isLoaded()) {
             awaitStartup(received, caller, attemptId);
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestServices.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestServices.java
@@ -22,6 +22,7 @@
  * @param usage counts requests that upstreams began to execute, by client account
  * @param log decision log
  * @param metrics counters and timers
+ * @param requests requests in progress
  */
 record RequestServices(
         EventLoopGroup loop,
@@ -33,4 +34,5 @@
         ServiceRetryBudget budget,
         UsageCounter usage,
         DecisionLog log,
-        RequestMetrics metrics) {}
+        RequestMetrics metrics,
+        RequestsInProgress requests) {}
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/DrainMonitorTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/DrainMonitorTest.java
@@ -16,6 +16,7 @@
 import org.cranberrybend.entry.http.MessageMemoryLimit;
 import org.cranberrybend.entry.http.ServerLimits;
 import org.cranberrybend.entry.log.DecisionLog;
+import org.cranberrybend.entry.request.RequestsInProgress;
 import org.cranberrybend.entry.testing.RawCaller;
 import org.cranberrybend.entry.testing.TestClock;
 import org.junit.jupiter.api.AfterEach;
@@ -36,7 +37,8 @@
             new DecisionLog("instance", 1, clock, OutputStream.nullOutputStream()));
 
     private final AtomicBoolean drained = new AtomicBoolean();
-    private final DrainMonitor monitor = new DrainMonitor(server, clock, SHUTDOWN_LIMIT_MS, () -> drained.set(true));
+    private final DrainMonitor monitor =
+            new DrainMonitor(server, new RequestsInProgress(), clock, SHUTDOWN_LIMIT_MS, () -> drained.set(true));
 
     @AfterEach
     void stopLoop() {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
@@ -36,6 +36,7 @@
 import org.cranberrybend.entry.port.StoreSnapshot;
 import org.cranberrybend.entry.quarantine.QuarantineService;
 import org.cranberrybend.entry.request.RequestPath;
+import org.cranberrybend.entry.request.RequestsInProgress;
 import org.cranberrybend.entry.store.ConfigurationHolder;
 import org.cranberrybend.entry.upstream.UpstreamRecord;
 import org.cranberrybend.entry.upstream.UpstreamTable;
@@ -74,6 +75,7 @@
     private final UpstreamTable table;
     private final QuarantineService quarantine;
     private final MessageMemoryLimit responseMemory = new MessageMemoryLimit(RESPONSE_MEMORY_BYTES);
+    private final RequestsInProgress requests;
     private final HttpServer server;
     private final UsageCounter usage = new UsageCounter(3_600_000, new SteadyWallClock(timeSource));
     private final int port;
@@ -106,6 +108,7 @@
                 log,
                 () -> 1,
                 new MetricRegistry());
+        requests = path.requests();
         server = new HttpServer(loop, timeSource, path.handler(), () -> LIMITS, new MessageMemoryLimit(1_000_000), log);
         port = ((InetSocketAddress) server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
                         .sync()
@@ -234,6 +237,11 @@
         return responseMemory;
     }
 
+    /** Returns the requests in progress, which may be used on the event loop only. */
+    public RequestsInProgress requests() {
+        return requests;
+    }
+
     /** Returns the server that serves callers. */
     public HttpServer server() {
         return server;
