Log that a known upstream has begun to leave

What operators saw: UPSTREAM_LEAVING was logged only for upstreams that were already leaving when they became known.

Cause: UpstreamTable.applyEntry updated the known entry before it asked whether the upstream was leaving before.

UpstreamTableTest.leavingIsLoggedOnce failed before (no line) and passes now; a heartbeat of a leaving upstream logs no second line.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
@@ -198,6 +198,7 @@
         boolean sameProcess = known != null
                 && known.entry().address().equals(record.address())
                 && known.entry().startedAtMs() == record.startedAtMs();
+        boolean wasLeaving = sameProcess && known.entry().leaving();
         if (!sameProcess) {
             if (known != null) {
                 remove(id, "restarted");
@@ -216,7 +217,7 @@
         } else {
             known.update(record);
         }
-        if (record.leaving() && (known == null || !known.entry().leaving() || !sameProcess)) {
+        if (record.leaving() && !wasLeaving) {
             log.record(EventCode.UPSTREAM_LEAVING, id, "service", record.service(), "revision", item.revision());
         }
         if (record.leaving()) {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamTableTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamTableTest.java
@@ -5,7 +5,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import java.io.OutputStream;
+import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -24,15 +24,14 @@
 
 class UpstreamTableTest {
     private static final String PREFIX = "upstreams/";
+    private static final long LOG_LIMIT_MS = 5_000;
 
     private final TestClock clock = new TestClock();
+    private final ByteArrayOutputStream logOutput = new ByteArrayOutputStream();
+    private final DecisionLog log = new DecisionLog("instance", 1, clock, logOutput);
     private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final UpstreamTable table = new UpstreamTable(
-            PREFIX,
-            UpstreamTableTest::decode,
-            Connectors.on(loop),
-            clock,
-            new DecisionLog("instance", 1, clock, OutputStream.nullOutputStream()));
+    private final UpstreamTable table =
+            new UpstreamTable(PREFIX, UpstreamTableTest::decode, Connectors.on(loop), clock, log);
 
     @AfterEach
     void stopLoop() {
@@ -80,6 +79,17 @@
         assertThat(usable()).containsExactly("b");
     }
 
+    // Guards against a log without the moment at which a known upstream began to leave.
+    @Test
+    void leavingIsLoggedOnce() {
+        table.onSnapshot(snapshot(2, item("a", "1:ready", 1)), 0);
+        table.onChange(new StoreChange(PREFIX + "a", 3, Optional.of(item("a", "1:leaving", 3))));
+        table.onChange(new StoreChange(PREFIX + "a", 4, Optional.of(item("a", "1:leaving", 4))));
+        log.start();
+        log.stop(LOG_LIMIT_MS);
+        assertThat(logOutput.toString().split("UPSTREAM_LEAVING", -1)).hasLength(2);
+    }
+
     // Guards against one malformed entry making other upstreams unusable.
     @Test
     void undecodableEntryIsIgnored() {
