Send nothing more to an upstream that states that it is leaving

Cause: no code read the header.

Now the first response with the value 1, of any status, closes the upstream for this instance: for first attempts, retries, resumed streams and requests that wait for their connection, also if it is the only one left (503 with Retry-After, not run). Running requests go on, idle connections are closed.

The order duty counts such an upstream as leaving. Callers do not see the header, and theirs is not read. Peers are not told: each hears it from its own next response.

The soak's promise has cases of its own in PromisesTest.

--- a/cranberrybend-daemon/src/main/java/org/cranberrybend/daemon/ClassArchiveTraining.java
+++ b/cranberrybend-daemon/src/main/java/org/cranberrybend/daemon/ClassArchiveTraining.java
@@ -14,8 +14,8 @@
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.EntryService;
 import org.cranberrybend.entry.EntrySettings;
-import org.cranberrybend.entry.http.MessageMemoryLimit;
 import org.cranberrybend.entry.http.HttpServer;
+import org.cranberrybend.entry.http.MessageMemoryLimit;
 import org.cranberrybend.entry.http.ServerLimits;
 import org.cranberrybend.entry.json.JsonFormatException;
 import org.cranberrybend.entry.log.DecisionLog;
@@ -39,7 +39,8 @@
         EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         TrainingPlatform platform = new TrainingPlatform();
         DecisionLog log = new DecisionLog("training", 1, timeSource, OutputStream.nullOutputStream());
-        HttpServer server = new HttpServer(loop, timeSource, platform, () -> LIMITS, new MessageMemoryLimit(1 << 20), log);
+        HttpServer server =
+                new HttpServer(loop, timeSource, platform, () -> LIMITS, new MessageMemoryLimit(1 << 20), log);
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         platformAddress =
                 (InetSocketAddress) server.listen(any).sync().channel().localAddress();
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/OrderDuty.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/OrderDuty.java
@@ -137,7 +137,7 @@
                 continue;
             }
             boolean isPreemptible = upstream.entry().market() == Market.PREEMPTIBLE;
-            if (upstream.entry().leaving()) {
+            if (upstream.isLeaving()) {
                 leaving |= isPreemptible;
             } else if (isPreemptible) {
                 preemptible++;
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/port/HeaderNames.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/port/HeaderNames.java
@@ -16,6 +16,7 @@
  * @param tokenCount tokens of the prompt and largest number of output tokens, separated by a comma
  * @param promptParts parts of the prompt in order, each with identifier and number of tokens
  * @param load running requests, waiting requests and slots of an upstream
+ * @param leaving states, with the value {@link #LEAVING}, that the process of the upstream is about to end
  * @param lastEventId last event of a stream that the caller has received
  * @param reserved headers that only this program may set; removed from requests of callers
  */
@@ -31,8 +32,12 @@
         String tokenCount,
         String promptParts,
         String load,
+        String leaving,
         String lastEventId,
         Set<String> reserved) {
+    /** The value of the header {@link #leaving} that makes a statement; another value makes none. */
+    public static final String LEAVING = "1";
+
     public HeaderNames {
         reserved = Set.copyOf(reserved);
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpResponse;
 import org.cranberrybend.core.error.ErrorCode;
 import org.cranberrybend.core.event.EventCode;
@@ -247,6 +248,16 @@
         }
     }
 
+    @Override
+    public void onUpstreamLeaving(UpstreamAttempt ended) {
+        dispatch("upstream is leaving");
+    }
+
+    @Override
+    public void onLeavingStated(UpstreamAttempt current) {
+        services.table().recordLeaving(current.upstream());
+    }
+
     @Override
     public void onRejected(UpstreamAttempt ended, int status) {
         sends++;
@@ -283,7 +294,7 @@
             abortStream("status " + head.getCode() + " instead of the rest of the stream");
             return;
         }
-        caller.respond(head.getCode(), head.getReasonPhrase(), HeaderRules.endToEnd(head), body);
+        caller.respond(head.getCode(), head.getReasonPhrase(), responseHeaders(head), body);
         finish(EventCode.REQUEST_COMPLETED, "completed", "status " + head.getCode());
     }
 
@@ -292,7 +303,7 @@
         if (!headSent) {
             headSent = true;
             services.metrics().recordTimeToFirstEvent(services.timeSource().monotonicMs() - request.receivedMs());
-            caller.begin(head.getCode(), head.getReasonPhrase(), HeaderRules.endToEnd(head), ServerExchange.CHUNKED);
+            caller.begin(head.getCode(), head.getReasonPhrase(), responseHeaders(head), ServerExchange.CHUNKED);
         }
         if (!newLastEventId.isEmpty()) {
             lastEventId = newLastEventId;
@@ -303,6 +314,13 @@
         }
     }
 
+    private List<Header> responseHeaders(HttpResponse head) {
+        List<Header> headers = HeaderRules.endToEnd(head);
+        headers.removeIf(
+                each -> each.getName().equalsIgnoreCase(services.headerNames().leaving()));
+        return headers;
+    }
+
     private void onCallerWritable() {
         if (attempt != null) {
             attempt.setReading(true);
@@ -323,7 +341,7 @@
         if (!headSent) {
             headSent = true;
             onExecutionStarted(ended);
-            caller.begin(head.getCode(), head.getReasonPhrase(), HeaderRules.endToEnd(head), ServerExchange.CHUNKED);
+            caller.begin(head.getCode(), head.getReasonPhrase(), responseHeaders(head), ServerExchange.CHUNKED);
         }
         if (trailingBytes.length > 0) {
             caller.write(UpstreamAttempt.buffer(trailingBytes));
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
@@ -41,6 +41,12 @@
         /** No connection was established, so no byte of the request was sent. */
         void onConnectFailure(UpstreamAttempt attempt, String cause);
 
+        /** The upstream began to leave before a connection was established, so no byte of the request was sent. */
+        void onUpstreamLeaving(UpstreamAttempt attempt);
+
+        /** The upstream stated in a response that it is leaving. */
+        void onLeavingStated(UpstreamAttempt attempt);
+
         /** The upstream stated that it did not execute the request. */
         void onRejected(UpstreamAttempt attempt, int status);
 
@@ -196,6 +202,12 @@
             upstream.release(established);
             return;
         }
+        if (upstream.isLeavingStated()) {
+            markEnded();
+            established.close();
+            listener.onUpstreamLeaving(this);
+            return;
+        }
         connection = established;
         sent = true;
         sentMs = timeSource.monotonicMs();
@@ -237,6 +249,9 @@
         }
         upstream.recordReceived(timeSource.monotonicMs());
         recordLoad(response);
+        if (statesLeaving(response)) {
+            listener.onLeavingStated(this);
+        }
         Header echoed = response.getFirstHeader(headerNames.attemptId());
         boolean signed = response.containsHeader(headerNames.signature());
         boolean success = response.getCode() / 100 == 2;
@@ -270,6 +285,15 @@
                 && (type == null || type.getValue().trim().startsWith(EVENT_STREAM));
     }
 
+    private boolean statesLeaving(HttpResponse response) {
+        for (Header header : response.getHeaders(headerNames.leaving())) {
+            if (header.getValue() != null && header.getValue().trim().equals(HeaderNames.LEAVING)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void recordLoad(HttpResponse response) {
         Header load = response.getFirstHeader(headerNames.load());
         if (load == null) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Upstream.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Upstream.java
@@ -28,6 +28,9 @@
     private UpstreamRecord entry;
     private final ConnectionPool pool;
     private boolean removed;
+    /** Whether the process of the upstream has stated in a response that it is leaving. */
+    private boolean leavingStated;
+
     private int running;
     private long prefillTokens;
     private int reportedRunning;
@@ -66,14 +69,33 @@
         pool.close();
     }
 
+    /**
+     * Records that the process has stated in a response that it is leaving. Its entry may say so only later, or never,
+     * and does not take the statement back.
+     */
+    void markLeavingStated() {
+        leavingStated = true;
+        pool.close();
+    }
+
+    /** Returns whether the process has stated in a response that it is leaving; nothing more may be sent to it. */
+    public boolean isLeavingStated() {
+        return leavingStated;
+    }
+
+    /** Returns whether the upstream is leaving by its entry or by its own statement. */
+    public boolean isLeaving() {
+        return entry.leaving() || leavingStated;
+    }
+
     /** Returns whether new requests may be sent: the upstream is listed, not leaving and not ejected. */
     public boolean accepts(long nowMs) {
-        return !removed && !entry.leaving() && nowMs >= ejectedUntilMs;
+        return isListedReady() && nowMs >= ejectedUntilMs;
     }
 
     /** Returns whether the upstream is listed as ready; it may be ejected nevertheless. */
     public boolean isListedReady() {
-        return !removed && !entry.leaving();
+        return !removed && !isLeaving();
     }
 
     /** Records a request that is about to be sent. */
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
@@ -36,6 +36,7 @@
     /** Entries of the upstreams in {@link #byId} as read from the store. */
     private final Map<String, StoreItem> itemsById = new TreeMap<>();
 
+    private final LeavingProcesses leavingProcesses = new LeavingProcesses();
     private final ExpiryGracePeriod gracePeriod = new ExpiryGracePeriod();
 
     private long lastProgressMs = Long.MIN_VALUE / 2;
@@ -204,7 +205,11 @@
                 remove(id, "restarted");
                 itemsById.put(id, item);
             }
-            byId.put(id, new Upstream(record, new ConnectionPool(connector, record.address(), timeSource)));
+            Upstream joined = new Upstream(record, new ConnectionPool(connector, record.address(), timeSource));
+            if (leavingProcesses.contains(record)) {
+                joined.markLeavingStated();
+            }
+            byId.put(id, joined);
             log.record(
                     EventCode.UPSTREAM_JOINED,
                     id,
@@ -225,6 +230,15 @@
         }
     }
 
+    /** Records that an upstream has stated in a response that it is leaving: it receives nothing more from here. */
+    public void recordLeaving(Upstream upstream) {
+        if (leavingProcesses.add(upstream.entry())) {
+            UpstreamRecord entry = upstream.entry();
+            log.record(EventCode.UPSTREAM_LEAVING, entry.id(), "service", entry.service(), "cause", "response");
+        }
+        upstream.markLeavingStated();
+    }
+
     /**
      * Returns whether a change alters the entries in the store. Upstreams also rewrite their entries unchanged as a
      * heartbeat, which keeps the revision of their creation.
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
@@ -28,6 +28,7 @@
 import org.cranberrybend.entry.http.HttpConnector;
 import org.cranberrybend.entry.http.HttpServer;
 import org.cranberrybend.entry.http.MessageMemoryLimit;
+import org.cranberrybend.entry.http.RequestHandler;
 import org.cranberrybend.entry.http.ServerLimits;
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.port.HeaderNames;
@@ -58,6 +59,7 @@
             "Tokens",
             "Prompt",
             "Load",
+            "Leaving",
             "Last-Event-Id",
             Set.of("authorization", "meant-for", "account", "deadline", "urgency"));
 
@@ -76,6 +78,7 @@
     private final QuarantineService quarantine;
     private final MessageMemoryLimit responseMemory = new MessageMemoryLimit(RESPONSE_MEMORY_BYTES);
     private final RequestsInProgress requests;
+    private final RequestHandler handler;
     private final HttpServer server;
     private final UsageCounter usage = new UsageCounter(3_600_000, new SteadyWallClock(timeSource));
     private final int port;
@@ -109,7 +112,8 @@
                 () -> 1,
                 new MetricRegistry());
         requests = path.requests();
-        server = new HttpServer(loop, timeSource, path.handler(), () -> LIMITS, new MessageMemoryLimit(1_000_000), log);
+        handler = path.handler();
+        server = new HttpServer(loop, timeSource, handler, () -> LIMITS, new MessageMemoryLimit(1_000_000), log);
         port = ((InetSocketAddress) server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
                         .sync()
                         .channel()
@@ -242,6 +246,16 @@
         return requests;
     }
 
+    /** Returns the handler of callers' requests, which may be used on the event loop only. */
+    public RequestHandler handler() {
+        return handler;
+    }
+
+    /** Returns the table of upstreams, which may be used on the event loop only. */
+    public UpstreamTable table() {
+        return table;
+    }
+
     /** Returns the server that serves callers. */
     public HttpServer server() {
         return server;
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamTableTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamTableTest.java
@@ -1,6 +1,7 @@
 package org.cranberrybend.entry.upstream;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -9,7 +10,12 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.stream.Collectors;
 import org.cranberrybend.core.routing.Market;
 import org.cranberrybend.entry.json.JsonFormatException;
@@ -21,6 +27,8 @@
 import org.cranberrybend.entry.testing.TestClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class UpstreamTableTest {
     private static final String PREFIX = "upstreams/";
@@ -90,6 +98,73 @@
         assertThat(logOutput.toString().split("UPSTREAM_LEAVING", -1)).hasLength(2);
     }
 
+    // Guards against an entry, snapshot or peer that takes the statement of a process back, and against holding it
+    // against its successor.
+    @Test
+    void statedLeavingHoldsForTheProcess() {
+        table.onSnapshot(snapshot(2, item("a", "1:ready", 1)), 0);
+        table.recordLeaving(table.find("a").get());
+        assertThat(usable()).isEmpty();
+        table.onChange(new StoreChange(PREFIX + "a", 3, Optional.of(item("a", "1:ready", 3))));
+        assertThat(usable()).isEmpty();
+        table.onChange(new StoreChange(PREFIX + "a", 4, Optional.empty()));
+        table.onSnapshot(snapshot(5, item("a", "1:ready", 5)), 8_000);
+        assertThat(usable()).isEmpty();
+        table.mergePeerState(List.of(item("a", "1:ready", 6)), 6);
+        assertThat(usable()).isEmpty();
+        table.onChange(new StoreChange(PREFIX + "a", 7, Optional.of(item("a", "2:ready", 7))));
+        assertThat(usable()).containsExactly("a");
+    }
+
+    // Guards against sequences of statements, heartbeats, expiries, restarts, snapshots and states of peers after which
+    // a process that stated that it is leaving receives requests again.
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void noSequenceOfEventsTakesAStatementBack(long seed) {
+        Random random = new Random(seed);
+        Map<String, Integer> starts = new TreeMap<>();
+        Set<String> stated = new TreeSet<>();
+        for (int step = 1; step <= 2_000; step++) {
+            String id = "u" + random.nextInt(4);
+            String value = starts.getOrDefault(id, 1) + ":ready";
+            switch (random.nextInt(7)) {
+                case 0:
+                    table.find(id).ifPresent(upstream -> {
+                        stated.add(id + "#" + upstream.entry().startedAtMs());
+                        table.recordLeaving(upstream);
+                    });
+                    break;
+                case 1:
+                    table.onChange(new StoreChange(PREFIX + id, step, Optional.empty()));
+                    break;
+                case 2:
+                    starts.merge(id, 2, (old, first) -> old + 1);
+                    break;
+                case 3:
+                    table.onSnapshot(snapshot(step, item(id, value, step)), random.nextInt(2) * 8_000);
+                    table.onProgress(step);
+                    break;
+                case 4:
+                    table.onStoreUnavailable("connection refused");
+                    table.mergePeerState(List.of(item(id, value, step)), step);
+                    break;
+                case 5:
+                    clock.advance(random.nextInt(3_000));
+                    table.removeExpired(clock.monotonicMs());
+                    break;
+                default:
+                    table.onChange(new StoreChange(PREFIX + id, step, Optional.of(item(id, value, step))));
+            }
+            for (Upstream upstream : table.all()) {
+                String process = upstream.entry().id() + "#" + upstream.entry().startedAtMs();
+                assertWithMessage("seed %s, step %s: %s accepts requests", seed, step, process)
+                        .that(upstream.accepts(clock.monotonicMs()))
+                        .isEqualTo(!stated.contains(process));
+            }
+        }
+        assertThat(stated).isNotEmpty();
+    }
+
     // Guards against one malformed entry making other upstreams unusable.
     @Test
     void undecodableEntryIsIgnored() {
--- a/cranberrybend-soak/src/test/java/org/cranberrybend/soak/FaultInjector.java
+++ b/cranberrybend-soak/src/test/java/org/cranberrybend/soak/FaultInjector.java
@@ -18,6 +18,9 @@
     /** Time from the leaving of an upstream until its entry is removed and its proxy closed; exceeds the drain time. */
     private static final long UPSTREAM_REMOVAL_DELAY_MS = SoakBounds.DRAIN_MS + 2_500;
 
+    /** Time for which an upstream states only in its responses that it is leaving, and its entry stays. */
+    private static final long STATEMENT_LEAD_MS = 2_000;
+
     private static final int STORM_CHANGES = 6;
     private static final long STORM_GAP_MS = 150;
     /** Time after the start of a process in which it need not keep the bounds. */
@@ -175,6 +178,7 @@
     private void restart(EntryProcess process, int endedIncarnation) throws IOException {
         synchronized (process) {
             if (!process.isRunning() && process.incarnation() == endedIncarnation) {
+                promises.recordRestart(process.name());
                 process.start();
             }
         }
@@ -228,8 +232,12 @@
         SoakUpstreams.ProxiedUpstream target = upstreams.pick(entry.target());
         if (entry.fault() == Fault.UPSTREAM_LEAVES) {
             boolean announced = entry.target() % 3 > 0;
-            SoakUpstreams.ProxiedUpstream leaving = upstreams.replace(entry.target(), announced);
-            schedule(UPSTREAM_REMOVAL_DELAY_MS, () -> {
+            SoakUpstreams.ProxiedUpstream leaving = upstreams.stateLeaving(entry.target());
+            schedule(STATEMENT_LEAD_MS, () -> {
+                upstreams.replace(leaving, announced);
+                return null;
+            });
+            schedule(STATEMENT_LEAD_MS + UPSTREAM_REMOVAL_DELAY_MS, () -> {
                 upstreams.remove(leaving);
                 leaving.proxy().close();
                 return null;
--- a/cranberrybend-soak/src/test/java/org/cranberrybend/soak/Promises.java
+++ b/cranberrybend-soak/src/test/java/org/cranberrybend/soak/Promises.java
@@ -27,6 +27,15 @@
     /** Further requests by which it may, for those in flight at the boundaries. */
     private static final int USAGE_TOLERANCE_REQUESTS = 3;
 
+    /** Time after which all responses of an upstream contain its statement that it is leaving. */
+    private static final long STATEMENT_MARGIN_MS = 100;
+
+    /** A request as its caller sent it to an instance, after the given number of restarts of its process. */
+    private record Sent(String instance, int restarts, long atMs) {}
+
+    /** The moment at which a process had passed a response on. */
+    private record PassedOn(int restarts, long atMs) {}
+
     private record DutyCall(String holder, long atMs) {}
 
     private final LongSupplier clockMs;
@@ -34,6 +43,15 @@
     private final Map<String, Integer> executions = new HashMap<>();
     private final Map<String, RequestKind> refusedRequests = new HashMap<>();
     private final Map<String, Long> leavingSinceMs = new HashMap<>();
+    private final Map<String, Long> leavingStatedSinceMs = new HashMap<>();
+    private final Map<String, Sent> sentRequests = new HashMap<>();
+    /** Requests that arrived at an upstream whose responses contained the statement. */
+    private final Map<String, String> statedUpstreams = new HashMap<>();
+    /** First such response that the process of an instance passed on, by instance and upstream. */
+    private final Map<String, PassedOn> passedOnStatements = new HashMap<>();
+
+    private final Map<String, Integer> restarts = new HashMap<>();
+
     private final Map<String, Long> largestFencingNumbers = new HashMap<>();
     private final Map<String, List<DutyCall>> dutyCalls = new HashMap<>();
     private final Map<Long, String> usageReports = new TreeMap<>();
@@ -72,6 +90,53 @@
         leavingSinceMs.put(id, clockMs.getAsLong());
     }
 
+    /** Records that an upstream states in its responses from now on that it is leaving. */
+    synchronized void recordLeavingStated(String id) {
+        leavingStatedSinceMs.putIfAbsent(id, clockMs.getAsLong());
+    }
+
+    /** Records that a caller sends a request to an instance. */
+    synchronized void recordSent(String attemptId, String instance, long sentMs) {
+        sentRequests.put(attemptId, new Sent(instance, restartsOf(instance), sentMs));
+    }
+
+    /** Records that a new process of an instance is about to start; the previous one has ended. */
+    synchronized void recordRestart(String instance) {
+        restarts.merge(instance, 1, Integer::sum);
+    }
+
+    private int restartsOf(String instance) {
+        return restarts.getOrDefault(instance, 0);
+    }
+
+    /**
+     * Checks that a process sends nothing to an upstream after it has passed its statement on. No disruption but a
+     * restart suspends this.
+     */
+    private void checkStatement(String id, String attemptId, long nowMs) {
+        Long statedMs = leavingStatedSinceMs.get(id);
+        if (statedMs != null && nowMs - statedMs > STATEMENT_MARGIN_MS) {
+            statedUpstreams.put(attemptId, id);
+        }
+        Sent sent = sentRequests.get(attemptId);
+        PassedOn passedOn = sent == null ? null : passedOnStatements.get(sent.instance() + " " + id);
+        if (passedOn != null && sent.atMs() > passedOn.atMs() && passedOn.restarts() == restartsOf(sent.instance())) {
+            recordViolation("no request after the statement of leaving", attemptId + " at " + id);
+        }
+    }
+
+    private void recordStatementPassedOn(String attemptId, String instance) {
+        String upstream = statedUpstreams.get(attemptId);
+        Sent sent = sentRequests.get(attemptId);
+        if (upstream != null && sent != null && sent.restarts() == restartsOf(instance)) {
+            String key = instance + " " + upstream;
+            PassedOn first = passedOnStatements.get(key);
+            if (first == null || first.restarts() != sent.restarts()) {
+                passedOnStatements.put(key, new PassedOn(sent.restarts(), clockMs.getAsLong()));
+            }
+        }
+    }
+
     /** Records a request that an upstream received; {@code run} is whether it is executed. */
     synchronized void recordUpstreamRequest(StandInUpstream upstream, String attemptId, Headers headers, boolean run) {
         long nowMs = clockMs.getAsLong();
@@ -85,6 +150,7 @@
         if (!ACCOUNT.equals(StandInHeaders.account(headers))) {
             recordViolation("the account is named", attemptId + " came with " + StandInHeaders.account(headers));
         }
+        checkStatement(upstream.id(), attemptId, nowMs);
         Long leavingMs = leavingSinceMs.get(upstream.id());
         if (run
                 && leavingMs != null
@@ -125,6 +191,7 @@
         if (response.status() != 200 || !response.complete()) {
             return;
         }
+        recordStatementPassedOn(attemptId, instance);
         String signature = StandInHeaders.signature(response.headers());
         if (!signature.endsWith("." + attemptId)) {
             recordViolation("each answer belongs to its request", attemptId + " got signature " + signature);
--- a/cranberrybend-soak/src/test/java/org/cranberrybend/soak/PromisesTest.java
+++ b/cranberrybend-soak/src/test/java/org/cranberrybend/soak/PromisesTest.java
@@ -114,6 +114,40 @@
         assertViolated("no request for an upstream that leaves");
     }
 
+    private void passStatementOn() {
+        promises.recordLeavingStated("up-0");
+        nowMs += 200;
+        promises.recordSent(ORDER_ID, "entry-0", nowMs);
+        promises.recordUpstreamRequest(upstream, ORDER_ID, headers, true);
+        recordResponse(ORDER_ID, 200, "up-0." + ORDER_ID, StandInUpstream.plainBody(ORDER_ID));
+        nowMs += 1;
+    }
+
+    @Test
+    void requestAfterStatementOfLeaving() {
+        passStatementOn();
+        promises.recordSent(CHAT_ID, "entry-0", nowMs);
+        promises.recordUpstreamRequest(upstream, CHAT_ID, headers, false);
+        assertViolated("no request after the statement of leaving");
+    }
+
+    @Test
+    void requestOfRestartedInstanceAfterStatementIsNoViolation() {
+        passStatementOn();
+        promises.recordRestart("entry-0");
+        promises.recordSent(CHAT_ID, "entry-0", nowMs);
+        promises.recordUpstreamRequest(upstream, CHAT_ID, headers, true);
+        assertThat(promises.violations()).isEmpty();
+    }
+
+    @Test
+    void requestOfAnotherInstanceAfterStatementIsNoViolation() {
+        passStatementOn();
+        promises.recordSent(CHAT_ID, "entry-1", nowMs);
+        promises.recordUpstreamRequest(upstream, CHAT_ID, headers, true);
+        assertThat(promises.violations()).isEmpty();
+    }
+
     @Test
     void olderFencingNumber() throws Exception {
         recordDutyCall("/usage", "entry-0", 7, "{\"window_id\":1,\"counts\":{\"alpha\":1}}");
--- a/cranberrybend-soak/src/test/java/org/cranberrybend/soak/SoakRun.java
+++ b/cranberrybend-soak/src/test/java/org/cranberrybend/soak/SoakRun.java
@@ -190,6 +190,7 @@
         boolean served = false;
         boolean reusable = false;
         long sentMs = nowMs();
+        promises.recordSent(id, instance, sentMs);
         try {
             Caller.Response response =
                     caller.call(kind == RequestKind.LOOKUP ? "GET" : "POST", kind.path(), headers, "");
--- a/cranberrybend-soak/src/test/java/org/cranberrybend/soak/SoakUpstreams.java
+++ b/cranberrybend-soak/src/test/java/org/cranberrybend/soak/SoakUpstreams.java
@@ -53,10 +53,19 @@
                 proxied.upstream().entry(proxied.proxy().port(), false));
     }
 
-    /** Replaces an upstream, which announces that it leaves or whose entry is deleted without notice. */
-    synchronized ProxiedUpstream replace(int number, boolean announced) throws IOException {
+    /** Has an upstream state in its responses that it is leaving, while its entry stays as it is. */
+    synchronized ProxiedUpstream stateLeaving(int number) {
         ProxiedUpstream leaving = pick(number);
-        listed.remove(leaving);
+        promises.recordLeavingStated(leaving.upstream().id());
+        leaving.upstream().stateLeaving();
+        return leaving;
+    }
+
+    /** Replaces an upstream, which announces that it leaves or whose entry is deleted without notice. */
+    synchronized void replace(ProxiedUpstream leaving, boolean announced) throws IOException {
+        if (!listed.remove(leaving)) {
+            return;
+        }
         replaced.add(leaving);
         add(leaving.upstream().service());
         if (announced) {
@@ -67,7 +76,6 @@
             store.delete(leaving.upstream().key());
         }
         promises.recordUpstreamLeaving(leaving.upstream().id());
-        return leaving;
     }
 
     void remove(ProxiedUpstream leaving) {
