Keep the time that an upstream asks for with 503 and Retry-After

Cause: no code read the header.

Now this instance sends nothing to that process until the time has passed, not even a request whose connection is being established. The time is kept for the process (identifier and start) in ProcessStatements, beside the statement that it leaves, so that an expired entry does not end it. It is no failure and no ejection, and the fallback for the case that all upstreams are ejected does not override it. It ends up to a tenth later, differently in each instance, and requests then rise to the slots of the upstream over 1 s. If all upstreams of a service ask for time, requests wait by priority and arrival if the first pause ends before their deadline; the others are refused at once (not run) with a Retry-After of that end, spread. Dispatch lines name the upstreams that were passed over; a new event, UPSTREAM_PAUSED, a counter and two gauges.

A request that was itself rejected is not sent to the same upstream again: it goes to another one or is refused. Only this instance waits.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/port/HeaderNames.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/port/HeaderNames.java
@@ -1,6 +1,9 @@
 package org.cranberrybend.entry.port;
 
+import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
+import org.apache.hc.core5.http.Header;
 
 /**
  * Names of the headers that callers, this program and upstreams exchange.
@@ -41,4 +44,11 @@
     public HeaderNames {
         reserved = Set.copyOf(reserved);
     }
+
+    /** Returns the headers of a response of an upstream without those that are meant for this program. */
+    public List<Header> toCaller(List<Header> headers) {
+        return headers.stream()
+                .filter(each -> !each.getName().equalsIgnoreCase(leaving))
+                .collect(Collectors.toList());
+    }
 }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/ErrorResponse.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/ErrorResponse.java
@@ -30,6 +30,11 @@
         return new ErrorResponse(code, code.message(arguments), RunState.OUTCOME_UNKNOWN, 0);
     }
 
+    /** Returns a time up to a quarter longer, so that callers do not return at the same moment. */
+    static long spread(long retryAfterMs, String requestId) {
+        return retryAfterMs + Math.floorMod((long) requestId.hashCode(), 1 + retryAfterMs / 4);
+    }
+
     void send(ServerExchange exchange, String requestId) {
         Map<String, Object> error = new LinkedHashMap<>();
         error.put("code", code.wireCode());
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -30,15 +30,10 @@
     /** Failed connection attempts after which no other upstream is tried. */
     private static final int MAX_CONNECT_FAILURES = 3;
 
-    private static final long RETRY_AFTER_MS = 400;
     /** Delay of the first check; slightly longer than the time after which an upstream counts as unresponsive. */
     private static final long FIRST_RESPONSIVENESS_CHECK_MS = 1_050;
 
     private static final long RESPONSIVENESS_CHECK_MS = 300;
-    /** Shortest time without an event after which a stream counts as stalled. */
-    private static final long MIN_STALL_MS = 1_500;
-    /** Multiple of the route's target for pauses between events after which a stream counts as stalled. */
-    private static final long STALL_GAP_RATIO = 4;
     /** Time before the deadline that a further attempt needs at least. */
     private static final long MIN_ATTEMPT_TIME_MS = 60;
 
@@ -51,6 +46,8 @@
     private final Set<String> attemptedUpstreams = new LinkedHashSet<>();
     private final List<PartFingerprint> parts;
     private final RequestLog requestLog;
+    private final AttemptHealth health;
+    private final ServicePauses pauses;
     private UpstreamAttempt attempt;
     private ScheduledFuture<?> deadlineTimer;
     private ScheduledFuture<?> responsivenessTimer;
@@ -72,6 +69,8 @@
         this.parts = QuarantineService.partsOf(request.service(), request.prompt());
         this.lastEventId = request.resumeAfterEventId();
         this.requestLog = new RequestLog(request, parts, services);
+        this.health = new AttemptHealth(request.route());
+        this.pauses = new ServicePauses(request.service(), services.table(), services.timeSource());
     }
 
     void start() {
@@ -115,11 +114,8 @@
 
     private void refuseQuarantined(Verdict verdict) {
         services.metrics().countQuarantineRefusal();
-        finish(EventCode.REQUEST_REFUSED, "refused", "quarantined prompt");
-        // Spread, so that callers do not return at the same time.
-        long spreadMs = Math.floorMod((long) request.attemptId().hashCode(), 1 + verdict.retryAfterMs() / 4);
-        ErrorResponse.notRun(ErrorCode.PROMPT_QUARANTINED, verdict.retryAfterMs() + spreadMs)
-                .send(caller, request.attemptId());
+        long retryAfterMs = ErrorResponse.spread(verdict.retryAfterMs(), request.attemptId());
+        refuse(ErrorResponse.notRun(ErrorCode.PROMPT_QUARANTINED, retryAfterMs), "quarantined prompt");
     }
 
     private void dispatch(String reason) {
@@ -128,14 +124,66 @@
             endQuarantined(verdict);
             return;
         }
-        long nowMs = services.timeSource().monotonicMs();
-        Optional<Upstream> chosen = services.selector()
-                .choose(request.service(), request.prompt(), request.latencyClass(), attemptedUpstreams, nowMs);
-        if (chosen.isEmpty()) {
-            endWithoutResponse("no upstream: " + reason);
+        if (services.waiting().isWaitingFor(request.service()) && tryWait()) {
             return;
         }
-        Upstream upstream = chosen.get();
+        Optional<Upstream> chosen = choose();
+        if (chosen.isPresent()) {
+            send(chosen.get(), reason);
+        } else if (pauseRemainingMs() == 0 || !tryWait()) {
+            endWithoutResponse("no upstream: " + reason);
+        }
+    }
+
+    private Optional<Upstream> choose() {
+        return services.selector()
+                .choose(
+                        request.service(),
+                        request.prompt(),
+                        request.latencyClass(),
+                        attemptedUpstreams,
+                        services.timeSource().monotonicMs());
+    }
+
+    /** Waits if all upstreams have asked for time, the request was not sent yet, and its deadline allows it. */
+    private boolean tryWait() {
+        if (sends > 0
+                || probe
+                || services.requests().isRefusing()
+                || pauses.outlast(request.deadlineMs() - MIN_ATTEMPT_TIME_MS, attemptedUpstreams)) {
+            return false;
+        }
+        return services.waiting().tryAdd(request.service(), request.enginePriority(), this);
+    }
+
+    /** Returns the time until an upstream may receive this request; 0 if one may now, or none is left. */
+    long pauseRemainingMs() {
+        return pauses.remainingMs(attemptedUpstreams);
+    }
+
+    /** Sends a request that has waited if an upstream may receive it; returns whether it waits no longer. */
+    boolean tryEndWait() {
+        if (finished) {
+            return true;
+        }
+        Optional<Upstream> chosen = choose();
+        if (chosen.isEmpty() && pauseRemainingMs() > 0) {
+            return false;
+        }
+        chosen.ifPresentOrElse(
+                upstream -> send(upstream, "after a pause"), () -> endWithoutResponse("no upstream after a pause"));
+        return true;
+    }
+
+    /** Refuses a request that has waited if that would end too late for it; returns whether it waits no longer. */
+    boolean endWaitIfTooLong(long waitEndMs) {
+        if (!finished && waitEndMs > request.deadlineMs() - MIN_ATTEMPT_TIME_MS) {
+            endWithoutResponse("upstreams have asked for time");
+        }
+        return finished;
+    }
+
+    private void send(Upstream upstream, String reason) {
         attemptedUpstreams.add(upstream.entry().id());
         requestLog.recordDispatch(upstream, reason, attemptedUpstreams.size() == 1);
         attempt = new UpstreamAttempt(request, upstream, services.headerNames(), services.timeSource(), this);
@@ -150,13 +198,13 @@
                 && current.isSent()
                 && current.isReading()
                 && request.retryRule().allowsReexecution(headSent)) {
-            if (isUpstreamUnresponsive(current, nowMs)) {
+            if (health.isUnresponsive(current, nowMs)) {
                 current.upstream().ejectUnresponsive(nowMs);
-                recordUnhealthy(current.upstream(), "silent");
+                requestLog.recordUnhealthy(current.upstream(), "silent");
                 if (moveFrom(current, "unresponsive upstream")) {
                     current.upstream().pool().discardIdle();
                 }
-            } else if (current.isStalled(stallLimitMs(), nowMs)) {
+            } else if (health.isStalled(current, nowMs)) {
                 moveFrom(current, "stalled stream");
             }
         }
@@ -166,22 +214,6 @@
         }
     }
 
-    /**
-     * Returns whether an upstream sends nothing to this process. On a route without streaming, an upstream that
-     * executes a single request of this process is not considered: a plain service may take long for one request
-     * without sending a byte. A stream that has begun may pause for as long as its route allows.
-     */
-    private boolean isUpstreamUnresponsive(UpstreamAttempt current, long nowMs) {
-        Upstream upstream = current.upstream();
-        boolean sendsRegularly = request.route().streaming() || upstream.running() > 1;
-        long allowedPauseMs = current.hasEvents() ? 2 * request.route().eventGapTargetMs() : 0;
-        return sendsRegularly && upstream.isUnresponsiveSince(current.sentMs(), allowedPauseMs, nowMs);
-    }
-
-    private long stallLimitMs() {
-        return Math.max(MIN_STALL_MS, STALL_GAP_RATIO * request.route().eventGapTargetMs());
-    }
-
     /** Moves the request to another upstream if possible; otherwise the current attempt goes on. */
     private boolean moveFrom(UpstreamAttempt current, String reason) {
         boolean mayHaveExecutedBefore = mayHaveExecuted;
@@ -195,10 +227,6 @@
         return moved;
     }
 
-    private boolean retry(String reason) {
-        return retry(reason, null);
-    }
-
     /**
      * Retries at another upstream if one is available and the attempt limit, the deadline and the retry budget allow
      * it.
@@ -208,24 +236,14 @@
      */
     private boolean retry(String reason, UpstreamAttempt abandoned) {
         long remainingMs = request.deadlineMs() - services.timeSource().monotonicMs();
-        if (sends >= request.route().maxAttempts() || remainingMs < MIN_ATTEMPT_TIME_MS) {
-            return false;
-        }
-        if (services.requests().isRefusing() && request.retryRule() == RetryRule.ONCE) {
+        boolean stopping = services.requests().isRefusing() && request.retryRule() == RetryRule.ONCE;
+        if (stopping || sends >= request.route().maxAttempts() || remainingMs < MIN_ATTEMPT_TIME_MS) {
             return false;
         }
         if (probe || services.quarantine().verdict(parts).kind() != Verdict.Kind.ADMIT) {
             return false;
         }
-        boolean upstreamAvailable = services.selector()
-                .choose(
-                        request.service(),
-                        request.prompt(),
-                        request.latencyClass(),
-                        attemptedUpstreams,
-                        services.timeSource().monotonicMs())
-                .isPresent();
-        if (!upstreamAvailable || !services.budget().tryAcquire(request.service())) {
+        if (choose().isEmpty() || !services.budget().tryAcquire(request.service())) {
             return false;
         }
         if (abandoned != null) {
@@ -239,7 +257,7 @@
 
     @Override
     public void onConnectFailure(UpstreamAttempt ended, String cause) {
-        recordUpstreamFailure(ended, cause);
+        requestLog.recordFailure(ended.upstream(), cause);
         connectFailures++;
         if (connectFailures >= MAX_CONNECT_FAILURES) {
             endWithoutResponse("cannot connect: " + cause);
@@ -249,8 +267,10 @@
     }
 
     @Override
-    public void onUpstreamLeaving(UpstreamAttempt ended) {
-        dispatch("upstream is leaving");
+    public void onWithheld(UpstreamAttempt ended, String cause) {
+        // It was not attempted: after its pause the request may be sent there.
+        attemptedUpstreams.remove(ended.upstream().entry().id());
+        dispatch(cause);
     }
 
     @Override
@@ -258,12 +278,18 @@
         services.table().recordLeaving(current.upstream());
     }
 
+    @Override
+    public void onPauseStated(UpstreamAttempt current, long pauseMs) {
+        services.metrics().countPause();
+        services.table().recordPause(current.upstream(), pauseMs);
+    }
+
     @Override
     public void onRejected(UpstreamAttempt ended, int status) {
         sends++;
         services.metrics().countRejection();
         String cause = "rejected with status " + status;
-        if (!retry(cause)) {
+        if (!retry(cause, null)) {
             endWithoutResponse(cause);
         }
     }
@@ -282,8 +308,11 @@
         sends++;
         boolean serverError = head.getCode() >= MIN_SERVER_ERROR_STATUS;
         if (serverError) {
-            recordUpstreamFailure(ended, "status " + head.getCode());
-            if (request.retryRule().allowsReexecution(headSent) && retry("status " + head.getCode())) {
+            // A request for time is no failure of the upstream.
+            if (RetryAfter.pauseMs(head).isEmpty()) {
+                requestLog.recordFailure(ended.upstream(), "status " + head.getCode());
+            }
+            if (request.retryRule().allowsReexecution(headSent) && retry("status " + head.getCode(), null)) {
                 return;
             }
         } else {
@@ -294,16 +323,19 @@
             abortStream("status " + head.getCode() + " instead of the rest of the stream");
             return;
         }
-        caller.respond(head.getCode(), head.getReasonPhrase(), responseHeaders(head), body);
+        caller.respond(
+                head.getCode(),
+                head.getReasonPhrase(),
+                services.headerNames().toCaller(HeaderRules.endToEnd(head)),
+                body);
         finish(EventCode.REQUEST_COMPLETED, "completed", "status " + head.getCode());
     }
 
     @Override
     public void onEvents(UpstreamAttempt current, HttpResponse head, byte[] events, String newLastEventId) {
         if (!headSent) {
-            headSent = true;
             services.metrics().recordTimeToFirstEvent(services.timeSource().monotonicMs() - request.receivedMs());
-            caller.begin(head.getCode(), head.getReasonPhrase(), responseHeaders(head), ServerExchange.CHUNKED);
+            beginStream(head);
         }
         if (!newLastEventId.isEmpty()) {
             lastEventId = newLastEventId;
@@ -314,11 +346,10 @@
         }
     }
 
-    private List<Header> responseHeaders(HttpResponse head) {
-        List<Header> headers = HeaderRules.endToEnd(head);
-        headers.removeIf(
-                each -> each.getName().equalsIgnoreCase(services.headerNames().leaving()));
-        return headers;
+    private void beginStream(HttpResponse head) {
+        headSent = true;
+        List<Header> headers = services.headerNames().toCaller(HeaderRules.endToEnd(head));
+        caller.begin(head.getCode(), head.getReasonPhrase(), headers, ServerExchange.CHUNKED);
     }
 
     private void onCallerWritable() {
@@ -339,9 +370,8 @@
         ended.upstream().recordSuccess();
         recordAnswer(ended, head);
         if (!headSent) {
-            headSent = true;
             onExecutionStarted(ended);
-            caller.begin(head.getCode(), head.getReasonPhrase(), responseHeaders(head), ServerExchange.CHUNKED);
+            beginStream(head);
         }
         if (trailingBytes.length > 0) {
             caller.write(UpstreamAttempt.buffer(trailingBytes));
@@ -355,14 +385,14 @@
         sends++;
         mayHaveExecuted = true;
         services.metrics().countLostResponse();
-        recordUpstreamFailure(ended, cause);
+        requestLog.recordFailure(ended.upstream(), cause);
         if (ended.isConnectionLost()) {
             services.quarantine().onConnectionLost(ended.upstream(), parts);
         }
         if (ended.isReusedConnection()) {
             ended.upstream().pool().discardIdle();
         }
-        if (request.retryRule().allowsReexecution(headSent) && retry(cause)) {
+        if (request.retryRule().allowsReexecution(headSent) && retry(cause, null)) {
             return;
         }
         if (headSent) {
@@ -372,16 +402,6 @@
         }
     }
 
-    private void recordUpstreamFailure(UpstreamAttempt ended, String cause) {
-        if (ended.upstream().recordFailure(services.timeSource().monotonicMs())) {
-            recordUnhealthy(ended.upstream(), cause);
-        }
-    }
-
-    private void recordUnhealthy(Upstream upstream, String cause) {
-        services.log().record(EventCode.UPSTREAM_UNHEALTHY, upstream.entry().id(), "cause", cause);
-    }
-
     /** Ends a request that is not retried: as refused if it was certainly not executed, otherwise as failed. */
     private void endWithoutResponse(String cause) {
         if (headSent) {
@@ -389,7 +409,10 @@
         } else if (mayHaveExecuted) {
             fail(ErrorResponse.outcomeUnknown(ErrorCode.UPSTREAM_FAILED, cause), cause);
         } else {
-            refuse(ErrorResponse.notRun(ErrorCode.NO_UPSTREAM, RETRY_AFTER_MS, request.service()), cause);
+            refuse(
+                    ErrorResponse.notRun(
+                            ErrorCode.NO_UPSTREAM, pauses.retryAfterMs(request.attemptId()), request.service()),
+                    cause);
         }
     }
 
@@ -444,7 +467,7 @@
         } else if (sent) {
             fail(ifSent, cause);
         } else {
-            refuse(ErrorResponse.notRun(ifNotSent, RETRY_AFTER_MS, request.service()), cause);
+            refuse(ErrorResponse.notRun(ifNotSent, pauses.retryAfterMs(request.attemptId()), request.service()), cause);
         }
     }
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestLog.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestLog.java
@@ -44,7 +44,20 @@
                         "estimated_requests",
                         upstream.estimatedRequests(timeSource.monotonicMs()),
                         "directory_age_ms",
-                        services.table().ageMs());
+                        services.table().ageMs(),
+                        "passed_over",
+                        services.table().describeWithheld(request.service()));
+    }
+
+    /** Records a failure of an upstream with this request. */
+    void recordFailure(Upstream upstream, String cause) {
+        if (upstream.recordFailure(services.timeSource().monotonicMs())) {
+            recordUnhealthy(upstream, cause);
+        }
+    }
+
+    void recordUnhealthy(Upstream upstream, String cause) {
+        services.log().record(EventCode.UPSTREAM_UNHEALTHY, upstream.entry().id(), "cause", cause);
     }
 
     void recordRetry(String reason, long remainingMs) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestMetrics.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestMetrics.java
@@ -33,6 +33,10 @@
         registry.counter("upstream_rejections").inc();
     }
 
+    void countPause() {
+        registry.counter("upstream_pauses").inc();
+    }
+
     void countQuarantineRefusal() {
         registry.counter("requests_refused_quarantined").inc();
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
@@ -38,6 +38,9 @@
             MetricRegistry metrics) {
         UpstreamSelector selector = new UpstreamSelector(upstreams, settings.zone(), settings.regionsByZone());
         ServiceRetryBudget budget = new ServiceRetryBudget(settings.retryRatio(), settings.retryAllowance(), instances);
+        WaitingRequests waiting = new WaitingRequests(loop, timeSource);
+        metrics.gauge("requests_waiting", () -> waiting::count);
+        metrics.gauge("upstreams_paused", () -> upstreams::pausedCount);
         router = new RequestRouter(
                 configuration,
                 new RequestServices(
@@ -51,7 +54,8 @@
                         usage,
                         log,
                         new RequestMetrics(metrics),
-                        requests));
+                        requests,
+                        waiting));
     }
 
     /** Returns the requests in progress. */
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestServices.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestServices.java
@@ -23,6 +23,7 @@
  * @param log decision log
  * @param metrics counters and timers
  * @param requests requests in progress
+ * @param waiting requests that wait for upstreams that have asked for time
  */
 record RequestServices(
         EventLoopGroup loop,
@@ -35,4 +36,5 @@
         UsageCounter usage,
         DecisionLog log,
         RequestMetrics metrics,
-        RequestsInProgress requests) {}
+        RequestsInProgress requests,
+        WaitingRequests waiting) {}
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
@@ -41,12 +41,18 @@
         /** No connection was established, so no byte of the request was sent. */
         void onConnectFailure(UpstreamAttempt attempt, String cause);
 
-        /** The upstream began to leave before a connection was established, so no byte of the request was sent. */
-        void onUpstreamLeaving(UpstreamAttempt attempt);
+        /**
+         * The upstream began to leave or asked for time before a connection was established, so no byte of the request
+         * was sent.
+         */
+        void onWithheld(UpstreamAttempt attempt, String cause);
 
         /** The upstream stated in a response that it is leaving. */
         void onLeavingStated(UpstreamAttempt attempt);
 
+        /** The upstream asked in a response for no requests in the given time. */
+        void onPauseStated(UpstreamAttempt attempt, long pauseMs);
+
         /** The upstream stated that it did not execute the request. */
         void onRejected(UpstreamAttempt attempt, int status);
 
@@ -202,10 +208,11 @@
             upstream.release(established);
             return;
         }
-        if (upstream.isLeavingStated()) {
+        boolean paused = upstream.isPaused(timeSource.monotonicMs());
+        if (upstream.isLeavingStated() || paused) {
             markEnded();
-            established.close();
-            listener.onUpstreamLeaving(this);
+            upstream.release(established);
+            listener.onWithheld(this, paused ? "upstream has asked for time" : "upstream is leaving");
             return;
         }
         connection = established;
@@ -252,6 +259,7 @@
         if (statesLeaving(response)) {
             listener.onLeavingStated(this);
         }
+        RetryAfter.pauseMs(response).ifPresent(pauseMs -> listener.onPauseStated(this, pauseMs));
         Header echoed = response.getFirstHeader(headerNames.attemptId());
         boolean signed = response.containsHeader(headerNames.signature());
         boolean success = response.getCode() / 100 == 2;
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Upstream.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Upstream.java
@@ -17,6 +17,9 @@
     /** Time without a byte on any connection; the streams of a working engine send events far more often. */
     private static final long UNRESPONSIVE_AFTER_MS = 1_000;
 
+    /** Time after a pause over which the number of requests rises to the slots of the upstream. */
+    private static final long PAUSE_RAMP_MS = 1_000;
+
     private static final long UNRESPONSIVE_EJECTION_MS = 2_000;
     private static final long FIRST_EJECTION_MS = 1_000;
     private static final long MAX_EJECTION_MS = 8_000;
@@ -30,6 +33,8 @@
     private boolean removed;
     /** Whether the process of the upstream has stated in a response that it is leaving. */
     private boolean leavingStated;
+    /** Monotonic time until which the process wants no requests from this instance. */
+    private long pausedUntilMs = Long.MIN_VALUE / 2;
 
     private int running;
     private long prefillTokens;
@@ -83,14 +88,38 @@
         return leavingStated;
     }
 
+    /** Sets until when the process wants no requests from this instance; idle connections are kept for later. */
+    void pauseUntil(long untilMs) {
+        pausedUntilMs = untilMs;
+    }
+
+    /** Returns whether the process wants no requests from this instance for now. */
+    public boolean isPaused(long nowMs) {
+        return nowMs < pausedUntilMs;
+    }
+
+    /** Returns the monotonic time until which the process wants no requests from this instance. */
+    long pausedUntilMs() {
+        return pausedUntilMs;
+    }
+
+    /**
+     * Returns whether a request may be sent as far as pauses go. After a pause the requests in progress rise over a
+     * ramp, so that those that have waited do not arrive all at once.
+     */
+    boolean admitsAfterPause(long nowMs) {
+        long elapsedMs = nowMs - pausedUntilMs;
+        return elapsedMs >= PAUSE_RAMP_MS || elapsedMs >= 0 && running < 1 + entry.slots() * elapsedMs / PAUSE_RAMP_MS;
+    }
+
     /** Returns whether the upstream is leaving by its entry or by its own statement. */
     public boolean isLeaving() {
         return entry.leaving() || leavingStated;
     }
 
-    /** Returns whether new requests may be sent: the upstream is listed, not leaving and not ejected. */
+    /** Returns whether new requests may be sent: the upstream is listed, not leaving, not paused and not ejected. */
     public boolean accepts(long nowMs) {
-        return isListedReady() && nowMs >= ejectedUntilMs;
+        return isListedReady() && admitsAfterPause(nowMs) && nowMs >= ejectedUntilMs;
     }
 
     /** Returns whether the upstream is listed as ready; it may be ejected nevertheless. */
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamSelector.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamSelector.java
@@ -64,10 +64,13 @@
         List<Upstream> listed = table.ofService(service).stream()
                 .filter(Upstream::isListedReady)
                 .filter(each -> !excluded.contains(each.entry().id()))
+                .filter(each -> each.admitsAfterPause(nowMs))
                 .collect(Collectors.toList());
         List<Upstream> usable =
                 listed.stream().filter(each -> each.accepts(nowMs)).collect(Collectors.toList());
-        // If all upstreams are ejected, the ejections are more likely wrong than all upstreams defective.
+        // If all upstreams are ejected, the ejections are more likely wrong than all upstreams defective. A pause,
+        // which
+        // the upstream has asked for, is never overridden.
         List<Upstream> candidates = usable.isEmpty() ? listed : usable;
         return prompt.isEmpty()
                 ? leastLoaded(candidates, nowMs)
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
@@ -5,10 +5,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
 import org.cranberrybend.core.event.EventCode;
+import org.cranberrybend.core.routing.RendezvousHash;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.http.HttpConnector;
 import org.cranberrybend.entry.json.JsonFormatException;
@@ -27,6 +29,14 @@
  * therefore kept ({@link ExpiryGracePeriod}).
  */
 public final class UpstreamTable implements PrefixWatch.Listener {
+    /** Upper bound of the time added to a pause. */
+    private static final long MAX_PAUSE_JITTER_MS = 500;
+    /** Part of a pause that may be added to it. */
+    private static final long PAUSE_JITTER_DIVISOR = 10;
+
+    /** Upstreams that a log line names at most. */
+    private static final int MAX_DESCRIBED = 8;
+
     private final String prefix;
     private final Decoder<UpstreamRecord> decoder;
     private final HttpConnector connector;
@@ -36,7 +46,7 @@
     /** Entries of the upstreams in {@link #byId} as read from the store. */
     private final Map<String, StoreItem> itemsById = new TreeMap<>();
 
-    private final LeavingProcesses leavingProcesses = new LeavingProcesses();
+    private final ProcessStatements statements = new ProcessStatements();
     private final ExpiryGracePeriod gracePeriod = new ExpiryGracePeriod();
 
     private long lastProgressMs = Long.MIN_VALUE / 2;
@@ -206,9 +216,12 @@
                 itemsById.put(id, item);
             }
             Upstream joined = new Upstream(record, new ConnectionPool(connector, record.address(), timeSource));
-            if (leavingProcesses.contains(record)) {
+            if (statements.isLeaving(record)) {
                 joined.markLeavingStated();
             }
+            if (statements.pausedUntilMs(record) > 0) {
+                joined.pauseUntil(statements.pausedUntilMs(record));
+            }
             byId.put(id, joined);
             log.record(
                     EventCode.UPSTREAM_JOINED,
@@ -232,13 +245,62 @@
 
     /** Records that an upstream has stated in a response that it is leaving: it receives nothing more from here. */
     public void recordLeaving(Upstream upstream) {
-        if (leavingProcesses.add(upstream.entry())) {
+        if (statements.addLeaving(upstream.entry())) {
             UpstreamRecord entry = upstream.entry();
             log.record(EventCode.UPSTREAM_LEAVING, entry.id(), "service", entry.service(), "cause", "response");
         }
         upstream.markLeavingStated();
     }
 
+    /**
+     * Records that an upstream has asked in a response for no requests from this instance. It gets a little longer, by a
+     * time that differs among instances, so that they do not return at the same moment.
+     */
+    public void recordPause(Upstream upstream, long pauseMs) {
+        long nowMs = timeSource.monotonicMs();
+        UpstreamRecord entry = upstream.entry();
+        long maxJitterMs = Math.min(MAX_PAUSE_JITTER_MS, pauseMs / PAUSE_JITTER_DIVISOR);
+        long jitterMs = Math.floorMod(RendezvousHash.hash(entry.id(), Long.toString(nowMs)), 1 + maxJitterMs);
+        boolean wasPaused = upstream.isPaused(nowMs);
+        upstream.pauseUntil(statements.addPause(entry, nowMs + pauseMs + jitterMs));
+        if (!wasPaused) {
+            log.record(EventCode.UPSTREAM_PAUSED, entry.id(), "service", entry.service(), "pause_ms", pauseMs);
+        }
+    }
+
+    /**
+     * Returns the time at which the first upstream of a service may receive requests again, if each that could serve is
+     * paused; empty if one is not, or none is left.
+     *
+     * @param excluded upstreams that do not count
+     */
+    public OptionalLong firstPauseEndMs(String service, Set<String> excluded, long nowMs) {
+        List<Upstream> listed = ofService(service).stream()
+                .filter(each ->
+                        each.isListedReady() && !excluded.contains(each.entry().id()))
+                .collect(Collectors.toList());
+        return listed.stream().anyMatch(each -> each.admitsAfterPause(nowMs))
+                ? OptionalLong.empty()
+                : listed.stream().mapToLong(Upstream::pausedUntilMs).min();
+    }
+
+    /** Describes the upstreams of a service that receive no requests because of their own statements. */
+    public String describeWithheld(String service) {
+        long nowMs = timeSource.monotonicMs();
+        return byId.values().stream()
+                .filter(each -> each.entry().service().equals(service))
+                .filter(each -> each.isLeavingStated() || each.isPaused(nowMs))
+                .limit(MAX_DESCRIBED)
+                .map(each -> each.entry().id() + (each.isLeavingStated() ? " leaving" : " paused"))
+                .collect(Collectors.joining(", "));
+    }
+
+    /** Returns the number of upstreams that want no requests from this instance for now. */
+    public long pausedCount() {
+        long nowMs = timeSource.monotonicMs();
+        return byId.values().stream().filter(each -> each.isPaused(nowMs)).count();
+    }
+
     /**
      * Returns whether a change alters the entries in the store. Upstreams also rewrite their entries unchanged as a
      * heartbeat, which keeps the revision of their creation.
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
@@ -186,6 +186,15 @@
                 0);
     }
 
+    /** Writes the entry of an upstream. */
+    public void addEntry(String id, int upstreamPort) throws Exception {
+        byte[] value = Integer.toString(upstreamPort).getBytes(StandardCharsets.UTF_8);
+        onLoop(() -> {
+            table.onChange(new StoreChange(PREFIX + id, 3, Optional.of(new StoreItem(PREFIX + id, value, 3, 3, 0))));
+            return null;
+        });
+    }
+
     /** Removes the entry of an upstream, as the store does after missed heartbeats. */
     public void removeEntry(String id) throws Exception {
         onLoop(() -> {
--- a/cranberrybend-soak/src/test/java/org/cranberrybend/soak/Disruptions.java
+++ b/cranberrybend-soak/src/test/java/org/cranberrybend/soak/Disruptions.java
@@ -28,4 +28,11 @@
                 .filter(span -> instance.equals(ALL) || span.instance.equals(ALL) || span.instance.equals(instance))
                 .noneMatch(span -> span.fromMs <= untilMs && span.untilMs >= fromMs - SoakBounds.RECOVERY_GRACE_MS);
     }
+
+    /** Returns whether no fault of this instance alone, such as a suspension, lay in a span. */
+    synchronized boolean isUndisturbed(String instance, long fromMs, long untilMs) {
+        return spans.stream()
+                .filter(span -> span.instance.equals(instance))
+                .noneMatch(span -> span.fromMs <= untilMs && span.untilMs >= fromMs);
+    }
 }
--- a/cranberrybend-soak/src/test/java/org/cranberrybend/soak/Promises.java
+++ b/cranberrybend-soak/src/test/java/org/cranberrybend/soak/Promises.java
@@ -36,6 +36,23 @@
     /** The moment at which a process had passed a response on. */
     private record PassedOn(int restarts, long atMs) {}
 
+    /** Time after the answer in which requests may still arrive. */
+    private static final long PAUSE_START_MS = 500;
+
+    private static final int MAX_PAUSE_ARRIVALS = 2;
+
+    /** The time for which an upstream has asked one process. */
+    private static final class Pause {
+        private final int restarts;
+        private final long startMs;
+        private int arrivals;
+
+        Pause(int restarts, long startMs) {
+            this.restarts = restarts;
+            this.startMs = startMs;
+        }
+    }
+
     private record DutyCall(String holder, long atMs) {}
 
     private final LongSupplier clockMs;
@@ -50,6 +67,9 @@
     /** First such response that the process of an instance passed on, by instance and upstream. */
     private final Map<String, PassedOn> passedOnStatements = new HashMap<>();
 
+    /** Latest pause by instance and upstream. */
+    private final Map<String, Pause> pauses = new HashMap<>();
+
     private final Map<String, Integer> restarts = new HashMap<>();
 
     private final Map<String, Long> largestFencingNumbers = new HashMap<>();
@@ -151,6 +171,7 @@
             recordViolation("the account is named", attemptId + " came with " + StandInHeaders.account(headers));
         }
         checkStatement(upstream.id(), attemptId, nowMs);
+        checkPause(upstream.id(), attemptId, nowMs);
         Long leavingMs = leavingSinceMs.get(upstream.id());
         if (run
                 && leavingMs != null
@@ -158,6 +179,9 @@
                 && disruptions.isUndisrupted(Disruptions.ALL, leavingMs, nowMs)) {
             recordViolation("no request for an upstream that leaves", attemptId + " at " + upstream.id());
         }
+        if (!run && upstream.isAskingForTime()) {
+            recordPauseAsked(upstream.id(), attemptId);
+        }
         if (run) {
             executions.merge(attemptId, 1, Integer::sum);
             RequestKind kind = kindOf(attemptId);
@@ -170,6 +194,30 @@
         }
     }
 
+    /** Records that an upstream is about to reject a request and to ask for time. */
+    private void recordPauseAsked(String upstream, String attemptId) {
+        Sent sent = sentRequests.get(attemptId);
+        if (sent != null) {
+            pauses.put(sent.instance() + " " + upstream, new Pause(sent.restarts(), clockMs.getAsLong()));
+        }
+    }
+
+    /** Checks that a process sends at most two requests in the time for which an upstream has asked. */
+    private void checkPause(String id, String attemptId, long nowMs) {
+        Sent sent = sentRequests.get(attemptId);
+        Pause pause = sent == null ? null : pauses.get(sent.instance() + " " + id);
+        if (pause == null
+                || pause.restarts != restartsOf(sent.instance())
+                || nowMs < pause.startMs + PAUSE_START_MS
+                || nowMs > pause.startMs + StandInUpstream.PAUSE_MS) {
+            return;
+        }
+        pause.arrivals++;
+        if (pause.arrivals > MAX_PAUSE_ARRIVALS && disruptions.isUndisturbed(sent.instance(), pause.startMs, nowMs)) {
+            recordViolation("no requests in the time that an upstream asks for", attemptId + " at " + id);
+        }
+    }
+
     /** Returns the kind of a request by its identifier. */
     static RequestKind kindOf(String attemptId) {
         return RequestKind.valueOf(attemptId.substring(0, attemptId.indexOf('-')));
--- a/cranberrybend-soak/src/test/java/org/cranberrybend/soak/PromisesTest.java
+++ b/cranberrybend-soak/src/test/java/org/cranberrybend/soak/PromisesTest.java
@@ -148,6 +148,40 @@
         assertThat(promises.violations()).isEmpty();
     }
 
+    private void arrive(String id) {
+        promises.recordSent(id, "entry-0", nowMs);
+        promises.recordUpstreamRequest(upstream, id, headers, false);
+    }
+
+    @Test
+    void thirdRequestInTheTimeThatAnUpstreamAsksFor() {
+        upstream.setMode(StandInUpstream.Mode.ASKING_FOR_TIME);
+        arrive(CHAT_ID);
+        upstream.setMode(StandInUpstream.Mode.SERVING);
+        nowMs += 600;
+        arrive(CHAT_ID + "1");
+        arrive(CHAT_ID + "2");
+        assertThat(promises.violations()).isEmpty();
+        arrive(CHAT_ID + "3");
+        assertViolated("no requests in the time that an upstream asks for");
+    }
+
+    @Test
+    void requestsAtTheEdgesOfTheTimeThatAnUpstreamAsksFor() {
+        upstream.setMode(StandInUpstream.Mode.ASKING_FOR_TIME);
+        arrive(CHAT_ID);
+        upstream.setMode(StandInUpstream.Mode.SERVING);
+        for (int i = 0; i < 5; i++) {
+            nowMs += 90;
+            arrive(CHAT_ID + i);
+        }
+        nowMs += StandInUpstream.PAUSE_MS;
+        for (int i = 5; i < 10; i++) {
+            arrive(CHAT_ID + i);
+        }
+        assertThat(promises.violations()).isEmpty();
+    }
+
     @Test
     void olderFencingNumber() throws Exception {
         recordDutyCall("/usage", "entry-0", 7, "{\"window_id\":1,\"counts\":{\"alpha\":1}}");
