Ask again whether a prompt is quarantined when a request has waited

What upstreams would see: a request that waits because all upstreams have asked for time was sent after the wait although its prompt had been quarantined meanwhile, and could crash one more engine.

Cause: the end of a wait sent the request without the checks of dispatch. Fix: it goes through dispatch.

CrashingPromptTest.promptQuarantinedDuringAWaitIsRefused failed before (the request was sent) and passes now.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -166,12 +166,10 @@
         if (finished) {
             return true;
         }
-        Optional<Upstream> chosen = choose();
-        if (chosen.isEmpty() && pauseRemainingMs() > 0) {
+        if (pauseRemainingMs() > 0) {
             return false;
         }
-        chosen.ifPresentOrElse(
-                upstream -> send(upstream, "after a pause"), () -> endWithoutResponse("no upstream after a pause"));
+        dispatch("after a pause");
         return true;
     }
 
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/CrashingPromptTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/CrashingPromptTest.java
@@ -99,6 +99,31 @@
         return response;
     }
 
+    // Guards against sending a request whose prompt was quarantined while it waited for an engine.
+    @Test
+    void promptQuarantinedDuringAWaitIsRefused() throws Exception {
+        try (EntryFixture crashed = entry();
+                ScriptedUpstream paused = new ScriptedUpstream((request, connection) -> {});
+                EntryFixture entry = new EntryFixture(paused)) {
+            sendUntilRefused(crashed, HARMFUL_PART + ":100");
+            List<CrashRecord> records =
+                    crashed.onLoop(() -> crashed.quarantine().records());
+            entry.onLoop(() -> {
+                entry.table().recordPause(entry.table().find("u0").get(), 600);
+                return null;
+            });
+            try (RawCaller caller = entry.caller()) {
+                caller.send(promptRequest("/stream/x", "waiting", HARMFUL_PART + ":100,own:3"));
+                while (entry.onLoop(() -> entry.server().activeConnectionCount()) == 0) {
+                    Thread.onSpinWait();
+                }
+                entry.onLoop(() -> entry.quarantine().merge(records, "another instance"));
+                assertThat(caller.readUntil("}}")).contains(REFUSAL);
+            }
+            assertThat(paused.received()).isEmpty();
+        }
+    }
+
     /** Removes the entries of crashed engines, as the store does when they miss their heartbeats. */
     private void removeEntriesOfCrashedEngines(EntryFixture entry) throws Exception {
         for (int i = 0; i < ENGINES; i++) {
