--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/WaitingRequests.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/WaitingRequests.java
@@ -13,8 +13,8 @@
  * Requests that wait because all upstreams of their service have asked for time. They are sent by priority, then in the
  * order of their arrival, as soon as an upstream may receive requests again. Confined to the event loop.
  *
- * <p>A request waits only if the wait ends before its deadline; the caller of any other is told at once when to come
- * back.
+ * <p>A request waits only if the wait ends before its deadline; any other is refused at once, with the time after which
+ * its caller may send it again.
  */
 final class WaitingRequests {
     /** Shortest interval of checks, while requests rise over a ramp after a pause. */
