Separate the eligibility of upstreams from their ranking

UpstreamSelector.choose mixed two questions: which upstreams may get a request at all, and which of them is best. Region constraints, zone evacuation and slow start are answers to the first, load balancing to the second. UpstreamQuery now carries what a choice depends on, and UpstreamEligibility names why an upstream is left out. RegionConstraint is not yet filled from the configuration.

Ruled out: further parameters of choose, since five parts would change the same method.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -137,12 +137,7 @@
 
     private Optional<Upstream> choose() {
         return services.selector()
-                .choose(
-                        request.service(),
-                        request.prompt(),
-                        request.latencyClass(),
-                        attemptedUpstreams,
-                        services.timeSource().monotonicMs());
+                .choose(request.query(attemptedUpstreams, services.timeSource().monotonicMs()));
     }
 
     /** Waits if all upstreams have asked for time, the request was not sent yet, and its deadline allows it. */
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
@@ -10,6 +10,7 @@
 import org.cranberrybend.entry.port.HeaderNames;
 import org.cranberrybend.entry.quarantine.QuarantineService;
 import org.cranberrybend.entry.store.ConfigurationHolder;
+import org.cranberrybend.entry.upstream.UpstreamEligibility;
 import org.cranberrybend.entry.upstream.UpstreamSelector;
 import org.cranberrybend.entry.upstream.UpstreamTable;
 import org.cranberrybend.entry.usage.UsageCounter;
@@ -36,7 +37,8 @@
             DecisionLog log,
             IntSupplier instances,
             MetricRegistry metrics) {
-        UpstreamSelector selector = new UpstreamSelector(upstreams, settings.zone(), settings.regionsByZone());
+        UpstreamSelector selector =
+                new UpstreamSelector(upstreams, new UpstreamEligibility(), settings.zone(), settings.regionsByZone());
         ServiceRetryBudget budget = new ServiceRetryBudget(settings.retryRatio(), settings.retryAllowance(), instances);
         WaitingRequests waiting = new WaitingRequests(loop, timeSource);
         metrics.gauge("requests_waiting", () -> waiting::count);
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RoutedRequest.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RoutedRequest.java
@@ -2,12 +2,15 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.apache.hc.core5.http.Header;
 import org.cranberrybend.entry.configuration.AccountEntry;
 import org.cranberrybend.entry.configuration.LatencyClass;
+import org.cranberrybend.entry.configuration.RegionConstraint;
 import org.cranberrybend.entry.configuration.RetryRule;
 import org.cranberrybend.entry.configuration.Route;
 import org.cranberrybend.entry.upstream.Prompt;
+import org.cranberrybend.entry.upstream.UpstreamQuery;
 
 /**
  * A request whose route and client account have been determined. Times are monotonic, in milliseconds.
@@ -64,6 +67,23 @@
         return Math.min(LOWEST_ENGINE_PRIORITY, Math.max(0, priority) * ROUTE_PRIORITY_LEVELS + routePriority);
     }
 
+    /**
+     * Returns the query for the upstream of an attempt.
+     *
+     * @param excluded upstreams of earlier attempts
+     */
+    UpstreamQuery query(Set<String> excluded, long nowMs) {
+        return new UpstreamQuery(
+                service,
+                prompt,
+                latencyClass,
+                route.targetLatencyMs(),
+                route.eventGapTargetMs(),
+                RegionConstraint.NONE,
+                excluded,
+                nowMs);
+    }
+
     RetryRule retryRule() {
         return route.retryRule();
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamSelector.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamSelector.java
@@ -1,10 +1,10 @@
 package org.cranberrybend.entry.upstream;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.stream.Collectors;
 import org.cranberrybend.core.routing.RendezvousHash;
 import org.cranberrybend.entry.configuration.LatencyClass;
@@ -42,39 +42,38 @@
     private static final int MIN_FLEET_WIDE_PREFIX_TOKENS = 6_000;
 
     private final UpstreamTable table;
+    private final UpstreamEligibility eligibility;
     private final String zone;
     private final Map<String, String> regionsByZone;
 
     /** Creates a selector for an instance in the given zone. */
-    public UpstreamSelector(UpstreamTable table, String zone, Map<String, String> regionsByZone) {
+    public UpstreamSelector(
+            UpstreamTable table, UpstreamEligibility eligibility, String zone, Map<String, String> regionsByZone) {
         this.table = table;
+        this.eligibility = eligibility;
         this.zone = zone;
         this.regionsByZone = Map.copyOf(regionsByZone);
     }
 
-    /**
-     * Returns the upstream for an attempt; empty if none is left.
-     *
-     * @param prompt prompt of the request; empty for a plain service
-     * @param latencyClass class of the request's target latency
-     * @param excluded upstreams of earlier attempts of the request
-     */
-    public Optional<Upstream> choose(
-            String service, Prompt prompt, LatencyClass latencyClass, Set<String> excluded, long nowMs) {
-        List<Upstream> listed = table.ofService(service).stream()
-                .filter(Upstream::isListedReady)
-                .filter(each -> !excluded.contains(each.entry().id()))
-                .filter(each -> each.admitsAfterPause(nowMs))
-                .collect(Collectors.toList());
-        List<Upstream> usable =
-                listed.stream().filter(each -> each.accepts(nowMs)).collect(Collectors.toList());
-        // If all upstreams are ejected, the ejections are more likely wrong than all upstreams defective. A pause,
-        // which
-        // the upstream has asked for, is never overridden.
-        List<Upstream> candidates = usable.isEmpty() ? listed : usable;
-        return prompt.isEmpty()
-                ? leastLoaded(candidates, nowMs)
-                : chooseEngine(candidates, prompt, latencyClass, nowMs);
+    /** Returns the upstream for an attempt; empty if none is left. */
+    public Optional<Upstream> choose(UpstreamQuery query) {
+        List<Upstream> usable = new ArrayList<>();
+        List<Upstream> lastResort = new ArrayList<>();
+        for (Upstream each : table.ofService(query.service())) {
+            if (query.excluded().contains(each.entry().id())) {
+                continue;
+            }
+            Optional<Exclusion> exclusion = eligibility.exclusion(each, query);
+            if (exclusion.isEmpty()) {
+                usable.add(each);
+            } else if (exclusion.get().isIgnoredAsLastResort()) {
+                lastResort.add(each);
+            }
+        }
+        List<Upstream> candidates = usable.isEmpty() ? lastResort : usable;
+        return query.prompt().isEmpty()
+                ? leastLoaded(candidates, query.nowMs())
+                : chooseEngine(candidates, query.prompt(), query.latencyClass(), query.nowMs());
     }
 
     private Optional<Upstream> leastLoaded(List<Upstream> candidates, long nowMs) {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamSelectorTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamSelectorTest.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.cranberrybend.core.routing.Market;
 import org.cranberrybend.entry.configuration.LatencyClass;
+import org.cranberrybend.entry.configuration.RegionConstraint;
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.port.StoreItem;
 import org.cranberrybend.entry.port.StoreSnapshot;
@@ -42,8 +43,9 @@
             Connectors.on(null),
             clock,
             new DecisionLog("instance", 1, clock, OutputStream.nullOutputStream()));
-    private final UpstreamSelector selector = new UpstreamSelector(table, "zone-a", REGIONS);
-    private final UpstreamSelector selectorOfOtherZone = new UpstreamSelector(table, "zone-b", REGIONS);
+    private final UpstreamSelector selector = new UpstreamSelector(table, new UpstreamEligibility(), "zone-a", REGIONS);
+    private final UpstreamSelector selectorOfOtherZone =
+            new UpstreamSelector(table, new UpstreamEligibility(), "zone-b", REGIONS);
 
     @BeforeEach
     void listUpstreams() {
@@ -62,8 +64,13 @@
                 : new Prompt(List.of(new Prompt.Part(key, sharedPrefixTokens), new Prompt.Part("unique", 100)));
     }
 
+    private UpstreamQuery query(Prompt prompt, LatencyClass latencyClass) {
+        return new UpstreamQuery(
+                SERVICE, prompt, latencyClass, 1_000, 0, RegionConstraint.NONE, Set.of(), clock.monotonicMs());
+    }
+
     private String choose(UpstreamSelector from, String promptKey, LatencyClass latencyClass) {
-        return from.choose(SERVICE, prompt(promptKey, 300), latencyClass, Set.of(), clock.monotonicMs())
+        return from.choose(query(prompt(promptKey, 300), latencyClass))
                 .get()
                 .entry()
                 .id();
@@ -122,17 +129,13 @@
     @ParameterizedTest
     @EnumSource(names = {"TOLERANT", "UNIFORM"})
     void longSharedPrefixHasOneEngineForAllRegions(LatencyClass latencyClass) {
-        UpstreamSelector remote = new UpstreamSelector(table, "zone-c", REGIONS);
+        UpstreamSelector remote = new UpstreamSelector(table, new UpstreamEligibility(), "zone-c", REGIONS);
         for (int i = 0; i < 50; i++) {
             Prompt prompt = prompt("prompt-" + i, 13_000);
-            String chosenHere = selector.choose(SERVICE, prompt, latencyClass, Set.of(), clock.monotonicMs())
-                    .get()
-                    .entry()
-                    .id();
-            String chosenInOtherRegion = remote.choose(SERVICE, prompt, latencyClass, Set.of(), clock.monotonicMs())
-                    .get()
-                    .entry()
-                    .id();
+            String chosenHere =
+                    selector.choose(query(prompt, latencyClass)).get().entry().id();
+            String chosenInOtherRegion =
+                    remote.choose(query(prompt, latencyClass)).get().entry().id();
             assertThat(chosenInOtherRegion).isEqualTo(chosenHere);
         }
     }
@@ -172,7 +175,6 @@
                 each.recordFailure(clock.monotonicMs());
             }
         });
-        assertThat(selector.choose(SERVICE, Prompt.NONE, LatencyClass.UNIFORM, Set.of(), clock.monotonicMs()))
-                .isPresent();
+        assertThat(selector.choose(query(Prompt.NONE, LatencyClass.UNIFORM))).isPresent();
     }
 }
