Write usage counts through a peer when leader and store both fail

An instance whose leader does not confirm its counts writes them itself for 8 s, and a store that rejects this instance fails each of these writes. Its watches do not show that, since they work through the leader. Counts are due 10 s after their window and sealed 3 s earlier, so 8 s of failed writes lose them.

A failed direct write now makes the next ones go through other instances until the leader is tried again. Ruled out: trying the leader sooner, which costs each follower a timeout of 1.4 s while the leader is away.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FleetRelay.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FleetRelay.java
@@ -70,6 +70,9 @@
     private final Map<InetSocketAddress, ApiClient> clients = new HashMap<>();
     private long nextPollMs;
     private long nextLeaderTryMs = Long.MIN_VALUE;
+    /** Time until which counts go through other instances because the store has not confirmed a write of this one. */
+    private long nextDirectWriteMs = Long.MIN_VALUE;
+
     private int nextPeer;
 
     /**
@@ -141,18 +144,27 @@
         });
     }
 
-    /** Writes usage counts to the store: through the leader, or another instance if the store is unavailable here. */
+    /**
+     * Writes usage counts to the store: through the leader, or another instance if the store is unavailable here. The
+     * watch of the upstreams alone does not show that: a follower receives it from its leader, also while the store
+     * rejects the calls of the follower itself.
+     */
     public CompletableFuture<Long> write(StoreWrite counts) {
+        long nowMs = timeSource.monotonicMs();
         List<InetSocketAddress> addresses = new ArrayList<>(peers.get());
-        if (upstreams.isStoreUnavailable() && !addresses.isEmpty()) {
+        if ((upstreams.isStoreUnavailable() || nowMs < nextDirectWriteMs) && !addresses.isEmpty()) {
             return sendCounts(addresses.get(Math.floorMod(nextPeer++, addresses.size())), counts);
         }
         Optional<InetSocketAddress> leaderAddress = leader.get();
         if (leaderAddress.isEmpty()) {
             return gatherer.add(counts.puts());
         }
-        if (timeSource.monotonicMs() < nextLeaderTryMs) {
-            return store.write(counts);
+        if (nowMs < nextLeaderTryMs) {
+            return store.write(counts).whenComplete((revision, failure) -> {
+                if (failure != null) {
+                    nextDirectWriteMs = nextLeaderTryMs;
+                }
+            });
         }
         return sendCounts(leaderAddress.get(), counts).whenComplete((revision, failure) -> {
             if (failure != null) {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FleetRelayTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FleetRelayTest.java
@@ -172,6 +172,23 @@
         assertThat(cutOff.store.text(COUNTS_KEY)).hasValue("{}");
     }
 
+    // Guards against counts that are not written while the leader does not answer and the store rejects this instance,
+    // whose watches work through the leader.
+    @Test
+    void countsAreWrittenThroughPeerAfterLeaderAndStoreFailed() throws Exception {
+        cutOff.store.setDown(true);
+        StoreWrite write = StoreWrite.put(COUNTS_KEY, "{}".getBytes());
+        for (int attempt = 0; attempt < 2; attempt++) {
+            CompletableFuture<Long> failed = onLoop(() -> {
+                leader = Optional.of(new InetSocketAddress(InetAddress.getLoopbackAddress(), 1));
+                return cutOff.relay.write(write);
+            });
+            assertThrows(ExecutionException.class, () -> failed.get(WAIT_S, TimeUnit.SECONDS));
+        }
+        onLoop(() -> cutOff.relay.write(write)).get(WAIT_S, TimeUnit.SECONDS);
+        assertThat(connected.store.text(COUNTS_KEY)).hasValue("{}");
+    }
+
     // Guards against usage reports without the counts of instances that cannot reach the store, and against an instance
     // that writes keys other than counts on behalf of another one.
     @Test
