Divide routes by their targets for pauses where first events do not

Prompts of 9,000 and 17,000 tokens were prefilled between the tokens of the questions, which were late by their pauses. ServiceTargets now divides routes by pauses if the first events do not divide them.

Services that first events divide are served as before: dividing those by pauses too was not tried.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/configuration/LatencyClass.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/configuration/LatencyClass.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 /**
- * How tight the latency target of a streaming route is compared with those of the other routes to the same service.
+ * How tight the latency targets of a streaming route are compared with those of the other routes to the same service.
  *
  * <p>An engine interleaves the prefill of prompts with the generation of tokens, so each long prompt delays all streams
  * of its engine. Routes with tight targets therefore have engines of their own, which long drafts do not reach. A
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/configuration/RoutingConfiguration.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/configuration/RoutingConfiguration.java
@@ -11,13 +11,11 @@
 
 /** One version of the routing configuration. Immutable; a request uses the same version until its end. */
 public final class RoutingConfiguration {
-    /** Ratio to the tightest target latency of a service up to which a route counts as latency-sensitive. */
-    private static final double LATENCY_SENSITIVE_RATIO = 2;
+    private static final ServiceTargets NO_TARGETS = new ServiceTargets();
 
     private final long version;
     private final Map<String, List<Route>> routesByHost;
-    private final Map<String, Long> tightestTargetMs;
-    private final Map<String, Long> longestTargetMs;
+    private final Map<String, ServiceTargets> streamTargets;
     private final Map<String, ServiceDefinition> services;
     private final Map<String, AccountEntry> accountsByKey;
     private final boolean keysRequired;
@@ -43,13 +41,13 @@
                     .computeIfAbsent(route.host(), host -> new ArrayList<>())
                     .add(route);
         }
-        this.tightestTargetMs = new HashMap<>();
-        this.longestTargetMs = new HashMap<>();
+        this.streamTargets = new HashMap<>();
         for (Route route : routes) {
             if (route.streaming()) {
                 for (Route.Target target : route.targets()) {
-                    tightestTargetMs.merge(target.service(), route.targetLatencyMs(), Math::min);
-                    longestTargetMs.merge(target.service(), route.targetLatencyMs(), Math::max);
+                    streamTargets
+                            .computeIfAbsent(target.service(), service -> new ServiceTargets())
+                            .add(route);
                 }
             }
         }
@@ -94,13 +92,9 @@
                 .findFirst();
     }
 
-    /** Returns the class of a route's target latency among the streaming routes to a service. */
+    /** Returns the class of a route's targets among the streaming routes to a service. */
     public LatencyClass latencyClass(Route route, String service) {
-        double sensitiveLimitMs = LATENCY_SENSITIVE_RATIO * tightestTargetMs.getOrDefault(service, 0L);
-        if (longestTargetMs.getOrDefault(service, 0L) <= sensitiveLimitMs) {
-            return LatencyClass.UNIFORM;
-        }
-        return route.targetLatencyMs() <= sensitiveLimitMs ? LatencyClass.SENSITIVE : LatencyClass.TOLERANT;
+        return streamTargets.getOrDefault(service, NO_TARGETS).classOf(route);
     }
 
     /** Returns a service. */
