Keep constrained requests within their allowed regions

Cause: routes and client accounts could not state in which regions their requests may run; loaded or paused regions overflowed to all others.

Ruled out: a filter in the ranking (the fallback to ejected upstreams and the cross-region groups would each need it again); reading the constraint only at admission (a waiting or retried request would miss a stricter configuration); one queue of waiting requests per service (a pause in one region would hold up requests that may run elsewhere). Instances send no request bodies to each other, so nothing is needed there.

Change: allowed_regions of routes[] and tenants[]; any value but a list of strings, null included, refuses the whole configuration with the field path. UpstreamEligibility excludes zones outside the constraint, and zones of no known region. RequestPlacement (was ServicePauses) keeps the constraint of the admission and intersects it with the one in force after each change of the configuration; the account is found by name, the route by host and path. UpstreamAttempt checks the zone again once the connection is established. Requests wait in queues by service and constraint, up to 1,000 of a service. A refused request gets 503 no_upstream_in_allowed_region, not run, with the end of the pause as Retry-After, or 2 s if no zone is left. The dispatch line has the field zones_passed_over. Requests added to a queue while it is checked are no longer replaced by those that were left in it.

Conclusion: the constraint holds for first attempts, retries, resumption, waiting requests, overflow and fallbacks. Orders do not know it yet.

--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/error/ErrorCode.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/error/ErrorCode.java
@@ -37,6 +37,8 @@
     UPSTREAM_FAILED(502, Severity.WARNING, "The upstream failed: %s"),
     UPSTREAM_CUT(502, Severity.WARNING, "The answer was cut after %d tokens."),
     NO_UPSTREAM(503, Severity.WARNING, "No upstream for \"%s\" is available."),
+    NO_UPSTREAM_IN_ALLOWED_REGION(
+            503, Severity.WARNING, "No upstream for \"%s\" is available in a region where this request may run."),
     PROMPT_QUARANTINED(503, Severity.WARNING, "Requests with parts of this prompt have crashed upstreams."),
     CONFIGURATION_MISSING(503, Severity.WARNING, "This instance has not received a configuration yet."),
     CONFIGURATION_STALE(503, Severity.WARNING, "This availability zone has been cut off for longer than allowed."),
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/configuration/RegionConstraint.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/configuration/RegionConstraint.java
@@ -1,6 +1,7 @@
 package org.cranberrybend.entry.configuration;
 
 import java.util.Collection;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -37,4 +38,17 @@
     public boolean permits(String region) {
         return allowed.isEmpty() || allowed.get().contains(region);
     }
+
+    /**
+     * Returns whether an availability zone is allowed. A zone in no known region is allowed only if every region is.
+     *
+     * @param regionsByZone region of each availability zone
+     */
+    public boolean permitsZone(String zone, Map<String, String> regionsByZone) {
+        if (allowed.isEmpty()) {
+            return true;
+        }
+        String region = regionsByZone.get(zone);
+        return region != null && permits(region);
+    }
 }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/configuration/Route.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/configuration/Route.java
@@ -17,6 +17,7 @@
  * @param targets services with their share of the requests; never empty
  * @param maxAttempts largest number of attempts at upstreams for one request of a caller
  * @param allowAnonymous whether requests need no API key
+ * @param regions regions in which requests may be processed
  */
 public record Route(
         String name,
@@ -30,7 +31,8 @@
         int priority,
         List<Target> targets,
         int maxAttempts,
-        boolean allowAnonymous) {
+        boolean allowAnonymous,
+        RegionConstraint regions) {
     /**
      * A service that receives part of a route's requests.
      *
@@ -39,6 +41,36 @@
      */
     public record Target(String service, int weight) {}
 
+    /** Creates a route whose requests may be processed in every region. */
+    public Route(
+            String name,
+            String host,
+            String prefix,
+            RetryRule retryRule,
+            boolean streaming,
+            long timeoutMs,
+            long targetLatencyMs,
+            long eventGapTargetMs,
+            int priority,
+            List<Target> targets,
+            int maxAttempts,
+            boolean allowAnonymous) {
+        this(
+                name,
+                host,
+                prefix,
+                retryRule,
+                streaming,
+                timeoutMs,
+                targetLatencyMs,
+                eventGapTargetMs,
+                priority,
+                targets,
+                maxAttempts,
+                allowAnonymous,
+                RegionConstraint.NONE);
+    }
+
     public Route {
         targets = List.copyOf(targets);
         if (targets.isEmpty()) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/configuration/RoutingConfiguration.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/configuration/RoutingConfiguration.java
@@ -20,6 +20,7 @@
     private final Map<String, Long> longestTargetMs;
     private final Map<String, ServiceDefinition> services;
     private final Map<String, AccountEntry> accountsByKey;
+    private final Map<String, RegionConstraint> regionsByAccount;
     private final boolean keysRequired;
     private final ServerLimits callerLimits;
 
@@ -60,6 +61,10 @@
         this.services = new HashMap<>();
         services.forEach(service -> this.services.put(service.name(), service));
         this.accountsByKey = Map.copyOf(accountsByKey);
+        this.regionsByAccount = new HashMap<>();
+        for (AccountEntry account : accountsByKey.values()) {
+            regionsByAccount.merge(account.name(), account.regions(), RegionConstraint::and);
+        }
         this.keysRequired = keysRequired;
         this.callerLimits = callerLimits;
     }
@@ -94,6 +99,21 @@
                 .findFirst();
     }
 
+    /**
+     * Returns the regions in which this version allows a request that an earlier version has admitted. A request of an
+     * account or a path that this version does not know is not constrained by it.
+     *
+     * @param host host of the route under which the request was admitted
+     * @param target path and query of the request
+     * @param account name of the client account; empty for an anonymous request
+     */
+    public RegionConstraint regions(String host, String target, Optional<String> account) {
+        RegionConstraint ofRoute = route(host, target).map(Route::regions).orElse(RegionConstraint.NONE);
+        return account.map(name -> regionsByAccount.getOrDefault(name, RegionConstraint.NONE))
+                .orElse(RegionConstraint.NONE)
+                .and(ofRoute);
+    }
+
     /** Returns the class of a route's target latency among the streaming routes to a service. */
     public LatencyClass latencyClass(Route route, String service) {
         double sensitiveLimitMs = LATENCY_SENSITIVE_RATIO * tightestTargetMs.getOrDefault(service, 0L);
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/json/JsonObject.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/json/JsonObject.java
@@ -169,6 +169,14 @@
         return strings;
     }
 
+    /** Returns an array of strings; empty if the field is absent. A field that is null is refused. */
+    public List<String> stringsIfPresent(String name) throws JsonFormatException {
+        if (fields.containsKey(name) && !has(name)) {
+            throw typeError(name, "an array of strings");
+        }
+        return strings(name);
+    }
+
     private List<?> array(String name) throws JsonFormatException {
         Object value = fields.get(name);
         if (value == null) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -16,6 +16,7 @@
 import org.cranberrybend.entry.http.HeaderRules;
 import org.cranberrybend.entry.http.ServerExchange;
 import org.cranberrybend.entry.quarantine.QuarantineService;
+import org.cranberrybend.entry.upstream.Exclusion;
 import org.cranberrybend.entry.upstream.Upstream;
 
 /**
@@ -47,7 +48,7 @@
     private final List<PartFingerprint> parts;
     private final RequestLog requestLog;
     private final AttemptHealth health;
-    private final ServicePauses pauses;
+    private final RequestPlacement placement;
     private UpstreamAttempt attempt;
     private ScheduledFuture<?> deadlineTimer;
     private ScheduledFuture<?> responsivenessTimer;
@@ -70,7 +71,7 @@
         this.lastEventId = request.resumeAfterEventId();
         this.requestLog = new RequestLog(request, parts, services);
         this.health = new AttemptHealth(request.route());
-        this.pauses = new ServicePauses(request.service(), services.table(), services.timeSource());
+        this.placement = new RequestPlacement(request, services);
     }
 
     void start() {
@@ -124,10 +125,10 @@
             endQuarantined(verdict);
             return;
         }
-        if (services.waiting().isWaitingFor(request.service()) && tryWait()) {
+        if (services.waiting().isAnyWaiting(placement) && tryWait()) {
             return;
         }
-        Optional<Upstream> chosen = choose();
+        Optional<Upstream> chosen = placement.choose(attemptedUpstreams);
         if (chosen.isPresent()) {
             send(chosen.get(), reason);
         } else if (pauseRemainingMs() == 0 || !tryWait()) {
@@ -135,25 +136,20 @@
         }
     }
 
-    private Optional<Upstream> choose() {
-        return services.selector()
-                .choose(request.query(attemptedUpstreams, services.timeSource().monotonicMs()));
-    }
-
     /** Waits if all upstreams have asked for time, the request was not sent yet, and its deadline allows it. */
     private boolean tryWait() {
         if (sends > 0
                 || probe
                 || services.requests().isRefusing()
-                || pauses.outlast(request.deadlineMs() - MIN_ATTEMPT_TIME_MS, attemptedUpstreams)) {
+                || placement.isPausedAfter(request.deadlineMs() - MIN_ATTEMPT_TIME_MS, attemptedUpstreams)) {
             return false;
         }
-        return services.waiting().tryAdd(request.service(), request.enginePriority(), this);
+        return services.waiting().tryAdd(placement.queue(), request.enginePriority(), this);
     }
 
     /** Returns the time until an upstream may receive this request; 0 if one may now, or none is left. */
     long pauseRemainingMs() {
-        return pauses.remainingMs(attemptedUpstreams);
+        return placement.pauseRemainingMs(attemptedUpstreams);
     }
 
     /** Sends a request that has waited if an upstream may receive it; returns whether it waits no longer. */
@@ -178,7 +174,7 @@
 
     private void send(Upstream upstream, String reason) {
         attemptedUpstreams.add(upstream.entry().id());
-        requestLog.recordDispatch(upstream, reason, attemptedUpstreams.size() == 1);
+        requestLog.recordDispatch(upstream, reason, attemptedUpstreams.size() == 1, placement);
         attempt = new UpstreamAttempt(request, upstream, services.headerNames(), services.timeSource(), this);
         attempt.start(lastEventId);
     }
@@ -236,7 +232,7 @@
         if (probe || services.quarantine().verdict(parts).kind() != Verdict.Kind.ADMIT) {
             return false;
         }
-        if (choose().isEmpty() || !services.budget().tryAcquire(request.service())) {
+        if (placement.choose(attemptedUpstreams).isEmpty() || !services.budget().tryAcquire(request.service())) {
             return false;
         }
         if (abandoned != null) {
@@ -259,6 +255,11 @@
         }
     }
 
+    @Override
+    public Optional<Exclusion> zoneExclusion(UpstreamAttempt connected) {
+        return placement.zoneExclusion(connected.upstream());
+    }
+
     @Override
     public void onWithheld(UpstreamAttempt ended, String cause) {
         // It was not attempted: after its pause the request may be sent there.
@@ -402,10 +403,7 @@
         } else if (mayHaveExecuted) {
             fail(ErrorResponse.outcomeUnknown(ErrorCode.UPSTREAM_FAILED, cause), cause);
         } else {
-            refuse(
-                    ErrorResponse.notRun(
-                            ErrorCode.NO_UPSTREAM, pauses.retryAfterMs(request.attemptId()), request.service()),
-                    cause);
+            refuse(placement.refusal(), cause);
         }
     }
 
@@ -460,7 +458,7 @@
         } else if (sent) {
             fail(ifSent, cause);
         } else {
-            refuse(ErrorResponse.notRun(ifNotSent, pauses.retryAfterMs(request.attemptId()), request.service()), cause);
+            refuse(ErrorResponse.notRun(ifNotSent, placement.retryAfterMs(), request.service()), cause);
         }
     }
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestLog.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestLog.java
@@ -26,7 +26,7 @@
         this.sampled = DecisionLog.isSampled(request.attemptId());
     }
 
-    void recordDispatch(Upstream upstream, String reason, boolean first) {
+    void recordDispatch(Upstream upstream, String reason, boolean first, RequestPlacement placement) {
         if (!sampled && first) {
             return;
         }
@@ -46,7 +46,9 @@
                         "directory_age_ms",
                         services.table().ageMs(),
                         "passed_over",
-                        services.table().describeWithheld(request.service()));
+                        services.table().describeWithheld(request.service()),
+                        "zones_passed_over",
+                        placement.describeExcludedZones());
     }
 
     /** Records a failure of an upstream with this request. */
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
@@ -37,8 +37,9 @@
             DecisionLog log,
             IntSupplier instances,
             MetricRegistry metrics) {
+        UpstreamEligibility eligibility = new UpstreamEligibility(settings.regionsByZone());
         UpstreamSelector selector =
-                new UpstreamSelector(upstreams, new UpstreamEligibility(), settings.zone(), settings.regionsByZone());
+                new UpstreamSelector(upstreams, eligibility, settings.zone(), settings.regionsByZone());
         ServiceRetryBudget budget = new ServiceRetryBudget(settings.retryRatio(), settings.retryAllowance(), instances);
         WaitingRequests waiting = new WaitingRequests(loop, timeSource);
         metrics.gauge("requests_waiting", () -> waiting::count);
@@ -49,7 +50,9 @@
                         loop,
                         timeSource,
                         names,
+                        configuration,
                         upstreams,
+                        eligibility,
                         selector,
                         quarantine,
                         budget,
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestRouter.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestRouter.java
@@ -13,6 +13,7 @@
 import org.cranberrybend.core.error.ErrorCode;
 import org.cranberrybend.core.event.EventCode;
 import org.cranberrybend.entry.configuration.AccountEntry;
+import org.cranberrybend.entry.configuration.RegionConstraint;
 import org.cranberrybend.entry.configuration.Route;
 import org.cranberrybend.entry.configuration.RoutingConfiguration;
 import org.cranberrybend.entry.http.HeaderRules;
@@ -151,7 +152,8 @@
                 parseOutputTokens(headerValue(head, names.tokenCount())),
                 received.receivedMs(),
                 received.receivedMs() + limitMs,
-                headerValue(head, names.lastEventId()));
+                headerValue(head, names.lastEventId()),
+                account.map(AccountEntry::regions).orElse(RegionConstraint.NONE).and(route.regions()));
     }
 
     private void refuse(ServerExchange caller, String attemptId, long version, ErrorResponse response) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestServices.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestServices.java
@@ -5,6 +5,8 @@
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.port.HeaderNames;
 import org.cranberrybend.entry.quarantine.QuarantineService;
+import org.cranberrybend.entry.store.ConfigurationHolder;
+import org.cranberrybend.entry.upstream.UpstreamEligibility;
 import org.cranberrybend.entry.upstream.UpstreamSelector;
 import org.cranberrybend.entry.upstream.UpstreamTable;
 import org.cranberrybend.entry.usage.UsageCounter;
@@ -15,7 +17,9 @@
  * @param loop event loop of the process
  * @param timeSource clock
  * @param headerNames names of the headers exchanged with callers and upstreams
+ * @param configuration configuration in force
  * @param table listed upstreams
+ * @param eligibility decides which upstreams may receive a request
  * @param selector selects the upstream of an attempt
  * @param quarantine relates crashes of upstreams to the prompts that ran there
  * @param budget limits retries
@@ -29,7 +33,9 @@
         EventLoopGroup loop,
         TimeSource timeSource,
         HeaderNames headerNames,
+        ConfigurationHolder configuration,
         UpstreamTable table,
+        UpstreamEligibility eligibility,
         UpstreamSelector selector,
         QuarantineService quarantine,
         ServiceRetryBudget budget,
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RoutedRequest.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RoutedRequest.java
@@ -30,6 +30,7 @@
  * @param receivedMs time at which the request was received
  * @param deadlineMs time by which the final response is due
  * @param resumeAfterEventId event after which the caller resumes a stream; empty if the stream starts anew
+ * @param regions regions in which the request may be processed by the configuration under which it was admitted
  */
 @SuppressWarnings("ArrayRecordComponent")
 record RoutedRequest(
@@ -47,7 +48,8 @@
         int outputTokens,
         long receivedMs,
         long deadlineMs,
-        String resumeAfterEventId) {
+        String resumeAfterEventId,
+        RegionConstraint regions) {
     /** Number of route priorities that are distinguished within one request priority. */
     private static final int ROUTE_PRIORITY_LEVELS = 3;
 
@@ -70,16 +72,17 @@
     /**
      * Returns the query for the upstream of an attempt.
      *
+     * @param regionsInForce regions in which the request may be processed now
      * @param excluded upstreams of earlier attempts
      */
-    UpstreamQuery query(Set<String> excluded, long nowMs) {
+    UpstreamQuery query(RegionConstraint regionsInForce, Set<String> excluded, long nowMs) {
         return new UpstreamQuery(
                 service,
                 prompt,
                 latencyClass,
                 route.targetLatencyMs(),
                 route.eventGapTargetMs(),
-                RegionConstraint.NONE,
+                regionsInForce,
                 excluded,
                 nowMs);
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
@@ -5,6 +5,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpResponse;
@@ -14,6 +15,7 @@
 import org.cranberrybend.entry.http.ClientConnection;
 import org.cranberrybend.entry.http.HttpConnector;
 import org.cranberrybend.entry.port.HeaderNames;
+import org.cranberrybend.entry.upstream.Exclusion;
 import org.cranberrybend.entry.upstream.Upstream;
 
 /**
@@ -41,9 +43,12 @@
         /** No connection was established, so no byte of the request was sent. */
         void onConnectFailure(UpstreamAttempt attempt, String cause);
 
+        /** Returns the reason why the zone of the upstream may no longer receive the request; empty if it may. */
+        Optional<Exclusion> zoneExclusion(UpstreamAttempt attempt);
+
         /**
-         * The upstream began to leave or asked for time before a connection was established, so no byte of the request
-         * was sent.
+         * The upstream or its zone was excluded before a connection was established, so no byte of the request was
+         * sent.
          */
         void onWithheld(UpstreamAttempt attempt, String cause);
 
@@ -215,6 +220,13 @@
             listener.onWithheld(this, paused ? "upstream has asked for time" : "upstream is leaving");
             return;
         }
+        Optional<Exclusion> exclusion = listener.zoneExclusion(this);
+        if (exclusion.isPresent()) {
+            markEnded();
+            upstream.release(established);
+            listener.onWithheld(this, exclusion.get().text());
+            return;
+        }
         connection = established;
         sent = true;
         sentMs = timeSource.monotonicMs();
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/WaitingRequests.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/WaitingRequests.java
@@ -8,10 +8,12 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.cranberrybend.core.time.TimeSource;
+import org.cranberrybend.entry.configuration.RegionConstraint;
 
 /**
  * Requests that wait because all upstreams of their service have asked for time. They are sent by priority, then in the
- * order of their arrival, as soon as an upstream may receive requests again. Confined to the event loop.
+ * order of their arrival, as soon as an upstream may receive requests again. Requests with different region constraints
+ * wait in queues of their own, because a pause in one region does not concern the others. Confined to the event loop.
  *
  * <p>A request waits only if the wait ends before its deadline; any other is refused at once, with the time after which
  * its caller may send it again.
@@ -24,6 +26,14 @@
     /** Waiting requests of a service; more are refused. */
     private static final int MAX_REQUESTS = 1_000;
 
+    /**
+     * The requests that wait for the same upstreams.
+     *
+     * @param service service of the requests
+     * @param regions regions in which they could be processed when they began to wait
+     */
+    record Queue(String service, RegionConstraint regions) {}
+
     private record Position(int priority, long number) implements Comparable<Position> {
         private static final Comparator<Position> ORDER =
                 Comparator.comparingInt(Position::priority).thenComparingLong(Position::number);
@@ -36,7 +46,7 @@
 
     private final ScheduledExecutorService loop;
     private final TimeSource timeSource;
-    private final Map<String, TreeMap<Position, Exchange>> byService = new HashMap<>();
+    private final Map<Queue, TreeMap<Position, Exchange>> byQueue = new HashMap<>();
     private long added;
 
     WaitingRequests(ScheduledExecutorService loop, TimeSource timeSource) {
@@ -44,14 +54,14 @@
         this.timeSource = timeSource;
     }
 
-    /** Returns whether requests to a service wait; a later one has to wait behind them. */
-    boolean isWaitingFor(String service) {
-        return byService.containsKey(service);
+    /** Returns whether requests with the same placement wait; a later one has to wait behind them. */
+    boolean isAnyWaiting(RequestPlacement placement) {
+        return !byQueue.isEmpty() && byQueue.containsKey(placement.queue());
     }
 
     /** Returns the number of waiting requests. */
     int count() {
-        return byService.values().stream().mapToInt(Map::size).sum();
+        return byQueue.values().stream().mapToInt(Map::size).sum();
     }
 
     /**
@@ -59,27 +69,34 @@
      *
      * @param priority 0 is the highest
      */
-    boolean tryAdd(String service, int priority, Exchange request) {
-        boolean first = !isWaitingFor(service);
-        TreeMap<Position, Exchange> waiting = byService.computeIfAbsent(service, name -> new TreeMap<>());
-        if (waiting.size() >= MAX_REQUESTS) {
+    boolean tryAdd(Queue queue, int priority, Exchange request) {
+        if (countOf(queue.service()) >= MAX_REQUESTS) {
             return false;
         }
-        waiting.put(new Position(priority, added++), request);
+        boolean first = !byQueue.containsKey(queue);
+        byQueue.computeIfAbsent(queue, each -> new TreeMap<>()).put(new Position(priority, added++), request);
         if (first) {
-            scheduleCheck(service, request.pauseRemainingMs());
+            scheduleCheck(queue, request.pauseRemainingMs());
         }
         return true;
     }
 
-    private void scheduleCheck(String service, long waitMs) {
+    private int countOf(String service) {
+        int count = 0;
+        for (Map.Entry<Queue, TreeMap<Position, Exchange>> each : byQueue.entrySet()) {
+            count += each.getKey().service().equals(service) ? each.getValue().size() : 0;
+        }
+        return count;
+    }
+
+    private void scheduleCheck(Queue queue, long waitMs) {
         long delayMs = Math.min(MAX_CHECK_MS, Math.max(MIN_CHECK_MS, waitMs));
-        loop.schedule(() -> check(service), delayMs, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> check(queue), delayMs, TimeUnit.MILLISECONDS);
     }
 
-    private void check(String service) {
+    private void check(Queue queue) {
         // Removed meanwhile, so that a request that is dispatched once more does not wait behind itself.
-        TreeMap<Position, Exchange> waiting = byService.remove(service);
+        TreeMap<Position, Exchange> waiting = byQueue.remove(queue);
         while (!waiting.isEmpty() && waiting.firstEntry().getValue().tryEndWait()) {
             waiting.pollFirstEntry();
         }
@@ -94,9 +111,14 @@
                 each.remove();
             }
         }
-        if (!waiting.isEmpty()) {
-            byService.put(service, waiting);
-            scheduleCheck(service, waitMs);
+        if (waiting.isEmpty()) {
+            return;
+        }
+        TreeMap<Position, Exchange> addedMeanwhile = byQueue.putIfAbsent(queue, waiting);
+        if (addedMeanwhile == null) {
+            scheduleCheck(queue, waitMs);
+        } else {
+            addedMeanwhile.putAll(waiting);
         }
     }
 }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Exclusion.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Exclusion.java
@@ -1,5 +1,7 @@
 package org.cranberrybend.entry.upstream;
 
+import java.util.Locale;
+
 /** Reason why an upstream may not receive a request. */
 public enum Exclusion {
     /** The upstream is leaving, or no longer listed. */
@@ -26,6 +28,11 @@
     /** The upstream is warming up, and the rate that it bears is used up. */
     WARMING_UP;
 
+    /** Returns the reason as text for log lines. */
+    public String text() {
+        return name().toLowerCase(Locale.ROOT).replace('_', ' ');
+    }
+
     /** Returns whether an upstream is used nevertheless if there is no other one. */
     boolean isIgnoredAsLastResort() {
         return false;
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamEligibility.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamEligibility.java
@@ -1,17 +1,39 @@
 package org.cranberrybend.entry.upstream;
 
+import java.util.Map;
 import java.util.Optional;
+import org.cranberrybend.entry.configuration.RegionConstraint;
 
 /** Decides which upstreams may receive a request at all; which of these is best is decided elsewhere. */
 public final class UpstreamEligibility {
+    private final Map<String, String> regionsByZone;
+
+    /**
+     * Creates the rules.
+     *
+     * @param regionsByZone region of each availability zone
+     */
+    public UpstreamEligibility(Map<String, String> regionsByZone) {
+        this.regionsByZone = Map.copyOf(regionsByZone);
+    }
+
     /** Returns the reason why an upstream may not receive a request; empty if it may. */
     public Optional<Exclusion> exclusion(Upstream upstream, UpstreamQuery query) {
         if (!upstream.isListedReady()) {
             return Optional.of(Exclusion.LEAVING);
         }
+        Optional<Exclusion> ofZone = zoneExclusion(upstream.entry().zone(), query.regions());
+        if (ofZone.isPresent()) {
+            return ofZone;
+        }
         if (!upstream.admitsAfterPause(query.nowMs())) {
             return Optional.of(Exclusion.PAUSED);
         }
         return upstream.accepts(query.nowMs()) ? Optional.empty() : Optional.of(Exclusion.EJECTED);
     }
+
+    /** Returns the reason why no upstream of a zone may receive a request with the given constraint; empty if any may. */
+    public Optional<Exclusion> zoneExclusion(String zone, RegionConstraint regions) {
+        return regions.permitsZone(zone, regionsByZone) ? Optional.empty() : Optional.of(Exclusion.OTHER_REGION);
+    }
 }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.cranberrybend.core.event.EventCode;
 import org.cranberrybend.core.routing.RendezvousHash;
@@ -272,12 +273,11 @@
      * Returns the time at which the first upstream of a service may receive requests again, if each that could serve is
      * paused; empty if one is not, or none is left.
      *
-     * @param excluded upstreams that do not count
+     * @param counts whether an upstream could serve apart from pauses
      */
-    public OptionalLong firstPauseEndMs(String service, Set<String> excluded, long nowMs) {
+    public OptionalLong firstPauseEndMs(String service, Predicate<Upstream> counts, long nowMs) {
         List<Upstream> listed = ofService(service).stream()
-                .filter(each ->
-                        each.isListedReady() && !excluded.contains(each.entry().id()))
+                .filter(each -> each.isListedReady() && counts.test(each))
                 .collect(Collectors.toList());
         return listed.stream().anyMatch(each -> each.admitsAfterPause(nowMs))
                 ? OptionalLong.empty()
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/LeavingUpstreamTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/LeavingUpstreamTest.java
@@ -10,13 +10,7 @@
 import static org.cranberrybend.entry.testing.Responses.streamHead;
 import static org.cranberrybend.entry.testing.ScriptedUpstream.write;
 
-import java.util.List;
 import java.util.concurrent.CountDownLatch;
-import org.apache.hc.core5.http.Header;
-import org.apache.hc.core5.http.message.BasicHeader;
-import org.apache.hc.core5.http.message.BasicHttpRequest;
-import org.cranberrybend.core.time.TimeSource;
-import org.cranberrybend.entry.http.ReceivedRequest;
 import org.cranberrybend.entry.testing.EntryFixture;
 import org.cranberrybend.entry.testing.RawCaller;
 import org.cranberrybend.entry.testing.ResponseRecorder;
@@ -202,7 +196,7 @@
                 EntryFixture entry = new EntryFixture(leaving)) {
             ResponseRecorder exchange = new ResponseRecorder();
             entry.onLoop(() -> {
-                entry.handler().handle(orderRequest(), exchange);
+                entry.handler().handle(EntryFixture.orderRequest(), exchange);
                 entry.table().recordLeaving(entry.table().find("u0").get());
                 return null;
             });
@@ -212,17 +206,6 @@
         }
     }
 
-    private static ReceivedRequest orderRequest() {
-        BasicHttpRequest head = new BasicHttpRequest("POST", "/once/x");
-        List<Header> headers = List.of(
-                new BasicHeader("Host", "site.example"),
-                new BasicHeader("Attempt", "a1"),
-                new BasicHeader("Authorization", "Bearer good-key"));
-        headers.forEach(head::addHeader);
-        long receivedMs = TimeSource.system().monotonicMs();
-        return new ReceivedRequest(head, new byte[0], receivedMs);
-    }
-
     private static void await(CountDownLatch latch) {
         try {
             latch.await();
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/RoutedRequestTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/RoutedRequestTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.cranberrybend.entry.configuration.LatencyClass;
+import org.cranberrybend.entry.configuration.RegionConstraint;
 import org.cranberrybend.entry.configuration.RetryRule;
 import org.cranberrybend.entry.configuration.Route;
 import org.cranberrybend.entry.upstream.Prompt;
@@ -40,7 +41,8 @@
                         0,
                         0,
                         1_000,
-                        "")
+                        "",
+                        RegionConstraint.NONE)
                 .enginePriority();
     }
 
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
@@ -17,10 +17,14 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Pattern;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.message.BasicHeader;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.cranberrybend.core.routing.Market;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.EntrySettings;
 import org.cranberrybend.entry.configuration.AccountEntry;
+import org.cranberrybend.entry.configuration.RegionConstraint;
 import org.cranberrybend.entry.configuration.RetryRule;
 import org.cranberrybend.entry.configuration.Route;
 import org.cranberrybend.entry.configuration.RoutingConfiguration;
@@ -28,6 +32,7 @@
 import org.cranberrybend.entry.http.HttpConnector;
 import org.cranberrybend.entry.http.HttpServer;
 import org.cranberrybend.entry.http.MessageMemoryLimit;
+import org.cranberrybend.entry.http.ReceivedRequest;
 import org.cranberrybend.entry.http.RequestHandler;
 import org.cranberrybend.entry.http.ServerLimits;
 import org.cranberrybend.entry.log.DecisionLog;
@@ -78,6 +83,8 @@
     private final QuarantineService quarantine;
     private final MessageMemoryLimit responseMemory = new MessageMemoryLimit(RESPONSE_MEMORY_BYTES);
     private final RequestsInProgress requests;
+    private final ConfigurationHolder configuration;
+    private RoutingConfiguration offered = configuration();
     private final RequestHandler handler;
     private final HttpServer server;
     private final UsageCounter usage = new UsageCounter(3_600_000, new SteadyWallClock(timeSource));
@@ -87,7 +94,7 @@
     public EntryFixture(ScriptedUpstream... upstreams) throws Exception {
         DecisionLog log = new DecisionLog("instance", 1, timeSource, logOutput);
         log.start();
-        ConfigurationHolder configuration = new ConfigurationHolder((name, value) -> configuration(), log);
+        configuration = new ConfigurationHolder((name, value) -> offered, log);
         configuration.offer("test", new byte[0]);
         HttpConnector connector = new HttpConnector(loop, responseMemory);
         table = new UpstreamTable(PREFIX, EntryFixture::record, connector, timeSource, log);
@@ -123,7 +130,7 @@
 
     private static EntrySettings settings() throws Exception {
         String json = "{\"instance\":\"instance\",\"availability_zone\":\"zone-a\",\"region\":\"region-a\","
-                + "\"regions_by_zone\":{\"zone-a\":\"region-a\"},\"listen\":{\"callers\":\"127.0.0.1:1\","
+                + "\"regions_by_zone\":{\"zone-a\":\"region-a\",\"zone-b\":\"region-b\"},\"listen\":{\"callers\":\"127.0.0.1:1\","
                 + "\"readiness\":\"127.0.0.1:1\",\"control\":\"127.0.0.1:1\","
                 + "\"metrics\":\"127.0.0.1:1\"},\"store\":{\"address\":\"127.0.0.1:1\"},"
                 + "\"duties\":{},\"memory_mb\":100,\"shutdown_limit_s\":8,"
@@ -134,28 +141,40 @@
 
     /** Returns a configuration with a route of each kind to the service {@code work}. */
     public static RoutingConfiguration configuration() {
+        return configuration(1, RegionConstraint.NONE, RegionConstraint.NONE);
+    }
+
+    /**
+     * Returns a version of the configuration with region constraints.
+     *
+     * @param ofRoutes constraint of all routes except {@code open}
+     * @param ofAccount constraint of the account
+     */
+    public static RoutingConfiguration configuration(
+            long version, RegionConstraint ofRoutes, RegionConstraint ofAccount) {
         List<Route> routes = List.of(
-                route("safe", RetryRule.IDEMPOTENT, false, 2, false),
-                route("once", RetryRule.ONCE, false, 2, false),
-                route("stream", RetryRule.RESUMABLE, true, 2, false),
-                route("single", RetryRule.ONCE, true, 2, false),
-                route("slow", RetryRule.RESUMABLE, true, 2, false, 1_000),
-                route("open", RetryRule.IDEMPOTENT, false, 2, true));
+                route("safe", RetryRule.IDEMPOTENT, false, false, 200, ofRoutes),
+                route("once", RetryRule.ONCE, false, false, 200, ofRoutes),
+                route("stream", RetryRule.RESUMABLE, true, false, 200, ofRoutes),
+                route("single", RetryRule.ONCE, true, false, 200, ofRoutes),
+                route("slow", RetryRule.RESUMABLE, true, false, 1_000, ofRoutes),
+                route("open", RetryRule.IDEMPOTENT, false, true, 200, RegionConstraint.NONE));
         return new RoutingConfiguration(
-                1,
+                version,
                 routes,
                 List.of(new ServiceDefinition("work", 100, Optional.empty(), Optional.empty())),
-                Map.of("good-key", new AccountEntry("alpha", AccountEntry.ROUTE_PRIORITY)),
+                Map.of("good-key", new AccountEntry("alpha", AccountEntry.ROUTE_PRIORITY, ofAccount)),
                 true,
                 LIMITS);
     }
 
-    private static Route route(String name, RetryRule rule, boolean streaming, int attempts, boolean open) {
-        return route(name, rule, streaming, attempts, open, 200);
-    }
-
     private static Route route(
-            String name, RetryRule rule, boolean streaming, int attempts, boolean open, long eventGapTargetMs) {
+            String name,
+            RetryRule rule,
+            boolean streaming,
+            boolean open,
+            long eventGapTargetMs,
+            RegionConstraint regions) {
         return new Route(
                 name,
                 "site.example",
@@ -167,18 +186,20 @@
                 eventGapTargetMs,
                 1,
                 List.of(new Route.Target("work", 1)),
-                attempts,
-                open);
+                2,
+                open,
+                regions);
     }
 
-    /** Returns the entry of an upstream of the service {@code work}; the value is its port. */
+    /** Returns the entry of an upstream of the service {@code work}; the value is its port, or its port and zone. */
     public static UpstreamRecord record(String id, byte[] value) {
-        int port = Integer.parseInt(new String(value, StandardCharsets.UTF_8));
+        String[] fields = new String(value, StandardCharsets.UTF_8).split(" ");
+        int port = Integer.parseInt(fields[0]);
         return new UpstreamRecord(
                 id,
                 "work",
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
-                "zone-a",
+                fields.length > 1 ? fields[1] : "zone-a",
                 8,
                 false,
                 Market.GUARANTEED,
@@ -186,9 +207,20 @@
                 0);
     }
 
-    /** Writes the entry of an upstream. */
+    /** Puts a configuration into force; may be called on the event loop only. */
+    public void offer(RoutingConfiguration next) {
+        offered = next;
+        configuration.offer("test", new byte[0]);
+    }
+
+    /** Writes the entry of an upstream in the zone {@code zone-a}. */
     public void addEntry(String id, int upstreamPort) throws Exception {
-        byte[] value = Integer.toString(upstreamPort).getBytes(StandardCharsets.UTF_8);
+        addEntry(id, upstreamPort, "zone-a");
+    }
+
+    /** Writes the entry of an upstream. */
+    public void addEntry(String id, int upstreamPort, String zone) throws Exception {
+        byte[] value = (upstreamPort + " " + zone).getBytes(StandardCharsets.UTF_8);
         onLoop(() -> {
             table.onChange(new StoreChange(PREFIX + id, 3, Optional.of(new StoreItem(PREFIX + id, value, 3, 3, 0))));
             return null;
@@ -288,6 +320,18 @@
                 + (body.isEmpty() ? "" : "Content-Length: " + body.length() + "\n") + "\n" + body;
     }
 
+    /** Returns a request with a valid API key on the route {@code once}. */
+    public static ReceivedRequest orderRequest() {
+        BasicHttpRequest head = new BasicHttpRequest("POST", "/once/x");
+        List<Header> headers = List.of(
+                new BasicHeader("Host", "site.example"),
+                new BasicHeader("Attempt", "a1"),
+                new BasicHeader("Authorization", "Bearer good-key"));
+        headers.forEach(head::addHeader);
+        long receivedMs = TimeSource.system().monotonicMs();
+        return new ReceivedRequest(head, new byte[0], receivedMs);
+    }
+
     @Override
     public void close() {
         loop.shutdownGracefully(0, 100, java.util.concurrent.TimeUnit.MILLISECONDS);
