Estimate first event and pauses of engines from observed streams

Routes have a target for the longest pause of a stream, but nothing in an instance knows how long an engine takes, or what a long prompt does to the streams beside it. core.engine now learns the time to the first event by uncached tokens, the time between events by requests in flight, the speed of each engine, the slowdown that a shared machine reports (fourth value of the load header), and the longest pauses. UpstreamAttempt measures streams (StreamTiming); the load of Upstream moves to UpstreamLoad. The choice of an upstream is unchanged; the dispatch line names the estimates and the age of the load report.

Ruled out: least squares with forgetting (single stalls shift it for long); a fit for each engine (too few samples in a large fleet).

--- /dev/null
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Estimates of how long model engines take, learned from the responses that one instance receives. */
+package org.cranberrybend.core.engine;
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestLog.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestLog.java
@@ -2,11 +2,12 @@
 
 import java.util.Collection;
 import java.util.List;
+import org.cranberrybend.core.engine.LatencyEstimate;
 import org.cranberrybend.core.event.EventCode;
 import org.cranberrybend.core.quarantine.PartFingerprint;
-import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.quarantine.QuarantineService;
+import org.cranberrybend.entry.upstream.EngineState;
 import org.cranberrybend.entry.upstream.Upstream;
 
 /**
@@ -30,7 +31,8 @@
         if (!sampled && first) {
             return;
         }
-        TimeSource timeSource = services.timeSource();
+        long nowMs = services.timeSource().monotonicMs();
+        LatencyEstimate expected = expected(upstream, nowMs);
         services.log()
                 .record(
                         EventCode.REQUEST_DISPATCHED,
@@ -42,13 +44,33 @@
                         "reason",
                         reason,
                         "estimated_requests",
-                        upstream.estimatedRequests(timeSource.monotonicMs()),
+                        upstream.estimatedRequests(nowMs),
+                        "own_requests",
+                        upstream.running(),
+                        "load_age_ms",
+                        upstream.loadReportAgeMs(nowMs),
+                        "expected_first_event_ms",
+                        Math.round(expected.firstEventMs()),
+                        "expected_pause_ms",
+                        Math.round(expected.longestPauseMs()),
+                        "added_pause_ms",
+                        Math.round(expected.addedPauseMs()),
                         "directory_age_ms",
                         services.table().ageMs(),
                         "passed_over",
                         services.table().describeWithheld(request.service()));
     }
 
+    /** Returns the estimate for an engine; zeros for a plain service. */
+    private LatencyEstimate expected(Upstream upstream, long nowMs) {
+        if (request.prompt().isEmpty()) {
+            return new LatencyEstimate(0, 0, 0);
+        }
+        EngineState engine = upstream.engine();
+        int tokens = engine.uncachedTokens(request.prompt(), request.prompt().sharedPrefixHash(), nowMs);
+        return engine.estimate(tokens, upstream.entry().slots(), nowMs);
+    }
+
     /** Records a failure of an upstream with this request. */
     void recordFailure(Upstream upstream, String cause) {
         if (upstream.recordFailure(services.timeSource().monotonicMs())) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
@@ -41,6 +41,8 @@
                 new UpstreamSelector(upstreams, new UpstreamEligibility(), settings.zone(), settings.regionsByZone());
         ServiceRetryBudget budget = new ServiceRetryBudget(settings.retryRatio(), settings.retryAllowance(), instances);
         WaitingRequests waiting = new WaitingRequests(loop, timeSource);
+        configuration.onChange(upstreams.engineModels()::apply);
+        metrics.gauge("engine_services_learned", () -> upstreams.engineModels()::learnedCount);
         metrics.gauge("requests_waiting", () -> waiting::count);
         metrics.gauge("upstreams_paused", () -> upstreams::pausedCount);
         router = new RequestRouter(
--- /dev/null
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/StreamTiming.java
@@ -0,0 +1,108 @@
+package org.cranberrybend.entry.request;
+
+import org.cranberrybend.core.engine.EngineEstimator;
+import org.cranberrybend.entry.upstream.EngineState;
+import org.cranberrybend.entry.upstream.Prompt;
+import org.cranberrybend.entry.upstream.Upstream;
+
+/**
+ * Measures the first event and the pauses of one stream of an engine for the estimate of its latency. Times in which
+ * the caller could not receive events are left out.
+ */
+final class StreamTiming {
+    /** Events after which a series is recorded, so that long streams contribute before their end. */
+    private static final int SERIES_EVENTS = 32;
+    /** Events that a series needs: the longest pause is left out of the mean. */
+    private static final int MIN_SERIES_EVENTS = 4;
+    /** Part of a prompt that an unknown state of the prefix cache may concern without distorting the fit. */
+    private static final double NEGLIGIBLE_PREFIX_RATIO = 0.1;
+
+    private final Upstream upstream;
+    private final Prompt prompt;
+    private final long prefixHash;
+    private final int uncachedTokens;
+    private final boolean prefixKnown;
+    private double sentTokens;
+    private boolean queued;
+    private long sentMs;
+    private long lastEventMs;
+    private long longestPauseMs;
+    private long totalMs;
+    private int seriesEvents;
+    private long events;
+    /** Whether the next event ends a time in which the caller could not receive events. */
+    private boolean interrupted;
+
+    StreamTiming(Upstream upstream, Prompt prompt, long nowMs) {
+        this.upstream = upstream;
+        this.prompt = prompt;
+        this.prefixHash = prompt.isEmpty() ? 0 : prompt.sharedPrefixHash();
+        EngineState engine = upstream.engine();
+        this.uncachedTokens = engine.uncachedTokens(prompt, prefixHash, nowMs);
+        this.prefixKnown = uncachedTokens == prompt.uniqueTokens()
+                || prompt.sharedPrefixTokens() <= NEGLIGIBLE_PREFIX_RATIO * prompt.uniqueTokens();
+    }
+
+    /** Returns the prompt tokens that the engine has to prefill, as far as known. */
+    int uncachedTokens() {
+        return uncachedTokens;
+    }
+
+    void onSent(long nowMs) {
+        sentMs = nowMs;
+        if (!prompt.isEmpty()) {
+            long earlierTokens = upstream.prefillTokens() - uncachedTokens;
+            sentTokens = estimator().recordSent(uncachedTokens, earlierTokens, nowMs);
+            queued = upstream.estimatedRequests(nowMs) > upstream.entry().slots();
+            upstream.engine().recordPrefix(prefixHash, nowMs);
+        }
+    }
+
+    void onEvents(long nowMs) {
+        if (prompt.isEmpty()) {
+            return;
+        }
+        if (events == 0) {
+            // A prefix that others have sent may be cached or not: the sample would be of an unknown length.
+            if (prefixKnown) {
+                estimator().recordFirstEvent(sentTokens, nowMs - sentMs, queued, nowMs);
+            }
+        } else if (!interrupted) {
+            long pauseMs = nowMs - lastEventMs;
+            longestPauseMs = Math.max(longestPauseMs, pauseMs);
+            totalMs += pauseMs;
+            seriesEvents++;
+        }
+        interrupted = false;
+        lastEventMs = nowMs;
+        events++;
+        if (seriesEvents >= SERIES_EVENTS) {
+            recordSeries(nowMs);
+        }
+    }
+
+    void onReadingChanged() {
+        interrupted = true;
+    }
+
+    void onStreamEnd(long nowMs) {
+        if (!prompt.isEmpty() && events > 0) {
+            if (seriesEvents >= MIN_SERIES_EVENTS) {
+                recordSeries(nowMs);
+            }
+            estimator().recordEnd(nowMs - sentMs, prompt.uniqueTokens() + events);
+        }
+    }
+
+    private void recordSeries(long nowMs) {
+        double eventMs = (totalMs - longestPauseMs) / (double) (seriesEvents - 1);
+        estimator().recordEvents(upstream.estimatedRequests(nowMs), eventMs, longestPauseMs, nowMs);
+        longestPauseMs = 0;
+        totalMs = 0;
+        seriesEvents = 0;
+    }
+
+    private EngineEstimator estimator() {
+        return upstream.engine().estimator();
+    }
+}
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
@@ -29,6 +29,10 @@
 final class UpstreamAttempt implements HttpConnector.Listener, ClientConnection.ResponseListener {
     private static final String EVENT_STREAM = "text/event-stream";
     private static final int MISDIRECTED_REQUEST = 421;
+    /** Position in the load header of the time that work takes on the machine, in percent of normal. */
+    private static final int SLOWDOWN_INDEX = 3;
+
+    private static final double PERCENT = 100;
     /**
      * Size up to which a response without streaming is buffered; an incomplete one can still be replaced by a retry.
      */
@@ -84,6 +88,7 @@
     private final Upstream upstream;
     private final HeaderNames headerNames;
     private final TimeSource timeSource;
+    private final StreamTiming timing;
     private final ResultListener listener;
     private final EventStreamSplitter splitter = new EventStreamSplitter();
     private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
@@ -113,6 +118,7 @@
         this.upstream = upstream;
         this.headerNames = headerNames;
         this.timeSource = timeSource;
+        this.timing = new StreamTiming(upstream, request.prompt(), timeSource.monotonicMs());
         this.listener = listener;
     }
 
@@ -161,6 +167,7 @@
         if (mode != Mode.ENDED && connection != null && reading != nextReading) {
             reading = nextReading;
             lastProgressMs = timeSource.monotonicMs();
+            timing.onReadingChanged();
             connection.setReading(nextReading);
         }
     }
@@ -172,7 +179,7 @@
     /** Starts the attempt; a stream is resumed after the given event unless that is empty. */
     void start(String resumeAfterEventId) {
         lastEventId = resumeAfterEventId;
-        upstream.begin(request.prompt().uniqueTokens());
+        upstream.begin(timing.uncachedTokens());
         cancelConnect = upstream.pool().acquire(this);
     }
 
@@ -198,7 +205,7 @@
     private void markPrefillDone() {
         if (!prefillDone) {
             prefillDone = true;
-            upstream.recordPrefillEnd(request.prompt().uniqueTokens());
+            upstream.recordPrefillEnd(timing.uncachedTokens());
         }
     }
 
@@ -218,6 +225,7 @@
         connection = established;
         sent = true;
         sentMs = timeSource.monotonicMs();
+        timing.onSent(sentMs);
         connection.send(request.method(), request.target(), requestHeaders(), request.body(), this);
     }
 
@@ -309,8 +317,12 @@
         }
         String[] counts = load.getValue().split(",");
         try {
-            upstream.reported(
-                    Integer.parseInt(counts[0].trim()), Integer.parseInt(counts[1].trim()), timeSource.monotonicMs());
+            long nowMs = timeSource.monotonicMs();
+            upstream.reported(Integer.parseInt(counts[0].trim()), Integer.parseInt(counts[1].trim()), nowMs);
+            if (counts.length > SLOWDOWN_INDEX) {
+                double percent = Double.parseDouble(counts[SLOWDOWN_INDEX].trim());
+                upstream.engine().estimator().recordSlowdown(percent / PERCENT, nowMs);
+            }
         } catch (NumberFormatException | ArrayIndexOutOfBoundsException ignored) {
             // An unreadable load report is ignored; the previous report and this process's own counts remain in use.
         }
@@ -341,6 +353,7 @@
         byte[] events = splitter.append(piece);
         if (events.length > 0) {
             lastProgressMs = timeSource.monotonicMs();
+            timing.onEvents(lastProgressMs);
             if (!prefillDone) {
                 markPrefillDone();
                 listener.onExecutionStarted(this);
@@ -373,6 +386,7 @@
             return;
         }
         boolean hadEvents = hasEvents();
+        timing.onStreamEnd(timeSource.monotonicMs());
         markEnded();
         upstream.release(connection);
         if (previous == Mode.DISCARDING) {
--- /dev/null
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/EngineState.java
@@ -0,0 +1,61 @@
+package org.cranberrybend.entry.upstream;
+
+import org.cranberrybend.core.engine.EngineEstimator;
+import org.cranberrybend.core.engine.EngineLoad;
+import org.cranberrybend.core.engine.LatencyEstimate;
+import org.cranberrybend.core.engine.PrefixMemory;
+import org.cranberrybend.core.engine.ServiceEngineModel;
+import org.cranberrybend.core.routing.RendezvousHash;
+
+/** What this process knows of one upstream as a model engine: its speed and the prefixes that it has cached. */
+public final class EngineState {
+    private final EngineEstimator estimator;
+    private final UpstreamLoad load;
+    /** Identifies the engine in hashes; equal in all instances. */
+    private final long hash;
+
+    EngineState(String upstreamId, ServiceEngineModel service, UpstreamLoad load) {
+        this.estimator = new EngineEstimator(service);
+        this.load = load;
+        this.hash = RendezvousHash.hash("engine", upstreamId);
+    }
+
+    /** Returns the estimator of the engine. */
+    public EngineEstimator estimator() {
+        return estimator;
+    }
+
+    long hash() {
+        return hash;
+    }
+
+    /** Returns whether the shared prefix of a prompt is known to be in the engine's cache. */
+    public boolean isCached(long prefixHash, long nowMs) {
+        return prefixes().isCached(prefixHash, hash, nowMs);
+    }
+
+    /** Records that a request with a shared prefix is sent. */
+    public void recordPrefix(long prefixHash, long nowMs) {
+        prefixes().recordSent(prefixHash, hash, nowMs);
+    }
+
+    private PrefixMemory prefixes() {
+        return estimator.service().prefixes();
+    }
+
+    /** Returns the prompt tokens that the engine has to prefill, as far as this process knows. */
+    public int uncachedTokens(Prompt prompt, long prefixHash, long nowMs) {
+        return prompt.uniqueTokens() + (isCached(prefixHash, nowMs) ? 0 : prompt.sharedPrefixTokens());
+    }
+
+    /** Returns the expected effect of sending a request. */
+    public LatencyEstimate estimate(double uncachedTokens, int slots, long nowMs) {
+        long ageMs = load.reportAgeMs(nowMs);
+        EngineLoad known = new EngineLoad(
+                load.running(),
+                load.estimatedRequests(nowMs),
+                load.prefillTokens(),
+                ageMs > UpstreamLoad.ESTIMATE_MAX_REPORT_AGE_MS ? EngineLoad.NO_REPORT : ageMs);
+        return estimator.estimate(uncachedTokens, known, slots, nowMs);
+    }
+}
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Prompt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Prompt.java
@@ -1,6 +1,7 @@
 package org.cranberrybend.entry.upstream;
 
 import java.util.List;
+import org.cranberrybend.core.routing.RendezvousHash;
 
 /**
  * The prompt of a request to a model engine, as a sequence of parts. The last part belongs to the request or its
@@ -48,6 +49,11 @@
         return key.toString();
     }
 
+    /** Returns a hash of the shared prefix that is equal in all instances. */
+    public long sharedPrefixHash() {
+        return RendezvousHash.hash("prefix", sharedPrefixKey());
+    }
+
     /** Returns the length of the shared prefix in tokens; 0 for a prompt with a single part. */
     public int sharedPrefixTokens() {
         return parts.size() > 1 ? sharedPrefix().stream().mapToInt(Part::tokens).sum() : 0;
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Upstream.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Upstream.java
@@ -2,13 +2,11 @@
 
 import java.util.Optional;
 import java.util.OptionalInt;
+import org.cranberrybend.core.engine.ServiceEngineModel;
 import org.cranberrybend.entry.http.ClientConnection;
 
 /**
  * The state of one upstream as known to this process: load, health and connections. Confined to the event loop.
- *
- * <p>The load reports of the upstream cover the requests of all instances, but arrive only with responses and may be
- * outdated. The counts of this process are exact, but do not include the requests of other instances.
  */
 public final class Upstream {
     /** Number of consecutive failures after which an upstream is ejected. */
@@ -23,10 +21,6 @@
     private static final long UNRESPONSIVE_EJECTION_MS = 2_000;
     private static final long FIRST_EJECTION_MS = 1_000;
     private static final long MAX_EJECTION_MS = 8_000;
-    /** Age up to which a load report is used to estimate the load. */
-    private static final long ESTIMATE_MAX_REPORT_AGE_MS = 1_500;
-    /** Age up to which a load report states the load of the fleet for decisions that tolerate a delay. */
-    private static final long RECENT_REPORT_AGE_MS = 3_000;
 
     private UpstreamRecord entry;
     private final ConnectionPool pool;
@@ -36,23 +30,26 @@
     /** Monotonic time until which the process wants no requests from this instance. */
     private long pausedUntilMs = Long.MIN_VALUE / 2;
 
-    private int running;
-    private long prefillTokens;
-    private int reportedRunning;
-    private int reportedWaiting;
-    private int runningAtReport;
-    /** Whether the last load report came with a response to this process rather than from another instance. */
-    private boolean reportReceivedHere;
-
-    private long reportedAtMs = Long.MIN_VALUE / 2;
+    private final UpstreamLoad load = new UpstreamLoad();
+    private final EngineState engine;
     private long lastReceivedMs = Long.MIN_VALUE / 2;
     private int consecutiveFailures;
     private long nextEjectionMs = FIRST_EJECTION_MS;
     private long ejectedUntilMs = Long.MIN_VALUE / 2;
 
-    Upstream(UpstreamRecord entry, ConnectionPool pool) {
+    Upstream(UpstreamRecord entry, ConnectionPool pool, ServiceEngineModel service) {
         this.entry = entry;
         this.pool = pool;
+        this.engine = new EngineState(entry.id(), service, load);
+    }
+
+    /** Returns what is known of the upstream as a model engine. */
+    public EngineState engine() {
+        return engine;
+    }
+
+    UpstreamLoad load() {
+        return load;
     }
 
     /** Returns the current entry of the upstream in the store. */
@@ -109,7 +106,8 @@
      */
     boolean admitsAfterPause(long nowMs) {
         long elapsedMs = nowMs - pausedUntilMs;
-        return elapsedMs >= PAUSE_RAMP_MS || elapsedMs >= 0 && running < 1 + entry.slots() * elapsedMs / PAUSE_RAMP_MS;
+        return elapsedMs >= PAUSE_RAMP_MS
+                || elapsedMs >= 0 && load.running() < 1 + entry.slots() * elapsedMs / PAUSE_RAMP_MS;
     }
 
     /** Returns whether the upstream is leaving by its entry or by its own statement. */
@@ -129,48 +127,37 @@
 
     /** Records a request that is about to be sent. */
     public void begin(long promptTokens) {
-        running++;
-        prefillTokens += promptTokens;
+        load.begin(promptTokens);
     }
 
     /** Records that the prefill of a request is complete, or that the request has ended before. */
     public void recordPrefillEnd(long promptTokens) {
-        prefillTokens -= promptTokens;
+        load.recordPrefillEnd(promptTokens);
     }
 
     /** Records the end of a request. */
     public void end() {
-        running--;
+        load.end();
     }
 
     /** Returns the number of requests of this process in progress at the upstream. */
     public int running() {
-        return running;
+        return load.running();
     }
 
     /** Returns the number of prompt tokens that this process has sent and whose prefill is not complete. */
     public long prefillTokens() {
-        return prefillTokens;
+        return load.prefillTokens();
     }
 
     /** Records a load report that came with a response to this process. */
     public void reported(int runningRequests, int waitingRequests, long nowMs) {
-        reportedRunning = runningRequests;
-        reportedWaiting = waitingRequests;
-        runningAtReport = running;
-        reportedAtMs = nowMs;
-        reportReceivedHere = true;
+        load.reported(runningRequests, waitingRequests, nowMs);
     }
 
     /** Records a load report that another instance has received, if it is newer than the one known here. */
     void mergeLoadReport(LoadReport report, long nowMs) {
-        if (nowMs - report.ageMs() > reportedAtMs) {
-            reportedRunning = report.requests();
-            reportedWaiting = 0;
-            runningAtReport = running;
-            reportedAtMs = nowMs - report.ageMs();
-            reportReceivedHere = false;
-        }
+        load.merge(report, nowMs);
     }
 
     /**
@@ -179,10 +166,7 @@
      * @param receivedHereOnly whether a report is left out that came from another instance
      */
     Optional<LoadReport> loadReport(long maxAgeMs, boolean receivedHereOnly, long nowMs) {
-        long ageMs = nowMs - reportedAtMs;
-        return ageMs > maxAgeMs || receivedHereOnly && !reportReceivedHere
-                ? Optional.empty()
-                : Optional.of(new LoadReport(entry.id(), reportedRunning + reportedWaiting, ageMs));
+        return load.report(entry.id(), maxAgeMs, receivedHereOnly, nowMs);
     }
 
     /**
@@ -190,17 +174,18 @@
      * counts.
      */
     public int estimatedRequests(long nowMs) {
-        if (nowMs - reportedAtMs > ESTIMATE_MAX_REPORT_AGE_MS) {
-            return running;
-        }
-        return Math.max(running, reportedRunning + reportedWaiting + running - runningAtReport);
+        return load.estimatedRequests(nowMs);
+    }
+
+    /** Returns the age of the last load report in milliseconds; -1 if there is none. */
+    public long loadReportAgeMs(long nowMs) {
+        long ageMs = load.reportAgeMs(nowMs);
+        return ageMs > Long.MAX_VALUE / 4 ? -1 : ageMs;
     }
 
     /** Returns the requests of all instances by a recent load report, for decisions that tolerate a delay. */
     public OptionalInt recentlyReportedRequests(long nowMs) {
-        return nowMs - reportedAtMs > RECENT_REPORT_AGE_MS
-                ? OptionalInt.empty()
-                : OptionalInt.of(reportedRunning + reportedWaiting);
+        return load.recentlyReportedRequests(nowMs);
     }
 
     /** Records the receipt of bytes from the upstream. */
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
@@ -46,6 +46,7 @@
     /** Entries of the upstreams in {@link #byId} as read from the store. */
     private final Map<String, StoreItem> itemsById = new TreeMap<>();
 
+    private final EngineModels engineModels = new EngineModels();
     private final ProcessStatements statements = new ProcessStatements();
     private final ExpiryGracePeriod gracePeriod = new ExpiryGracePeriod();
 
@@ -73,6 +74,11 @@
         return loaded;
     }
 
+    /** Returns the latency models of the engines. */
+    public EngineModels engineModels() {
+        return engineModels;
+    }
+
     /** Returns the time since the store last confirmed the table, in milliseconds. */
     public long ageMs() {
         return timeSource.monotonicMs() - lastProgressMs;
@@ -215,7 +221,10 @@
                 remove(id, "restarted");
                 itemsById.put(id, item);
             }
-            Upstream joined = new Upstream(record, new ConnectionPool(connector, record.address(), timeSource));
+            Upstream joined = new Upstream(
+                    record,
+                    new ConnectionPool(connector, record.address(), timeSource),
+                    engineModels.of(record.service()));
             if (statements.isLeaving(record)) {
                 joined.markLeavingStated();
             }
