Draw upstreams so that instances with the same outdated reports differ

Instances choose by load reports that are 0.1 to 3 s old, and by the same ones: all sent to the same least loaded upstream, the first by identifier among equals, until the next report. A choice now adds what is left of the reported requests to the own ones, and draws an upstream with the probability of the part that it receives when the arrivals until the next report fill the least loaded ones to a common level (core.balancing). Engines count expected requests against their bounds, and prompts beyond the bounds are drawn a place by load. Without load reports the earlier rule stays. No list or stream is built for a choice; a plain service with more than 256 upstreams is sampled. The rendezvous order of a prefix is computed from hashes kept with the engine, so that each prefix is prefilled once more at the change of version.

Ruled out: a draw among all within one standard error of the best (fresh reports have a small error, so all agree); two draws and the better one; two random choices, which are better only with reports a tenth as old as requests are long.

--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/routing/RendezvousHash.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/routing/RendezvousHash.java
@@ -21,6 +21,17 @@
                 .asLong();
     }
 
+    /**
+     * Returns a hash of a key and a candidate that have been hashed before, which takes a few operations only. It is the
+     * same in every process and build (finalizer of MurmurHash3).
+     */
+    public static long combine(long keyHash, long candidateHash) {
+        long mixed = keyHash ^ Long.rotateLeft(candidateHash, 32);
+        mixed = (mixed ^ mixed >>> 33) * 0xff51afd7ed558ccdL;
+        mixed = (mixed ^ mixed >>> 33) * 0xc4ceb9fe1a85ec53L;
+        return mixed ^ mixed >>> 33;
+    }
+
     /** Returns the candidate with the highest hash, independent of the order of the collection. */
     public static Optional<String> choose(String key, Collection<String> candidates) {
         return candidates.stream()
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/configuration/LatencyClass.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/configuration/LatencyClass.java
@@ -1,7 +1,5 @@
 package org.cranberrybend.entry.configuration;
 
-import java.util.List;
-
 /**
  * How tight the latency target of a streaming route is compared with those of the other routes to the same service.
  *
@@ -11,36 +9,19 @@
  */
 public enum LatencyClass {
     /** The target is among the tightest of a service that also has tolerant routes. */
-    SENSITIVE {
-        @Override
-        public <T> List<T> partOf(List<T> engines) {
-            return engines.size() < 2 ? engines : engines.subList(0, sensitiveCount(engines.size()));
-        }
-    },
+    SENSITIVE,
 
     /** The target is clearly longer than the tightest one of the service. */
-    TOLERANT {
-        @Override
-        public <T> List<T> partOf(List<T> engines) {
-            return engines.size() < 2 ? engines : engines.subList(sensitiveCount(engines.size()), engines.size());
-        }
-    },
+    TOLERANT,
 
     /** The targets of all streaming routes of the service are similar. */
-    UNIFORM {
-        @Override
-        public <T> List<T> partOf(List<T> engines) {
-            return engines;
-        }
-    };
+    UNIFORM;
 
     /** Share of the engines that serves latency-sensitive requests. */
     private static final double SENSITIVE_SHARE = 0.4;
 
-    /** Returns the engines that serve requests of this class, as a part of an ordered list of engines. */
-    public abstract <T> List<T> partOf(List<T> engines);
-
-    private static int sensitiveCount(int engines) {
+    /** Returns how many of at least two engines serve the sensitive requests; the others serve the tolerant ones. */
+    public static int sensitiveCount(int engines) {
         return (int) Math.max(1, Math.round(engines * SENSITIVE_SHARE));
     }
 }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestLog.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestLog.java
@@ -45,6 +45,8 @@
                         reason,
                         "estimated_requests",
                         upstream.estimatedRequests(nowMs),
+                        "expected_requests",
+                        Math.round(upstream.expectedRequests(nowMs)),
                         "own_requests",
                         upstream.running(),
                         "load_age_ms",
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
@@ -2,7 +2,9 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoopGroup;
+import java.util.SplittableRandom;
 import java.util.function.IntSupplier;
+import org.cranberrybend.core.routing.RendezvousHash;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.EntrySettings;
 import org.cranberrybend.entry.http.RequestHandler;
@@ -37,12 +39,17 @@
             DecisionLog log,
             IntSupplier instances,
             MetricRegistry metrics) {
-        UpstreamSelector selector =
-                new UpstreamSelector(upstreams, new UpstreamEligibility(), settings.zone(), settings.regionsByZone());
+        UpstreamSelector selector = new UpstreamSelector(
+                upstreams,
+                new UpstreamEligibility(),
+                settings.zone(),
+                settings.regionsByZone(),
+                instances,
+                new SplittableRandom(RendezvousHash.hash(settings.instance(), Long.toString(timeSource.wallMs()))));
         ServiceRetryBudget budget = new ServiceRetryBudget(settings.retryRatio(), settings.retryAllowance(), instances);
         WaitingRequests waiting = new WaitingRequests(loop, timeSource);
-        configuration.onChange(upstreams.engineModels()::apply);
-        metrics.gauge("engine_services_learned", () -> upstreams.engineModels()::learnedCount);
+        configuration.onChange(upstreams.serviceModels()::apply);
+        metrics.gauge("engine_services_learned", () -> upstreams.serviceModels()::learnedCount);
         metrics.gauge("requests_waiting", () -> waiting::count);
         metrics.gauge("upstreams_paused", () -> upstreams::pausedCount);
         router = new RequestRouter(
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/StreamTiming.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/StreamTiming.java
@@ -85,7 +85,9 @@
         interrupted = true;
     }
 
-    void onStreamEnd(long nowMs) {
+    /** Records the end of a complete response. */
+    void onEnd(long nowMs) {
+        upstream.recordDuration(nowMs - sentMs);
         if (!prompt.isEmpty() && events > 0) {
             if (seriesEvents >= MIN_SERIES_EVENTS) {
                 recordSeries(nowMs);
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
@@ -386,7 +386,9 @@
             return;
         }
         boolean hadEvents = hasEvents();
-        timing.onStreamEnd(timeSource.monotonicMs());
+        if (previous != Mode.DISCARDING) {
+            timing.onEnd(timeSource.monotonicMs());
+        }
         markEnded();
         upstream.release(connection);
         if (previous == Mode.DISCARDING) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/EngineGroups.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/EngineGroups.java
@@ -1,26 +1,44 @@
 package org.cranberrybend.entry.upstream;
 
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.List;
+import java.util.Arrays;
 import org.cranberrybend.core.routing.RendezvousHash;
 import org.cranberrybend.entry.configuration.LatencyClass;
 
 /**
  * Divides the engines of a region into groups for the latency classes. Instances need not agree on the groups with each
- * other, because each derives them from the list of engines by the same hash.
+ * other, because each derives them from the list of engines by the same hash. Reused for all choices of an event loop.
  */
 final class EngineGroups {
     /** Key of the hash that orders the engines; all instances must use the same. */
     private static final String HASH_KEY = "urgent lane";
 
-    private EngineGroups() {}
+    private long[] hashes = new long[128];
 
-    /** Returns the engines that serve requests of a latency class. */
-    static List<Upstream> group(List<Upstream> engines, LatencyClass latencyClass) {
-        List<Upstream> order = new ArrayList<>(engines);
-        order.sort(Comparator.comparingLong(
-                each -> RendezvousHash.hash(HASH_KEY, each.entry().id())));
-        return latencyClass.partOf(order);
+    /** Returns the hash that determines the group of an engine. */
+    static long hash(String upstreamId) {
+        return RendezvousHash.hash(HASH_KEY, upstreamId);
+    }
+
+    /** Adds to the group the engines that serve requests of a latency class. */
+    void addGroup(UpstreamCandidates engines, LatencyClass latencyClass, UpstreamCandidates group) {
+        int size = engines.size();
+        if (size < 2 || latencyClass == LatencyClass.UNIFORM) {
+            group.addAll(engines);
+            return;
+        }
+        if (hashes.length < size) {
+            hashes = new long[size * 2];
+        }
+        for (int i = 0; i < size; i++) {
+            hashes[i] = engines.get(i).engine().groupHash();
+        }
+        Arrays.sort(hashes, 0, size);
+        long firstTolerant = hashes[LatencyClass.sensitiveCount(size)];
+        for (int i = 0; i < size; i++) {
+            boolean sensitive = engines.get(i).engine().groupHash() < firstTolerant;
+            if (sensitive == (latencyClass == LatencyClass.SENSITIVE)) {
+                group.add(engines.get(i));
+            }
+        }
     }
 }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/EngineState.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/EngineState.java
@@ -14,10 +14,13 @@
     /** Identifies the engine in hashes; equal in all instances. */
     private final long hash;
 
+    private final long groupHash;
+
     EngineState(String upstreamId, ServiceEngineModel service, UpstreamLoad load) {
         this.estimator = new EngineEstimator(service);
         this.load = load;
         this.hash = RendezvousHash.hash("engine", upstreamId);
+        this.groupHash = EngineGroups.hash(upstreamId);
     }
 
     /** Returns the estimator of the engine. */
@@ -25,6 +28,10 @@
         return estimator;
     }
 
+    long groupHash() {
+        return groupHash;
+    }
+
     long hash() {
         return hash;
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/EngineModels.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/ServiceModels.java
@@ -2,14 +2,16 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.cranberrybend.core.balancing.ServiceLoad;
 import org.cranberrybend.core.engine.EngineCapacity;
 import org.cranberrybend.core.engine.ServiceEngineModel;
 import org.cranberrybend.entry.configuration.RoutingConfiguration;
 import org.cranberrybend.entry.configuration.ServiceDefinition;
 
-/** The latency models of the engines, one for each service. Confined to the event loop. */
-public final class EngineModels {
+/** What is learned of the upstreams of each service: load, and the latency of engines. Confined to the event loop. */
+public final class ServiceModels {
     private final Map<String, ServiceEngineModel> byService = new HashMap<>();
+    private final Map<String, ServiceLoad> loadByService = new HashMap<>();
     private final Map<String, EngineCapacity> capacities = new HashMap<>();
 
     /** Applies the capacities of a configuration, and forgets the models of services that it does not contain. */
@@ -21,10 +23,15 @@
                             capacities.put(service.name(), new EngineCapacity(engine.slots(), engine.kvCacheTokens())));
         }
         byService.keySet().removeIf(name -> configuration.service(name).isEmpty());
+        loadByService.keySet().removeIf(name -> configuration.service(name).isEmpty());
         byService.forEach(this::setCapacity);
     }
 
-    ServiceEngineModel of(String service) {
+    ServiceLoad load(String service) {
+        return loadByService.computeIfAbsent(service, name -> new ServiceLoad());
+    }
+
+    ServiceEngineModel engines(String service) {
         return byService.computeIfAbsent(service, name -> {
             ServiceEngineModel model = new ServiceEngineModel();
             setCapacity(name, model);
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Upstream.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Upstream.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalInt;
+import org.cranberrybend.core.balancing.ServiceLoad;
 import org.cranberrybend.core.engine.ServiceEngineModel;
 import org.cranberrybend.entry.http.ClientConnection;
 
@@ -30,17 +31,18 @@
     /** Monotonic time until which the process wants no requests from this instance. */
     private long pausedUntilMs = Long.MIN_VALUE / 2;
 
-    private final UpstreamLoad load = new UpstreamLoad();
+    private final UpstreamLoad load;
     private final EngineState engine;
     private long lastReceivedMs = Long.MIN_VALUE / 2;
     private int consecutiveFailures;
     private long nextEjectionMs = FIRST_EJECTION_MS;
     private long ejectedUntilMs = Long.MIN_VALUE / 2;
 
-    Upstream(UpstreamRecord entry, ConnectionPool pool, ServiceEngineModel service) {
+    Upstream(UpstreamRecord entry, ConnectionPool pool, ServiceEngineModel engines, ServiceLoad service) {
         this.entry = entry;
         this.pool = pool;
-        this.engine = new EngineState(entry.id(), service, load);
+        this.load = new UpstreamLoad(service);
+        this.engine = new EngineState(entry.id(), engines, load);
     }
 
     /** Returns what is known of the upstream as a model engine. */
@@ -152,12 +154,12 @@
 
     /** Records a load report that came with a response to this process. */
     public void reported(int runningRequests, int waitingRequests, long nowMs) {
-        load.reported(runningRequests, waitingRequests, nowMs);
+        load.reported(runningRequests, waitingRequests, entry.slots(), nowMs);
     }
 
     /** Records a load report that another instance has received, if it is newer than the one known here. */
     void mergeLoadReport(LoadReport report, long nowMs) {
-        load.merge(report, nowMs);
+        load.merge(report, entry.slots(), nowMs);
     }
 
     /**
@@ -177,6 +179,19 @@
         return load.estimatedRequests(nowMs);
     }
 
+    /** Records the time that a complete request took. */
+    public void recordDuration(long requestMs) {
+        load.recordDuration(requestMs);
+    }
+
+    /**
+     * Returns the expected number of running and waiting requests: the own ones, those of others that were reported and
+     * are expected to be still in progress, and those that others are expected to have sent since.
+     */
+    public double expectedRequests(long nowMs) {
+        return load.expectedRequests(entry.slots(), nowMs);
+    }
+
     /** Returns the age of the last load report in milliseconds; -1 if there is none. */
     public long loadReportAgeMs(long nowMs) {
         long ageMs = load.reportAgeMs(nowMs);
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamLoad.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamLoad.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalInt;
+import org.cranberrybend.core.balancing.ServiceLoad;
 
 /**
  * The load of one upstream as known to this process. The load reports of the upstream cover the requests of all
@@ -14,6 +15,7 @@
     /** Age up to which a load report states the load of the fleet for decisions that tolerate a delay. */
     private static final long RECENT_REPORT_AGE_MS = 3_000;
 
+    private final ServiceLoad service;
     private int running;
     private long prefillTokens;
     private int reportedRunning;
@@ -24,6 +26,18 @@
 
     private long reportedAtMs = Long.MIN_VALUE / 2;
 
+    UpstreamLoad(ServiceLoad service) {
+        this.service = service;
+    }
+
+    ServiceLoad service() {
+        return service;
+    }
+
+    void recordDuration(long requestMs) {
+        service.recordDuration(requestMs);
+    }
+
     void begin(long promptTokens) {
         running++;
         prefillTokens += promptTokens;
@@ -45,21 +59,25 @@
         return prefillTokens;
     }
 
-    void reported(int runningRequests, int waitingRequests, long nowMs) {
+    void reported(int runningRequests, int waitingRequests, int slots, long nowMs) {
         reportedRunning = runningRequests;
         reportedWaiting = waitingRequests;
         runningAtReport = running;
+        double intervalMs = reportAgeMs(nowMs);
         reportedAtMs = nowMs;
         reportReceivedHere = true;
+        service.recordReport(reportedOthers(), slots, intervalMs);
     }
 
-    void merge(LoadReport report, long nowMs) {
+    void merge(LoadReport report, int slots, long nowMs) {
         if (nowMs - report.ageMs() > reportedAtMs) {
             reportedRunning = report.requests();
             reportedWaiting = 0;
             runningAtReport = running;
+            double intervalMs = reportAgeMs(nowMs) - report.ageMs();
             reportedAtMs = nowMs - report.ageMs();
             reportReceivedHere = false;
+            service.recordReport(reportedOthers(), slots, intervalMs);
         }
     }
 
@@ -74,6 +92,24 @@
         return nowMs - reportedAtMs;
     }
 
+    private int reportedOthers() {
+        return Math.max(0, reportedRunning + reportedWaiting - runningAtReport);
+    }
+
+    double expectedRequests(int slots, long nowMs) {
+        return running + service.expectedOthers(reportedOthers(), reportAgeMs(nowMs), slots);
+    }
+
+    /** Returns the own requests, and those of others that were reported and are expected to be still in progress. */
+    double remainingRequests(long nowMs) {
+        return running + reportedOthers() * service.remainingRatio(reportAgeMs(nowMs));
+    }
+
+    /** Returns the requests that others are expected to send before the next report and that are in progress then. */
+    double arrivalsUntilNextReport(int slots, int instances, long nowMs) {
+        return service.arrivalsUntilNextReport(reportAgeMs(nowMs), slots, instances);
+    }
+
     int estimatedRequests(long nowMs) {
         if (reportAgeMs(nowMs) > ESTIMATE_MAX_REPORT_AGE_MS) {
             return running;
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -43,10 +44,14 @@
     private final TimeSource timeSource;
     private final DecisionLog log;
     private final Map<String, Upstream> byId = new TreeMap<>();
+    /** The upstreams in {@link #byId} by service. Lists are replaced, not changed, when upstreams join or leave. */
+    private final Map<String, List<Upstream>> byService = new HashMap<>();
+
+    private boolean byServiceOutdated;
     /** Entries of the upstreams in {@link #byId} as read from the store. */
     private final Map<String, StoreItem> itemsById = new TreeMap<>();
 
-    private final EngineModels engineModels = new EngineModels();
+    private final ServiceModels serviceModels = new ServiceModels();
     private final ProcessStatements statements = new ProcessStatements();
     private final ExpiryGracePeriod gracePeriod = new ExpiryGracePeriod();
 
@@ -74,9 +79,9 @@
         return loaded;
     }
 
-    /** Returns the latency models of the engines. */
-    public EngineModels engineModels() {
-        return engineModels;
+    /** Returns what is learned of the upstreams of each service. */
+    public ServiceModels serviceModels() {
+        return serviceModels;
     }
 
     /** Returns the time since the store last confirmed the table, in milliseconds. */
@@ -187,6 +192,7 @@
         Upstream upstream = byId.remove(id);
         itemsById.remove(id);
         gracePeriod.remove(id);
+        byServiceOutdated = true;
         if (upstream != null) {
             upstream.markRemoved();
             log.record(
@@ -224,7 +230,8 @@
             Upstream joined = new Upstream(
                     record,
                     new ConnectionPool(connector, record.address(), timeSource),
-                    engineModels.of(record.service()));
+                    serviceModels.engines(record.service()),
+                    serviceModels.load(record.service()));
             if (statements.isLeaving(record)) {
                 joined.markLeavingStated();
             }
@@ -232,6 +239,7 @@
                 joined.pauseUntil(statements.pausedUntilMs(record));
             }
             byId.put(id, joined);
+            byServiceOutdated = true;
             log.record(
                     EventCode.UPSTREAM_JOINED,
                     id,
@@ -242,6 +250,7 @@
                     "revision",
                     item.revision());
         } else {
+            byServiceOutdated |= !known.entry().service().equals(record.service());
             known.update(record);
         }
         if (record.leaving() && !wasLeaving) {
@@ -362,11 +371,22 @@
         return byId.values();
     }
 
-    /** Returns the listed upstreams of a service, leaving ones included. */
+    /** Returns the listed upstreams of a service, leaving ones included, in the order of their identifiers. */
     public List<Upstream> ofService(String service) {
-        return byId.values().stream()
-                .filter(each -> each.entry().service().equals(service))
-                .collect(Collectors.toList());
+        if (byServiceOutdated) {
+            groupByService();
+        }
+        return byService.getOrDefault(service, List.of());
+    }
+
+    private void groupByService() {
+        byServiceOutdated = false;
+        byService.clear();
+        for (Upstream upstream : byId.values()) {
+            byService
+                    .computeIfAbsent(upstream.entry().service(), name -> new ArrayList<>())
+                    .add(upstream);
+        }
     }
 
     /** Returns an upstream. */
