Eject an upstream when another process answers at its address

Engines did not reject because they were full.

A 421 now ejects the listed upstream at once, for 1 to 8 s as after repeated failures, and closes its idle connections. Ruled out: removing it from the table, since one wrong rejection of the only upstream would refuse everything until its entry changes; an ejection is ignored as a last resort.

ReplacedUpstreamTest.addressOfAReplacedUpstreamIsNotTriedByFurtherRequests failed before (8 of 8 requests were sent there) and passes; tests of the request path, leaving upstreams, regions and selector pass.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -282,6 +282,10 @@
     public void onRejected(UpstreamAttempt ended, int status) {
         sends++;
         services.metrics().countRejection();
+        if (status == UpstreamAttempt.MISDIRECTED_REQUEST) {
+            requestLog.recordUnhealthy(ended.upstream(), "another process at its address");
+            ended.upstream().ejectReplaced(services.timeSource().monotonicMs());
+        }
         String cause = "rejected with status " + status;
         if (!retry(cause, null)) {
             endWithoutResponse(cause);
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
@@ -30,7 +30,9 @@
  */
 final class UpstreamAttempt implements HttpConnector.Listener, ClientConnection.ResponseListener {
     private static final String EVENT_STREAM = "text/event-stream";
-    private static final int MISDIRECTED_REQUEST = 421;
+    /** Status of a response of another process than the one that the request is addressed to. */
+    static final int MISDIRECTED_REQUEST = 421;
+
     /** Position in the load header of the time that work takes on the machine, in percent of normal. */
     private static final int SLOWDOWN_INDEX = 3;
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Upstream.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Upstream.java
@@ -224,6 +224,16 @@
         ejectedUntilMs = nowMs + UNRESPONSIVE_EJECTION_MS;
     }
 
+    /**
+     * Ejects the upstream because another process has answered at its address. It has ended, but its entry may still be
+     * listed for seconds, and each request that is sent there uses up an attempt.
+     */
+    public void ejectReplaced(long nowMs) {
+        consecutiveFailures = CONSECUTIVE_FAILURES_TO_EJECT - 1;
+        recordFailure(nowMs);
+        pool.discardIdle();
+    }
+
     /** Records a successful response, which resets the count of failures and the length of the next ejection. */
     public void recordSuccess() {
         consecutiveFailures = 0;
