Keep requests out of evacuated availability zones

Cause: an operator could not empty the upstreams of a zone.

Ruled out: a field of the configuration (each change rewrites it, and its version does not order evacuations against the store); a second watch (one more billed call per zone leader at all times); a flag on each upstream (an upstream that joins during the evacuation would miss it); taking the revision of a single change as complete (two keys of one transaction have the same revision).

Change: one watch of the operator's prefix reads the configuration and the keys of evacuations (OperatorState); it replaces the watch of the configuration key. Evacuations are applied before the configuration, with which an instance starts to serve. UpstreamEligibility excludes the zones; the check on a new connection covers them as well. Idle connections are closed, running requests complete. Events 513 and 514; gauges zones_evacuated and requests_in_evacuated_zones; zones_passed_over of the dispatch line names the zones with their reason.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -44,18 +44,18 @@
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.log.GuardedTask;
 import org.cranberrybend.entry.port.KeyValueStore;
-import org.cranberrybend.entry.port.StoreChange;
 import org.cranberrybend.entry.port.StoreKeys;
-import org.cranberrybend.entry.port.StoreSnapshot;
 import org.cranberrybend.entry.quarantine.QuarantineArchive;
 import org.cranberrybend.entry.quarantine.QuarantineService;
 import org.cranberrybend.entry.request.RequestPath;
 import org.cranberrybend.entry.request.RequestsInProgress;
 import org.cranberrybend.entry.store.ConfigurationHolder;
 import org.cranberrybend.entry.store.CountedStore;
+import org.cranberrybend.entry.store.OperatorState;
 import org.cranberrybend.entry.store.PrefixWatch;
 import org.cranberrybend.entry.upstream.LoadReport;
 import org.cranberrybend.entry.upstream.UpstreamTable;
+import org.cranberrybend.entry.upstream.ZoneEvacuations;
 import org.cranberrybend.entry.usage.SteadyWallClock;
 import org.cranberrybend.entry.usage.UsageCounter;
 import org.cranberrybend.runtime.admin.MetricsText;
@@ -97,7 +97,8 @@
     private final RequestsInProgress requests;
     private final ConfigurationHolder configuration;
     private final UpstreamTable upstreams;
-    private final PrefixWatch configurationWatch;
+    private final ZoneEvacuations evacuations;
+    private final PrefixWatch operatorWatch;
     private final PrefixWatch upstreamWatch;
     private final PrefixWatch fleetWatch;
     private final FleetDirectory directory;
@@ -130,8 +131,8 @@
                 new UpstreamTable(keys.upstreamPrefix(), ports.upstreamDecoder(), upstreamConnector, timeSource, log);
         store.setRelayFilter(keys.upstreamPrefix(), upstreams::isMaterialChange);
         store.setLoadExchange(keys.upstreamPrefix(), loadExchange());
-        configurationWatch =
-                new PrefixWatch(store, keys.configurationKey(), 0, loop, timeSource, configurationListener());
+        evacuations = new ZoneEvacuations(log);
+        operatorWatch = createOperatorWatch(store, keys);
         long upstreamBatchDelayMs = (long) (settings.upstreamDrainMs() * UPSTREAM_BATCH_DELAY_RATIO);
         upstreamWatch =
                 new PrefixWatch(store, keys.upstreamPrefix(), upstreamBatchDelayMs, loop, timeSource, upstreams);
@@ -148,16 +149,7 @@
         SteadyWallClock clock = new SteadyWallClock(timeSource);
         UsageCounter usage = new UsageCounter(settings.usageWindowMs(), clock);
         MessageMemoryLimit bodyMemory = memoryLimit(BODY_MEMORY_SHARE);
-        relay = new FleetRelay(
-                loop,
-                connector,
-                store,
-                configuration,
-                upstreams,
-                directory::peerAddresses,
-                directory::zoneLeader,
-                timeSource,
-                log);
+        relay = createRelay(connector, store);
         QuarantineService quarantine =
                 new QuarantineService(loop, store, settings.instance(), connector, timeSource, log);
         duties = createDuties(ports, store, connector, usage, clock, quarantine);
@@ -177,6 +169,7 @@
                 ports.headerNames(),
                 configuration,
                 upstreams,
+                evacuations,
                 quarantine,
                 usage,
                 log,
@@ -190,6 +183,26 @@
         readiness = new HttpServer(loop, timeSource, this::serveReadiness, () -> DEFAULT_LIMITS, bodyMemory, log);
     }
 
+    private PrefixWatch createOperatorWatch(FollowingStore store, StoreKeys keys) {
+        OperatorState state = new OperatorState(keys, configuration, evacuations, log);
+        store.setRelayFilter(keys.operatorPrefix(), state::isRelevant);
+        return new PrefixWatch(store, keys.operatorPrefix(), 0, loop, timeSource, state);
+    }
+
+    private FleetRelay createRelay(HttpConnector connector, KeyValueStore store) {
+        return new FleetRelay(
+                loop,
+                connector,
+                store,
+                configuration,
+                upstreams,
+                evacuations,
+                directory::peerAddresses,
+                directory::zoneLeader,
+                timeSource,
+                log);
+    }
+
     private MessageMemoryLimit memoryLimit(double share) {
         return new MessageMemoryLimit((long) (settings.memoryMb() * 1024L * 1024L * share));
     }
@@ -280,30 +293,6 @@
         return configuration.current().map(each -> each.callerLimits()).orElse(DEFAULT_LIMITS);
     }
 
-    private PrefixWatch.Listener configurationListener() {
-        return new PrefixWatch.Listener() {
-            @Override
-            public void onSnapshot(StoreSnapshot snapshot, long outageMs) {
-                snapshot.items().forEach(item -> configuration.offer(item.key(), item.value()));
-            }
-
-            @Override
-            public void onChange(StoreChange change) {
-                change.item().ifPresent(item -> configuration.offer(item.key(), item.value()));
-            }
-
-            @Override
-            public void onProgress(long revision) {
-                // Nothing to record: the watch of the upstreams shows whether the store is available.
-            }
-
-            @Override
-            public void onStoreUnavailable(String cause) {
-                log.record(EventCode.STORE_UNAVAILABLE, "configuration", "cause", cause);
-            }
-        };
-    }
-
     private boolean isReady() {
         return !stopping && configuration.current().isPresent() && upstreams.isLoaded();
     }
@@ -348,7 +337,7 @@
     }
 
     private void startOnLoop(CompletableFuture<Void> started) {
-        configurationWatch.start();
+        operatorWatch.start();
         upstreamWatch.start();
         fleetWatch.start();
         List<ChannelFuture> listening = List.of(
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FleetRelay.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FleetRelay.java
@@ -29,10 +29,11 @@
 import org.cranberrybend.entry.port.StoreWrite;
 import org.cranberrybend.entry.store.ConfigurationHolder;
 import org.cranberrybend.entry.upstream.UpstreamTable;
+import org.cranberrybend.entry.upstream.ZoneEvacuations;
 
 /**
- * Uses other instances in place of the store while it is unavailable to this one: reads configuration and upstreams
- * from them, and writes usage counts through them. Serves the same requests of other instances.
+ * Uses other instances in place of the store while it is unavailable to this one: reads configuration, evacuations and
+ * upstreams from them, and writes usage counts through them. Serves the same requests of other instances.
  *
  * <p>While the store is available, only usage counts are exchanged: the leader of an availability zone gathers those of
  * its instances and writes them together. An instance that gets no confirmation from its leader writes them itself.
@@ -62,6 +63,7 @@
     private final KeyValueStore store;
     private final ConfigurationHolder configuration;
     private final UpstreamTable upstreams;
+    private final ZoneEvacuations evacuations;
     private final Supplier<Set<InetSocketAddress>> peers;
     private final Supplier<Optional<InetSocketAddress>> leader;
     private final CountsGatherer gatherer;
@@ -83,6 +85,7 @@
             KeyValueStore store,
             ConfigurationHolder configuration,
             UpstreamTable upstreams,
+            ZoneEvacuations evacuations,
             Supplier<Set<InetSocketAddress>> peers,
             Supplier<Optional<InetSocketAddress>> leader,
             TimeSource timeSource,
@@ -92,6 +95,7 @@
         this.store = store;
         this.configuration = configuration;
         this.upstreams = upstreams;
+        this.evacuations = evacuations;
         this.peers = peers;
         this.leader = leader;
         this.gatherer = new CountsGatherer(store, loop);
@@ -118,7 +122,8 @@
             return;
         }
         byte[] newer = configuration.version() > version ? configuration.storedBytes() : new byte[0];
-        FleetState state = new FleetState(newer, upstreams.items(), upstreams.revision(), upstreams.ageMs());
+        FleetState state =
+                new FleetState(newer, upstreams.items(), upstreams.revision(), upstreams.ageMs(), evacuations.state());
         exchange.respond(
                 200, "OK", List.of(new BasicHeader(HttpHeaders.CONTENT_TYPE, "application/json")), state.encode());
     }
@@ -223,6 +228,8 @@
             log.record(EventCode.CONFIGURATION_UNREADABLE, peer.toString(), "cause", e.getMessage());
             return;
         }
+        // An instance serves requests from its first configuration on, so the evacuations must be known before it.
+        evacuations.offer("instance " + peer, state.evacuations());
         if (state.configuration().length > 0) {
             configuration.offer("instance " + peer, state.configuration());
         }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FleetState.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FleetState.java
@@ -5,10 +5,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.cranberrybend.entry.json.Json;
 import org.cranberrybend.entry.json.JsonFormatException;
 import org.cranberrybend.entry.json.JsonObject;
 import org.cranberrybend.entry.port.StoreItem;
+import org.cranberrybend.entry.upstream.ZoneEvacuations;
 
 /**
  * State that one instance has read from the store, sent to another instance.
@@ -17,13 +19,20 @@
  * @param upstreams entries of the upstreams, as stored; usage counts in a request to write them
  * @param revision revision of the store up to which the entries are complete
  * @param ageMs time since the last response of the store, in milliseconds
+ * @param evacuations evacuated zones
  */
 @SuppressWarnings("ArrayRecordComponent")
-public record FleetState(byte[] configuration, List<StoreItem> upstreams, long revision, long ageMs) {
+public record FleetState(
+        byte[] configuration, List<StoreItem> upstreams, long revision, long ageMs, ZoneEvacuations.State evacuations) {
     public FleetState {
         upstreams = List.copyOf(upstreams);
     }
 
+    /** Creates a state without knowledge of evacuations. */
+    public FleetState(byte[] configuration, List<StoreItem> upstreams, long revision, long ageMs) {
+        this(configuration, upstreams, revision, ageMs, ZoneEvacuations.State.UNKNOWN);
+    }
+
     byte[] encode() {
         List<Object> rows = new ArrayList<>();
         for (StoreItem item : upstreams) {
@@ -40,6 +49,8 @@
         state.put("upstreams", rows);
         state.put("revision", revision);
         state.put("age_ms", ageMs);
+        state.put("evacuated_zones", List.copyOf(evacuations.zones()));
+        state.put("evacuations_revision", evacuations.revision());
         return Json.write(state);
     }
 
@@ -56,7 +67,11 @@
                     Base64.getDecoder().decode(state.text("configuration")),
                     items,
                     state.integer("revision"),
-                    state.integer("age_ms"));
+                    state.integer("age_ms"),
+                    // Instances of earlier versions do not know evacuations.
+                    new ZoneEvacuations.State(
+                            Set.copyOf(state.strings("evacuated_zones")),
+                            state.integer("evacuations_revision", ZoneEvacuations.State.UNKNOWN.revision())));
         } catch (IllegalArgumentException e) {
             throw new JsonFormatException("a value is not base64 text", e);
         }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
@@ -13,6 +13,7 @@
 import org.cranberrybend.entry.upstream.UpstreamEligibility;
 import org.cranberrybend.entry.upstream.UpstreamSelector;
 import org.cranberrybend.entry.upstream.UpstreamTable;
+import org.cranberrybend.entry.upstream.ZoneEvacuations;
 import org.cranberrybend.entry.usage.UsageCounter;
 
 /** Creates and connects the components that handle callers' requests. */
@@ -32,18 +33,24 @@
             HeaderNames names,
             ConfigurationHolder configuration,
             UpstreamTable upstreams,
+            ZoneEvacuations evacuations,
             QuarantineService quarantine,
             UsageCounter usage,
             DecisionLog log,
             IntSupplier instances,
             MetricRegistry metrics) {
-        UpstreamEligibility eligibility = new UpstreamEligibility(settings.regionsByZone());
+        UpstreamEligibility eligibility = new UpstreamEligibility(settings.regionsByZone(), evacuations);
         UpstreamSelector selector =
                 new UpstreamSelector(upstreams, eligibility, settings.zone(), settings.regionsByZone());
         ServiceRetryBudget budget = new ServiceRetryBudget(settings.retryRatio(), settings.retryAllowance(), instances);
         WaitingRequests waiting = new WaitingRequests(loop, timeSource);
         metrics.gauge("requests_waiting", () -> waiting::count);
         metrics.gauge("upstreams_paused", () -> upstreams::pausedCount);
+        metrics.gauge("zones_evacuated", () -> () -> evacuations.state().zones().size());
+        metrics.gauge(
+                "requests_in_evacuated_zones",
+                () -> () -> upstreams.runningIn(evacuations.state().zones()));
+        evacuations.addListener(connectionListener(upstreams));
         router = new RequestRouter(
                 configuration,
                 new RequestServices(
@@ -63,6 +70,20 @@
                         waiting));
     }
 
+    private static ZoneEvacuations.Listener connectionListener(UpstreamTable upstreams) {
+        return new ZoneEvacuations.Listener() {
+            @Override
+            public void onEvacuated(String zone) {
+                upstreams.keepConnections(zone, false);
+            }
+
+            @Override
+            public void onReturned(String zone, long revision) {
+                upstreams.keepConnections(zone, true);
+            }
+        };
+    }
+
     /** Returns the requests in progress. */
     public RequestsInProgress requests() {
         return requests;
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/ConnectionPool.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/ConnectionPool.java
@@ -112,6 +112,11 @@
         idle.clear();
     }
 
+    /** Keeps connections again after {@link #close}. */
+    void reopen() {
+        closed = false;
+    }
+
     /** Closes the idle connections, and each connection in use as soon as it is released. */
     public void close() {
         closed = true;
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Upstream.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Upstream.java
@@ -83,6 +83,18 @@
         pool.close();
     }
 
+    /** Closes the idle connections, and each connection in use as soon as its response is complete. */
+    void suspendConnections() {
+        pool.close();
+    }
+
+    /** Keeps connections again after {@link #suspendConnections}, unless the upstream is removed or leaving. */
+    void resumeConnections() {
+        if (!removed && !leavingStated) {
+            pool.reopen();
+        }
+    }
+
     /** Returns whether the process has stated in a response that it is leaving; nothing more may be sent to it. */
     public boolean isLeavingStated() {
         return leavingStated;
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamEligibility.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamEligibility.java
@@ -6,15 +6,21 @@
 
 /** Decides which upstreams may receive a request at all; which of these is best is decided elsewhere. */
 public final class UpstreamEligibility {
+    private static final Optional<Exclusion> OTHER_REGION = Optional.of(Exclusion.OTHER_REGION);
+    private static final Optional<Exclusion> ZONE_EVACUATED = Optional.of(Exclusion.ZONE_EVACUATED);
+
     private final Map<String, String> regionsByZone;
+    private final ZoneEvacuations evacuations;
 
     /**
      * Creates the rules.
      *
      * @param regionsByZone region of each availability zone
+     * @param evacuations zones whose upstreams receive nothing
      */
-    public UpstreamEligibility(Map<String, String> regionsByZone) {
+    public UpstreamEligibility(Map<String, String> regionsByZone, ZoneEvacuations evacuations) {
         this.regionsByZone = Map.copyOf(regionsByZone);
+        this.evacuations = evacuations;
     }
 
     /** Returns the reason why an upstream may not receive a request; empty if it may. */
@@ -34,6 +40,9 @@
 
     /** Returns the reason why no upstream of a zone may receive a request with the given constraint; empty if any may. */
     public Optional<Exclusion> zoneExclusion(String zone, RegionConstraint regions) {
-        return regions.permitsZone(zone, regionsByZone) ? Optional.empty() : Optional.of(Exclusion.OTHER_REGION);
+        if (evacuations.isEvacuated(zone)) {
+            return ZONE_EVACUATED;
+        }
+        return regions.permitsZone(zone, regionsByZone) ? Optional.empty() : OTHER_REGION;
     }
 }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
@@ -269,6 +269,30 @@
         }
     }
 
+    /**
+     * Sets whether connections to the upstreams of a zone are kept for later requests. Upstreams that join the zone
+     * later have no connections to close, since they receive no requests meanwhile.
+     */
+    public void keepConnections(String zone, boolean kept) {
+        for (Upstream each : byId.values()) {
+            if (each.entry().zone().equals(zone)) {
+                if (kept) {
+                    each.resumeConnections();
+                } else {
+                    each.suspendConnections();
+                }
+            }
+        }
+    }
+
+    /** Returns the number of requests of this process in progress at upstreams of the given zones. */
+    public long runningIn(Set<String> zones) {
+        return byId.values().stream()
+                .filter(each -> zones.contains(each.entry().zone()))
+                .mapToLong(Upstream::running)
+                .sum();
+    }
+
     /**
      * Returns the time at which the first upstream of a service may receive requests again, if each that could serve is
      * paused; empty if one is not, or none is left.
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/EntryServiceTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/EntryServiceTest.java
@@ -32,7 +32,8 @@
 import org.junit.jupiter.api.Test;
 
 class EntryServiceTest {
-    private static final StoreKeys KEYS = new StoreKeys("configuration", "upstreams/");
+    private static final StoreKeys KEYS =
+            new StoreKeys("operator/", "operator/configuration", "operator/evacuate/", "upstreams/");
     private static final String COUNTS = "cranberrybend/usage/counts/";
 
     private final MemoryStore store = new MemoryStore(TimeSource.system());
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FleetRelayTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FleetRelayTest.java
@@ -33,9 +33,12 @@
 import org.cranberrybend.entry.testing.MemoryStore;
 import org.cranberrybend.entry.upstream.UpstreamRecord;
 import org.cranberrybend.entry.upstream.UpstreamTable;
+import org.cranberrybend.entry.upstream.ZoneEvacuations;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class FleetRelayTest {
     private static final ServerLimits LIMITS = new ServerLimits(8_192, 1_000_000, 2_000, 5_000);
@@ -73,14 +76,28 @@
                 Connectors.on(loop),
                 timeSource,
                 log);
+        private final ZoneEvacuations evacuations = new ZoneEvacuations(log);
         private final FleetRelay relay = new FleetRelay(
-                loop, Connectors.on(loop), store, configuration, upstreams, () -> peers, () -> leader, timeSource, log);
+                loop,
+                Connectors.on(loop),
+                store,
+                configuration,
+                upstreams,
+                evacuations,
+                () -> peers,
+                () -> leader,
+                timeSource,
+                log);
 
         void read(long version, long revision, StoreItem... items) {
             configuration.offer("store", Long.toString(version).getBytes());
             upstreams.onSnapshot(new StoreSnapshot(List.of(items), revision), 0);
             upstreams.onProgress(revision);
         }
+
+        void evacuate(long revision, String... zones) {
+            evacuations.offer("store", new ZoneEvacuations.State(Set.of(zones), revision));
+        }
     }
 
     @BeforeEach
@@ -135,6 +152,35 @@
         assertThat(onLoop(this::state)).isEqualTo(expected);
     }
 
+    // Guards against an instance without access to the store that misses the start or the end of an evacuation, and
+    // against older knowledge of a peer, or of a peer of an earlier version, that takes either back.
+    @ParameterizedTest
+    @CsvSource({
+        "'', 10, zone-a, 20, zone-a",
+        "zone-a, 10, '', 20, ''",
+        "zone-a, 10, zone-b, 20, zone-b",
+        "zone-a, 20, '', 10, zone-a",
+        "'', 20, zone-a, 10, ''",
+        "zone-a, 20, '', -1, zone-a",
+        "'', -1, zone-a, 0, zone-a"
+    })
+    void laterStateOfEvacuationsIsTakenFromPeers(
+            String own, long ownRevision, String peers, long peerRevision, String expected) throws Exception {
+        onLoop(() -> {
+            cutOff.evacuate(ownRevision, own.isEmpty() ? new String[0] : new String[] {own});
+            connected.evacuate(peerRevision, peers.isEmpty() ? new String[0] : new String[] {peers});
+            cutOff.upstreams.onStoreUnavailable("unavailable");
+            cutOff.relay.tick();
+            return null;
+        });
+        long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_S);
+        while (onLoop(() -> cutOff.configuration.version()) != 7 && System.nanoTime() < endNs) {
+            Thread.onSpinWait();
+        }
+        assertThat(onLoop(() -> String.join(" ", cutOff.evacuations.state().zones())))
+                .isEqualTo(expected);
+    }
+
     // Guards against traffic between instances while the store is available.
     @Test
     void instanceWithStoreSendsNoRequests() throws Exception {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/RegionConstraintTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/RegionConstraintTest.java
@@ -94,9 +94,8 @@
     }
 
     private static void awaitCaller(EntryFixture entry) throws Exception {
-        while (entry.onLoop(() -> entry.server().activeConnectionCount()) == 0) {
-            Thread.onSpinWait();
-        }
+        assertThat(entry.awaitOnLoop(() -> entry.server().activeConnectionCount() > 0))
+                .isTrue();
     }
 
     // Guards against a request outside its regions, whether the route, the account or both constrain it, and against
@@ -197,9 +196,7 @@
                 entry.offer(EntryFixture.configuration(3, constraint(next), RegionConstraint.NONE));
                 return null;
             });
-            while (entry.onLoop(exchange::status) == 0) {
-                Thread.onSpinWait();
-            }
+            assertThat(entry.awaitOnLoop(() -> exchange.status() != 0)).isTrue();
             assertThat(entry.onLoop(exchange::status)).isEqualTo(status);
         }
         assertThat(far.received()).hasSize(status == 200 ? 1 : 0);
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
@@ -46,6 +46,7 @@
 import org.cranberrybend.entry.store.ConfigurationHolder;
 import org.cranberrybend.entry.upstream.UpstreamRecord;
 import org.cranberrybend.entry.upstream.UpstreamTable;
+import org.cranberrybend.entry.upstream.ZoneEvacuations;
 import org.cranberrybend.entry.usage.SteadyWallClock;
 import org.cranberrybend.entry.usage.UsageCounter;
 
@@ -80,6 +81,8 @@
     private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final TimeSource timeSource = TimeSource.system();
     private final UpstreamTable table;
+    private final ZoneEvacuations evacuations;
+    private final MetricRegistry metrics = new MetricRegistry();
     private final QuarantineService quarantine;
     private final MessageMemoryLimit responseMemory = new MessageMemoryLimit(RESPONSE_MEMORY_BYTES);
     private final RequestsInProgress requests;
@@ -98,6 +101,7 @@
         configuration.offer("test", new byte[0]);
         HttpConnector connector = new HttpConnector(loop, responseMemory);
         table = new UpstreamTable(PREFIX, EntryFixture::record, connector, timeSource, log);
+        evacuations = new ZoneEvacuations(log);
         List<StoreItem> items = new ArrayList<>();
         for (ScriptedUpstream upstream : upstreams) {
             String id = "u" + items.size();
@@ -113,11 +117,12 @@
                 NAMES,
                 configuration,
                 table,
+                evacuations,
                 quarantine,
                 usage,
                 log,
                 () -> 1,
-                new MetricRegistry());
+                metrics);
         requests = path.requests();
         handler = path.handler();
         server = new HttpServer(loop, timeSource, handler, () -> LIMITS, new MessageMemoryLimit(1_000_000), log);
@@ -213,6 +218,23 @@
         configuration.offer("test", new byte[0]);
     }
 
+    /** Sets the evacuated zones. */
+    public void evacuate(String... zones) throws Exception {
+        onLoop(() -> evacuateNow(zones));
+    }
+
+    /** Sets the evacuated zones, on the event loop, and returns their revision. */
+    public long evacuateNow(String... zones) {
+        long revision = evacuations.state().revision() + 1;
+        evacuations.offer("test", new ZoneEvacuations.State(Set.of(zones), revision));
+        return revision;
+    }
+
+    /** Returns the value of a gauge. */
+    public long gauge(String name) throws Exception {
+        return onLoop(() -> ((Number) metrics.getGauges().get(name).getValue()).longValue());
+    }
+
     /** Writes the entry of an upstream in the zone {@code zone-a}. */
     public void addEntry(String id, int upstreamPort) throws Exception {
         addEntry(id, upstreamPort, "zone-a");
@@ -257,6 +279,18 @@
         return true;
     }
 
+    /** Waits until a condition holds on the event loop; returns whether it did in time. */
+    public boolean awaitOnLoop(Callable<Boolean> condition) throws Exception {
+        long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(LOG_WAIT_S);
+        while (!onLoop(condition)) {
+            if (System.nanoTime() > endNs) {
+                return false;
+            }
+            Thread.onSpinWait();
+        }
+        return true;
+    }
+
     /** Returns what was logged so far. */
     public String log() {
         return logOutput.toString(StandardCharsets.UTF_8);
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamSelectorTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamSelectorTest.java
@@ -43,10 +43,10 @@
             Connectors.on(null),
             clock,
             new DecisionLog("instance", 1, clock, OutputStream.nullOutputStream()));
-    private final UpstreamSelector selector =
-            new UpstreamSelector(table, new UpstreamEligibility(REGIONS), "zone-a", REGIONS);
-    private final UpstreamSelector selectorOfOtherZone =
-            new UpstreamSelector(table, new UpstreamEligibility(REGIONS), "zone-b", REGIONS);
+    private final UpstreamEligibility eligibility = new UpstreamEligibility(
+            REGIONS, new ZoneEvacuations(new DecisionLog("instance", 1, clock, OutputStream.nullOutputStream())));
+    private final UpstreamSelector selector = new UpstreamSelector(table, eligibility, "zone-a", REGIONS);
+    private final UpstreamSelector selectorOfOtherZone = new UpstreamSelector(table, eligibility, "zone-b", REGIONS);
 
     @BeforeEach
     void listUpstreams() {
@@ -130,7 +130,7 @@
     @ParameterizedTest
     @EnumSource(names = {"TOLERANT", "UNIFORM"})
     void longSharedPrefixHasOneEngineForAllRegions(LatencyClass latencyClass) {
-        UpstreamSelector remote = new UpstreamSelector(table, new UpstreamEligibility(REGIONS), "zone-c", REGIONS);
+        UpstreamSelector remote = new UpstreamSelector(table, eligibility, "zone-c", REGIONS);
         for (int i = 0; i < 50; i++) {
             Prompt prompt = prompt("prompt-" + i, 13_000);
             String chosenHere =
