Order upstreams where constrained load may run, and none in evacuated zones

Cause: the load of a service was divided evenly among all zones. The share of an evacuated zone would be ordered there, and load that may run in one region only would raise the orders of all regions instead of its own.

Ruled out: counts of constrained requests in each instance, sent to the lease holder (one more message of every instance; what an instance counts itself is not the mix of the fleet); dividing by the zones in which a service has a price (changes the orders of earlier deployments).

Change: ZoneDemand decides the targets that OrderDuty computed before. An evacuated zone gets no order, its share is added to the remaining zones of the service, and its upstreams are no substitutes. Requests that still run there count as load, but upstreams without a report there count as empty. In a region that a constraint names, the target also covers the load reported in the region, divided among its remaining zones. Without both, targets are as before.

Tests: ZoneOrdersTest (10 cases) passes, with ServiceDemandTest and OrderPlannerTest. Seen failing: 5 cases with orders in evacuated zones, 2 without the load of the region, 1 with empty evacuated upstreams extrapolated.

Constrained requests that are refused or wait at instances are in no load report; they count once upstreams of the region report load.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -268,7 +268,8 @@
                                 lease,
                                 configuration,
                                 upstreams,
-                                settings.regionsByZone().keySet(),
+                                settings.regionsByZone(),
+                                evacuations,
                                 () -> directory.liveInstances().size(),
                                 timeSource,
                                 log)::tick)));
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/configuration/RoutingConfiguration.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/configuration/RoutingConfiguration.java
@@ -3,10 +3,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.cranberrybend.entry.http.ServerLimits;
 
 /** One version of the routing configuration. Immutable; a request uses the same version until its end. */
@@ -21,6 +23,7 @@
     private final Map<String, ServiceDefinition> services;
     private final Map<String, AccountEntry> accountsByKey;
     private final Map<String, RegionConstraint> regionsByAccount;
+    private final Set<String> constrainedRegions = new HashSet<>();
     private final boolean keysRequired;
     private final ServerLimits callerLimits;
 
@@ -64,7 +67,9 @@
         this.regionsByAccount = new HashMap<>();
         for (AccountEntry account : accountsByKey.values()) {
             regionsByAccount.merge(account.name(), account.regions(), RegionConstraint::and);
+            account.regions().allowed().ifPresent(constrainedRegions::addAll);
         }
+        routes.forEach(route -> route.regions().allowed().ifPresent(constrainedRegions::addAll));
         this.keysRequired = keysRequired;
         this.callerLimits = callerLimits;
     }
@@ -99,6 +104,11 @@
                 .findFirst();
     }
 
+    /** Returns whether a constraint of a route or a client account names a region. */
+    public boolean isNamedInConstraint(String region) {
+        return constrainedRegions.contains(region);
+    }
+
     /**
      * Returns the regions in which this version allows a request that an earlier version has admitted. A request of an
      * account or a path that this version does not know is not constrained by it.
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/OrderDuty.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/OrderDuty.java
@@ -1,11 +1,9 @@
 package org.cranberrybend.entry.duty;
 
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.IntSupplier;
 import org.cranberrybend.core.event.EventCode;
 import org.cranberrybend.core.routing.Market;
@@ -21,24 +19,21 @@
 import org.cranberrybend.entry.store.ConfigurationHolder;
 import org.cranberrybend.entry.upstream.Upstream;
 import org.cranberrybend.entry.upstream.UpstreamTable;
+import org.cranberrybend.entry.upstream.ZoneEvacuations;
 
 /** Orders upstreams for all services with scaling bounds. Confined to the event loop; sends one order at a time. */
 public final class OrderDuty {
-    /** In-flight requests at which an engine still meets the latency targets of streams. */
-    private static final double REQUESTS_PER_ENGINE = 5;
-
     private static final long FAILURE_BACKOFF_MS = 1_000;
 
     private final UpstreamOrders orders;
     private final DutyLease lease;
     private final ConfigurationHolder configuration;
     private final UpstreamTable upstreams;
-    private final Set<String> zones;
+    private final ZoneDemand demand;
     private final IntSupplier instances;
     private final TimeSource timeSource;
     private final DecisionLog log;
     private final Map<String, OrderPlanner> planners = new LinkedHashMap<>();
-    private final Map<String, ServiceDemand> demands = new HashMap<>();
     private boolean pending;
     private long nextOrderMs;
     private long lastFencingNumber;
@@ -46,7 +41,8 @@
     /**
      * Creates the duty.
      *
-     * @param zones availability zones in which upstreams may run
+     * @param regionsByZone region of each availability zone in which upstreams may run
+     * @param evacuations zones in which none are ordered
      * @param instances number of running instances
      */
     public OrderDuty(
@@ -54,7 +50,8 @@
             DutyLease lease,
             ConfigurationHolder configuration,
             UpstreamTable upstreams,
-            Set<String> zones,
+            Map<String, String> regionsByZone,
+            ZoneEvacuations evacuations,
             IntSupplier instances,
             TimeSource timeSource,
             DecisionLog log) {
@@ -62,7 +59,7 @@
         this.lease = lease;
         this.configuration = configuration;
         this.upstreams = upstreams;
-        this.zones = Set.copyOf(zones);
+        this.demand = new ZoneDemand(regionsByZone, evacuations);
         this.instances = instances;
         this.timeSource = timeSource;
         this.log = log;
@@ -87,26 +84,27 @@
             if (service.scaling().isEmpty()) {
                 continue;
             }
-            for (String zone : zones) {
-                // A service may run only in the zones for which the configuration has a price.
-                boolean mayRun = service.scaling().get().zonePrices().containsKey(zone);
-                if (mayRun && place(service, zone, service.scaling().get(), grant.get(), nowMs)) {
+            for (String zone : demand.zones()) {
+                if (!demand.mayOrder(service, zone)) {
+                    // Orders placed before an evacuation are outdated when it ends.
+                    planners.remove(service.name() + "/" + zone);
+                } else if (place(current.get(), service, zone, grant.get(), nowMs)) {
                     return;
                 }
             }
         }
     }
 
-    private boolean place(ServiceDefinition service, String zone, ScalingBounds bounds, DutyGrant grant, long nowMs) {
+    private boolean place(
+            RoutingConfiguration current, ServiceDefinition service, String zone, DutyGrant grant, long nowMs) {
         String name = service.name();
+        ScalingBounds bounds = service.scaling().get();
         OrderPlanner planner = planners.computeIfAbsent(name + "/" + zone, key -> new OrderPlanner(name, zone));
         OrderPlanner.Listed listed = countListed(name, zone);
-        int demand = neededUpstreams(name, nowMs);
-        int slots =
-                service.engine().map(ServiceDefinition.EngineDefinition::slots).orElse(0);
-        int base = ServiceDemand.basePerZone(instances.getAsInt(), slots, zones.size());
-        int target = Math.max(base, demand / zones.size() + 1);
-        int substitutes = Math.max(1, demand - readyInOtherZones(name, zone));
+        List<Upstream> listedUpstreams = upstreams.ofService(name);
+        int needed = demand.upstreamsNeeded(service, listedUpstreams, nowMs);
+        int target = demand.target(current, service, zone, listedUpstreams, needed, instances.getAsInt(), nowMs);
+        int substitutes = Math.max(1, needed - readyInOtherZones(service, zone));
         List<Order> due = planner.plan(bounds, target, substitutes, listed, nowMs);
         if (due.isEmpty()) {
             return false;
@@ -115,16 +113,10 @@
         return true;
     }
 
-    /** Returns how many upstreams the load of a service needs, by the load reports of its upstreams. */
-    private int neededUpstreams(String service, long nowMs) {
-        int requests = demands.computeIfAbsent(service, name -> new ServiceDemand())
-                .peakRequests(upstreams.ofService(service), nowMs);
-        return (int) Math.ceil(requests / REQUESTS_PER_ENGINE);
-    }
-
-    private int readyInOtherZones(String service, String zone) {
-        return (int) upstreams.ofService(service).stream()
+    private int readyInOtherZones(ServiceDefinition service, String zone) {
+        return (int) upstreams.ofService(service.name()).stream()
                 .filter(each -> each.isListedReady() && !each.entry().zone().equals(zone))
+                .filter(each -> !demand.isEvacuated(each.entry().zone()))
                 .count();
     }
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/ServiceDemand.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/ServiceDemand.java
@@ -23,7 +23,21 @@
 
     /** Returns the largest estimate of in-flight requests of the last seconds. */
     int peakRequests(List<Upstream> upstreams, long nowMs) {
+        return peakRequests(upstreams, List.of(), nowMs);
+    }
+
+    /**
+     * Returns the largest estimate of in-flight requests of the last seconds.
+     *
+     * @param upstreams upstreams that may receive requests
+     * @param evacuated upstreams that receive nothing; those without a recent report count as empty
+     */
+    int peakRequests(List<Upstream> upstreams, List<Upstream> evacuated, long nowMs) {
         int estimate = estimate(upstreams, nowMs);
+        for (Upstream upstream : evacuated) {
+            estimate += Math.max(
+                    upstream.running(), upstream.recentlyReportedRequests(nowMs).orElse(0));
+        }
         if (estimate >= peak || nowMs - peakAtMs > PEAK_HOLD_MS) {
             peak = estimate;
             peakAtMs = nowMs;
