--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntrySettings.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntrySettings.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.cranberrybend.entry.json.Json;
 import org.cranberrybend.entry.json.JsonFormatException;
 import org.cranberrybend.entry.json.JsonObject;
@@ -30,6 +31,8 @@
  * @param leaseMs shortest time between calls of two lease holders that alternate, in milliseconds
  * @param usageWindowMs length of a usage window, in milliseconds
  * @param usageDueMs time from the end of a window until its report is due, in milliseconds
+ * @param warmUpOvershoot factor by which requests to an upstream that is warming up may exceed its rate in a second
+ * @param warmUpSlack requests by which they may exceed that in addition
  */
 public record EntrySettings(
         String instance,
@@ -50,9 +53,13 @@
         double retryAllowance,
         long leaseMs,
         long usageWindowMs,
-        long usageDueMs) {
+        long usageDueMs,
+        double warmUpOvershoot,
+        double warmUpSlack) {
     private static final double DEFAULT_RETRY_RATIO = 0.1;
     private static final long DEFAULT_UPSTREAM_DRAIN_MS = 2_500;
+    /** Without a stated bound, the rate of an upstream that is warming up is the bound. */
+    private static final double DEFAULT_WARM_UP_OVERSHOOT = 1;
 
     public EntrySettings {
         regionsByZone = Map.copyOf(regionsByZone);
@@ -67,6 +74,7 @@
         JsonObject duties = json.object("duties");
         JsonObject retries = json.object("retry_budget");
         JsonObject usage = json.object("usage");
+        Optional<JsonObject> slowStart = json.optionalObject("slow_start");
         Map<String, String> regions = new HashMap<>();
         JsonObject zones = json.object("regions_by_zone");
         for (String zone : zones.names()) {
@@ -92,6 +100,10 @@
                 retries.decimal("allowance", 0),
                 json.integer("lease_ms"),
                 usage.integer("window_s") * 1_000,
-                usage.integer("due_s") * 1_000);
+                usage.integer("due_s") * 1_000,
+                slowStart.isEmpty()
+                        ? DEFAULT_WARM_UP_OVERSHOOT
+                        : slowStart.get().decimal("overshoot", DEFAULT_WARM_UP_OVERSHOOT),
+                slowStart.isEmpty() ? 0 : slowStart.get().decimal("slack", 0));
     }
 }
