Limit the requests to upstreams that are warming up

UpstreamRecord.warmUpRemainingMs was decoded and used nowhere; a cold upstream received as much as any other.

Change: UpstreamEligibility states WARMING_UP where WarmUpLimiter has no slot. An attempt reserves the slot before it acquires a connection, takes it when the request is sent, and gives it back otherwise; a request whose upstream became cold meanwhile is dispatched once more. After the phase, instances begin one after another and requests in progress rise. A request without an upstream waits at most 1 s with those that wait for pauses, then gets 503 (not run). The zone leader forwards an entry whose warm-up ends later than known, no longer each heartbeat of a cold upstream. UpstreamTable.markWarmingUp serves the end of an evacuation. Event 515, gauges upstreams_warming_up and warm_up_sends.

Ruled out: taking the slot at the choice (requests would follow each other more closely than the interval if a connection takes long); waiting until the end of the phase (most requests would wait in vain).

Tests: WarmUpTest, WarmingUpstreamTest, ServicePausesTest and FleetDirectoryTest pass, as do UpstreamPauseTest, LeavingUpstreamTest, UpstreamTableTest, UpstreamSelectorTest.

--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/event/EventCode.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/event/EventCode.java
@@ -56,6 +56,7 @@
     UPSTREAM_UNREADABLE(510, Severity.WARNING, "An entry that cannot be read names no upstream."),
     UPSTREAM_CRASHED(511, Severity.WARNING, "An upstream ended while it ran requests, and refuses connections."),
     UPSTREAM_PAUSED(512, Severity.INFO, "An upstream has asked in a response for no requests for some time."),
+    UPSTREAM_WARMING_UP(515, Severity.INFO, "An upstream is warming up."),
     LEASE_ACQUIRED(601, Severity.INFO, "A lease was acquired."),
     LEASE_LOST(602, Severity.WARNING, "A lease was lost."),
     ORDER_INTENT_RECORDED(603, Severity.INFO, "The intent of an upstream order was recorded."),
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -181,6 +181,7 @@
                 usage,
                 log,
                 directory::maxFleetSize,
+                directory.roster(),
                 metrics);
         requests = path.requests();
         control = new HttpServer(loop, timeSource, instanceHandler(store), () -> DEFAULT_LIMITS, bodyMemory, log);
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetDirectory.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetDirectory.java
@@ -13,6 +13,7 @@
 import java.util.TreeSet;
 import org.cranberrybend.core.event.EventCode;
 import org.cranberrybend.core.routing.RendezvousHash;
+import org.cranberrybend.core.slowstart.SenderRoster;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.json.Json;
 import org.cranberrybend.entry.json.JsonFormatException;
@@ -54,6 +55,7 @@
     private final Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
     private final Map<String, String> zonesByInstance = new TreeMap<>();
     private final Map<String, Long> memoryMbByInstance = new TreeMap<>();
+    private final SenderRoster roster = new SenderRoster();
     private int maxFleetSize;
     private boolean leaseHeld;
     private boolean loaded;
@@ -87,6 +89,11 @@
         return new HashSet<>(live);
     }
 
+    /** Returns the registered instances as those that may send to upstreams that are warming up. */
+    public SenderRoster roster() {
+        return roster;
+    }
+
     /** Returns control addresses of other instances, the most recently registered ones last. */
     public Set<InetSocketAddress> peerAddresses() {
         return new LinkedHashSet<>(addresses.values());
@@ -239,6 +246,7 @@
     @Override
     public void onProgress(long revision) {
         loaded = true;
+        roster.confirm(live, timeSource.monotonicMs());
     }
 
     @Override
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -70,7 +70,7 @@
         this.lastEventId = request.resumeAfterEventId();
         this.requestLog = new RequestLog(request, parts, services);
         this.health = new AttemptHealth(request.route());
-        this.pauses = new ServicePauses(request.service(), services.table(), services.timeSource());
+        this.pauses = new ServicePauses(request.service(), services.table(), services.warmUp(), services.timeSource());
     }
 
     void start() {
@@ -140,7 +140,7 @@
                 .choose(request.query(attemptedUpstreams, services.timeSource().monotonicMs()));
     }
 
-    /** Waits if all upstreams have asked for time, the request was not sent yet, and its deadline allows it. */
+    /** Waits if all upstreams have asked for time or warm up, the request was not sent yet, and its deadline allows it. */
     private boolean tryWait() {
         if (sends > 0
                 || probe
@@ -170,8 +170,9 @@
 
     /** Refuses a request that has waited if that would end too late for it; returns whether it waits no longer. */
     boolean endWaitIfTooLong(long waitEndMs) {
-        if (!finished && waitEndMs > request.deadlineMs() - MIN_ATTEMPT_TIME_MS) {
-            endWithoutResponse("upstreams have asked for time");
+        boolean warmUpWaitOver = pauses.isWarmUpWaitOver();
+        if (!finished && (warmUpWaitOver || waitEndMs > request.deadlineMs() - MIN_ATTEMPT_TIME_MS)) {
+            endWithoutResponse(warmUpWaitOver ? "upstreams are warming up" : "upstreams have asked for time");
         }
         return finished;
     }
@@ -179,7 +180,8 @@
     private void send(Upstream upstream, String reason) {
         attemptedUpstreams.add(upstream.entry().id());
         requestLog.recordDispatch(upstream, reason, attemptedUpstreams.size() == 1);
-        attempt = new UpstreamAttempt(request, upstream, services.headerNames(), services.timeSource(), this);
+        attempt = new UpstreamAttempt(
+                request, upstream, services.headerNames(), services.warmUp(), services.timeSource(), this);
         attempt.start(lastEventId);
     }
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestLog.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestLog.java
@@ -46,7 +46,7 @@
                         "directory_age_ms",
                         services.table().ageMs(),
                         "passed_over",
-                        services.table().describeWithheld(request.service()));
+                        services.table().describeWithheld(request.service(), services.warmUp()));
     }
 
     /** Records a failure of an upstream with this request. */
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoopGroup;
 import java.util.function.IntSupplier;
+import org.cranberrybend.core.slowstart.SenderRoster;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.EntrySettings;
 import org.cranberrybend.entry.http.RequestHandler;
@@ -13,17 +14,20 @@
 import org.cranberrybend.entry.upstream.UpstreamEligibility;
 import org.cranberrybend.entry.upstream.UpstreamSelector;
 import org.cranberrybend.entry.upstream.UpstreamTable;
+import org.cranberrybend.entry.upstream.WarmUpLimiter;
 import org.cranberrybend.entry.usage.UsageCounter;
 
 /** Creates and connects the components that handle callers' requests. */
 public final class RequestPath {
     private final RequestRouter router;
     private final RequestsInProgress requests = new RequestsInProgress();
+    private final WarmUpLimiter warmUp;
 
     /**
      * Creates the components of one process.
      *
      * @param instances largest number of instances known to serve at the same time; 0 if unknown
+     * @param roster registered instances, which share the requests to upstreams that are warming up
      */
     public RequestPath(
             EntrySettings settings,
@@ -36,13 +40,19 @@
             UsageCounter usage,
             DecisionLog log,
             IntSupplier instances,
+            SenderRoster roster,
             MetricRegistry metrics) {
-        UpstreamSelector selector =
-                new UpstreamSelector(upstreams, new UpstreamEligibility(), settings.zone(), settings.regionsByZone());
+        warmUp = new WarmUpLimiter(settings.instance(), roster, settings.warmUpOvershoot(), settings.warmUpSlack());
+        configuration.current().ifPresent(warmUp::configure);
+        configuration.onChange(warmUp::configure);
+        UpstreamSelector selector = new UpstreamSelector(
+                upstreams, new UpstreamEligibility(warmUp), settings.zone(), settings.regionsByZone());
         ServiceRetryBudget budget = new ServiceRetryBudget(settings.retryRatio(), settings.retryAllowance(), instances);
         WaitingRequests waiting = new WaitingRequests(loop, timeSource);
         metrics.gauge("requests_waiting", () -> waiting::count);
         metrics.gauge("upstreams_paused", () -> upstreams::pausedCount);
+        metrics.gauge("upstreams_warming_up", () -> () -> upstreams.warmingUpCount(warmUp));
+        metrics.gauge("warm_up_sends", () -> warmUp::sentCount);
         router = new RequestRouter(
                 configuration,
                 new RequestServices(
@@ -57,7 +67,8 @@
                         log,
                         new RequestMetrics(metrics),
                         requests,
-                        waiting));
+                        waiting,
+                        warmUp));
     }
 
     /** Returns the requests in progress. */
@@ -65,6 +76,11 @@
         return requests;
     }
 
+    /** Returns what limits the requests to upstreams that are warming up. */
+    public WarmUpLimiter warmUp() {
+        return warmUp;
+    }
+
     /** Returns the handler of callers' requests. */
     public RequestHandler handler() {
         return router;
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestServices.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestServices.java
@@ -7,6 +7,7 @@
 import org.cranberrybend.entry.quarantine.QuarantineService;
 import org.cranberrybend.entry.upstream.UpstreamSelector;
 import org.cranberrybend.entry.upstream.UpstreamTable;
+import org.cranberrybend.entry.upstream.WarmUpLimiter;
 import org.cranberrybend.entry.usage.UsageCounter;
 
 /**
@@ -23,7 +24,8 @@
  * @param log decision log
  * @param metrics counters and timers
  * @param requests requests in progress
- * @param waiting requests that wait for upstreams that have asked for time
+ * @param waiting requests that wait for upstreams that have asked for time or warm up
+ * @param warmUp limits the requests to upstreams that are warming up
  */
 record RequestServices(
         EventLoopGroup loop,
@@ -37,4 +39,5 @@
         DecisionLog log,
         RequestMetrics metrics,
         RequestsInProgress requests,
-        WaitingRequests waiting) {}
+        WaitingRequests waiting,
+        WarmUpLimiter warmUp) {}
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
@@ -5,6 +5,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpResponse;
@@ -15,6 +16,7 @@
 import org.cranberrybend.entry.http.HttpConnector;
 import org.cranberrybend.entry.port.HeaderNames;
 import org.cranberrybend.entry.upstream.Upstream;
+import org.cranberrybend.entry.upstream.WarmUpLimiter;
 
 /**
  * One attempt to have a request executed by one upstream. Reports exactly one result to its listener, unless aborted.
@@ -42,8 +44,8 @@
         void onConnectFailure(UpstreamAttempt attempt, String cause);
 
         /**
-         * The upstream began to leave or asked for time before a connection was established, so no byte of the request
-         * was sent.
+         * The upstream began to leave, to warm up, or asked for time before a connection was established, so no byte of
+         * the request was sent.
          */
         void onWithheld(UpstreamAttempt attempt, String cause);
 
@@ -83,6 +85,7 @@
     private final RoutedRequest request;
     private final Upstream upstream;
     private final HeaderNames headerNames;
+    private final WarmUpLimiter warmUp;
     private final TimeSource timeSource;
     private final ResultListener listener;
     private final EventStreamSplitter splitter = new EventStreamSplitter();
@@ -93,6 +96,9 @@
     private ClientConnection connection;
     private HttpResponse head;
     private boolean sent;
+    /** Whether the request holds the slot of an upstream that is warming up, and was not sent yet. */
+    private boolean slotReserved;
+
     /** Whether the connection ended, or its bytes became unreadable, before the response was complete. */
     private boolean connectionLost;
 
@@ -107,11 +113,13 @@
             RoutedRequest request,
             Upstream upstream,
             HeaderNames headerNames,
+            WarmUpLimiter warmUp,
             TimeSource timeSource,
             ResultListener listener) {
         this.request = request;
         this.upstream = upstream;
         this.headerNames = headerNames;
+        this.warmUp = warmUp;
         this.timeSource = timeSource;
         this.listener = listener;
     }
@@ -173,6 +181,7 @@
     void start(String resumeAfterEventId) {
         lastEventId = resumeAfterEventId;
         upstream.begin(request.prompt().uniqueTokens());
+        slotReserved = warmUp.tryReserve(upstream, timeSource.monotonicMs());
         cancelConnect = upstream.pool().acquire(this);
     }
 
@@ -191,6 +200,10 @@
 
     private void markEnded() {
         mode = Mode.ENDED;
+        if (slotReserved) {
+            slotReserved = false;
+            warmUp.release(upstream);
+        }
         markPrefillDone();
         upstream.end();
     }
@@ -208,11 +221,11 @@
             upstream.release(established);
             return;
         }
-        boolean paused = upstream.isPaused(timeSource.monotonicMs());
-        if (upstream.isLeavingStated() || paused) {
+        Optional<String> withheld = tryClaim(timeSource.monotonicMs());
+        if (withheld.isPresent()) {
             markEnded();
             upstream.release(established);
-            listener.onWithheld(this, paused ? "upstream has asked for time" : "upstream is leaving");
+            listener.onWithheld(this, withheld.get());
             return;
         }
         connection = established;
@@ -221,6 +234,19 @@
         connection.send(request.method(), request.target(), requestHeaders(), request.body(), this);
     }
 
+    /** Takes what the request needs to be sent now; returns the reason why it must not be, empty if it may. */
+    private Optional<String> tryClaim(long nowMs) {
+        if (upstream.isPaused(nowMs)) {
+            return Optional.of("upstream has asked for time");
+        }
+        if (upstream.isLeavingStated()) {
+            return Optional.of("upstream is leaving");
+        }
+        boolean admitted = warmUp.trySend(upstream, slotReserved, nowMs);
+        slotReserved = false;
+        return admitted ? Optional.empty() : Optional.of("upstream is warming up");
+    }
+
     private List<Header> requestHeaders() {
         List<Header> headers = new ArrayList<>(request.headers().size() + 6);
         for (Header header : request.headers()) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Upstream.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Upstream.java
@@ -20,6 +20,9 @@
     /** Time after a pause over which the number of requests rises to the slots of the upstream. */
     private static final long PAUSE_RAMP_MS = 1_000;
 
+    /** Longest remaining warm-up time that is believed, so that a wrong value does not limit an upstream for days. */
+    private static final long MAX_WARM_UP_MS = 3_600_000;
+
     private static final long UNRESPONSIVE_EJECTION_MS = 2_000;
     private static final long FIRST_EJECTION_MS = 1_000;
     private static final long MAX_EJECTION_MS = 8_000;
@@ -35,6 +38,10 @@
     private boolean leavingStated;
     /** Monotonic time until which the process wants no requests from this instance. */
     private long pausedUntilMs = Long.MIN_VALUE / 2;
+    /** Monotonic time at which the warm-up ends or has ended, as far as known. */
+    private long warmUpEndMs = Long.MIN_VALUE / 2;
+    /** Entries up to this revision of the store do not end the warm-up that is assumed until {@link #warmUpEndMs}. */
+    private long warmUpAssumedAtRevision = -1;
 
     private int running;
     private long prefillTokens;
@@ -69,6 +76,43 @@
         entry = next;
     }
 
+    /**
+     * Applies the remaining warm-up time of an entry. It was measured before the entry was received, so the warm-up ends
+     * no later than by it. Returns whether the upstream was not known to be warming up.
+     *
+     * @param revision revision of the store in which the entry was written
+     */
+    boolean stateWarmUp(long remainingMs, long revision, long nowMs) {
+        boolean wasWarmingUp = nowMs < warmUpEndMs;
+        long endMs = endOfWarmUp(remainingMs, nowMs);
+        if (wasWarmingUp && revision <= warmUpAssumedAtRevision) {
+            warmUpEndMs = Math.max(warmUpEndMs, endMs);
+        } else if (remainingMs > 0 || wasWarmingUp) {
+            warmUpEndMs = endMs;
+        }
+        return !wasWarmingUp && nowMs < warmUpEndMs;
+    }
+
+    /** Assumes that the upstream warms up for a time, unless an entry of a later revision says otherwise. */
+    void assumeWarmUp(long durationMs, long revision, long nowMs) {
+        warmUpAssumedAtRevision = nowMs < warmUpEndMs ? Math.max(warmUpAssumedAtRevision, revision) : revision;
+        warmUpEndMs = Math.max(warmUpEndMs, endOfWarmUp(durationMs, nowMs));
+    }
+
+    /** Returns whether an entry states a later end of the warm-up than is known. */
+    boolean isWarmUpExtended(long remainingMs, long nowMs) {
+        return remainingMs > 0 && endOfWarmUp(remainingMs, nowMs) > warmUpEndMs;
+    }
+
+    private static long endOfWarmUp(long remainingMs, long nowMs) {
+        return nowMs + Math.min(MAX_WARM_UP_MS, Math.max(0, remainingMs));
+    }
+
+    /** Returns the monotonic time at which the warm-up ends or has ended, as far as known. */
+    long warmUpEndMs() {
+        return warmUpEndMs;
+    }
+
     void markRemoved() {
         removed = true;
         pool.close();
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamRecord.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamRecord.java
@@ -25,4 +25,13 @@
         boolean leaving,
         Market market,
         long startedAtMs,
-        long warmUpRemainingMs) {}
+        long warmUpRemainingMs) {
+    /** Returns whether another entry differs at most in the remaining warm-up time, which falls by itself. */
+    boolean equalsExceptWarmUp(UpstreamRecord other) {
+        return withoutWarmUp().equals(other.withoutWarmUp());
+    }
+
+    private UpstreamRecord withoutWarmUp() {
+        return new UpstreamRecord(id, service, address, zone, slots, leaving, market, startedAtMs, 0);
+    }
+}
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
@@ -235,6 +234,9 @@
         } else {
             known.update(record);
         }
+        if (byId.get(id).stateWarmUp(record.warmUpRemainingMs(), item.revision(), timeSource.monotonicMs())) {
+            recordWarmingUp(record, record.warmUpRemainingMs(), "entry");
+        }
         if (record.leaving() && !wasLeaving) {
             log.record(EventCode.UPSTREAM_LEAVING, id, "service", record.service(), "revision", item.revision());
         }
@@ -269,30 +271,84 @@
     }
 
     /**
-     * Returns the time at which the first upstream of a service may receive requests again, if each that could serve is
-     * paused; empty if one is not, or none is left.
+     * Returns when the first upstream of a service may receive requests again, if each that could serve is paused or
+     * warming up without a slot; empty if one may now, or none is left.
      *
      * @param excluded upstreams that do not count
      */
-    public OptionalLong firstPauseEndMs(String service, Set<String> excluded, long nowMs) {
-        List<Upstream> listed = ofService(service).stream()
-                .filter(each ->
-                        each.isListedReady() && !excluded.contains(each.entry().id()))
-                .collect(Collectors.toList());
-        return listed.stream().anyMatch(each -> each.admitsAfterPause(nowMs))
-                ? OptionalLong.empty()
-                : listed.stream().mapToLong(Upstream::pausedUntilMs).min();
+    public Optional<Withholding> withholding(String service, Set<String> excluded, WarmUpLimiter warmUp, long nowMs) {
+        long endMs = Long.MAX_VALUE;
+        boolean warmingUp = false;
+        for (Upstream each : byId.values()) {
+            if (!each.entry().service().equals(service)
+                    || !each.isListedReady()
+                    || excluded.contains(each.entry().id())) {
+                continue;
+            }
+            boolean paused = !each.admitsAfterPause(nowMs);
+            if (!paused && warmUp.admits(each, nowMs)) {
+                return Optional.empty();
+            }
+            endMs = Math.min(endMs, paused ? each.pausedUntilMs() : warmUp.admissionMs(each, nowMs));
+            warmingUp |= !paused;
+        }
+        return endMs == Long.MAX_VALUE ? Optional.empty() : Optional.of(new Withholding(endMs, warmingUp));
     }
 
-    /** Describes the upstreams of a service that receive no requests because of their own statements. */
-    public String describeWithheld(String service) {
+    /** Describes the upstreams of a service that receive no or few requests because of their own statements. */
+    public String describeWithheld(String service, WarmUpLimiter warmUp) {
+        long nowMs = timeSource.monotonicMs();
+        List<String> withheld = new ArrayList<>();
+        for (Upstream each : byId.values()) {
+            if (each.entry().service().equals(service) && withheld.size() < MAX_DESCRIBED) {
+                if (each.isLeavingStated() || each.isPaused(nowMs)) {
+                    withheld.add(each.entry().id() + (each.isLeavingStated() ? " leaving" : " paused"));
+                } else if (warmUp.isWarmingUp(each, nowMs)) {
+                    withheld.add(each.entry().id() + " warming up");
+                }
+            }
+        }
+        return String.join(", ", withheld);
+    }
+
+    /** Returns the number of upstreams that are warming up. */
+    public long warmingUpCount(WarmUpLimiter warmUp) {
         long nowMs = timeSource.monotonicMs();
         return byId.values().stream()
-                .filter(each -> each.entry().service().equals(service))
-                .filter(each -> each.isLeavingStated() || each.isPaused(nowMs))
-                .limit(MAX_DESCRIBED)
-                .map(each -> each.entry().id() + (each.isLeavingStated() ? " leaving" : " paused"))
-                .collect(Collectors.joining(", "));
+                .filter(each -> warmUp.isWarmingUp(each, nowMs))
+                .count();
+    }
+
+    /**
+     * Records that the upstreams of a zone may have become cold, because its evacuation has ended. Each counts as warming
+     * up for the whole phase of its service, unless its entry was written after the end and says otherwise.
+     *
+     * @param endRevision revision of the store in which the evacuation ended
+     */
+    public void markWarmingUp(String zone, long endRevision, WarmUpLimiter warmUp) {
+        long nowMs = timeSource.monotonicMs();
+        for (Upstream each : byId.values()) {
+            UpstreamRecord entry = each.entry();
+            long durationMs = warmUp.durationMs(entry.service());
+            StoreItem item = itemsById.get(entry.id());
+            boolean stated = item != null && item.revision() > endRevision;
+            if (durationMs > 0 && !stated && entry.zone().equals(zone)) {
+                each.assumeWarmUp(durationMs, endRevision, nowMs);
+                recordWarmingUp(entry, durationMs, "end of an evacuation");
+            }
+        }
+    }
+
+    private void recordWarmingUp(UpstreamRecord entry, long remainingMs, String cause) {
+        log.record(
+                EventCode.UPSTREAM_WARMING_UP,
+                entry.id(),
+                "service",
+                entry.service(),
+                "remaining_ms",
+                remainingMs,
+                "cause",
+                cause);
     }
 
     /** Returns the number of upstreams that want no requests from this instance for now. */
@@ -303,7 +359,8 @@
 
     /**
      * Returns whether a change alters the entries in the store. Upstreams also rewrite their entries unchanged as a
-     * heartbeat, which keeps the revision of their creation.
+     * heartbeat, which keeps the revision of their creation. A remaining warm-up time that falls as time passes is no
+     * alteration either; one that ends later than known is.
      *
      * <p>The table alone cannot tell: it keeps upstreams whose entries have expired, and may know changes from a peer
      * before the store sends them. Both differ in the revision of the creation.
@@ -319,7 +376,10 @@
             return true;
         }
         try {
-            return !decoder.decode(id, item.value()).equals(byId.get(id).entry());
+            UpstreamRecord next = decoder.decode(id, item.value());
+            Upstream current = byId.get(id);
+            return !next.equalsExceptWarmUp(current.entry())
+                    || current.isWarmUpExtended(next.warmUpRemainingMs(), timeSource.monotonicMs());
         } catch (JsonFormatException | RuntimeException e) {
             return true;
         }
--- /dev/null
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/WarmUpLimiter.java
@@ -0,0 +1,137 @@
+package org.cranberrybend.entry.upstream;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.cranberrybend.core.slowstart.SenderRoster;
+import org.cranberrybend.core.slowstart.SliceRate;
+import org.cranberrybend.core.slowstart.SlowStart;
+import org.cranberrybend.entry.configuration.RoutingConfiguration;
+import org.cranberrybend.entry.configuration.ServiceDefinition;
+
+/**
+ * Limits the requests to upstreams that are warming up, and lets them rise over a ramp afterwards. Upstreams of services
+ * without a warm-up phase are not limited, whatever their entries state. Confined to the event loop.
+ */
+public final class WarmUpLimiter {
+    /** Time after the warm-up over which the instances, and the requests of each in progress, rise to their full number. */
+    static final long RAMP_MS = 1_000;
+
+    /** The warm-up phase of a service; without a rate, no request may be sent during it. */
+    private record Phase(long durationMs, Optional<SliceRate> rate) {}
+
+    private final SlowStart slowStart;
+    private final double overshoot;
+    private final double slack;
+    private Map<String, Phase> phases = Map.of();
+    private long sent;
+
+    /**
+     * Creates a limiter that knows no service yet.
+     *
+     * @param overshoot factor by which the bound on requests in a second exceeds the rate of a service
+     * @param slack requests added to the bound
+     */
+    public WarmUpLimiter(String instance, SenderRoster roster, double overshoot, double slack) {
+        this.slowStart = new SlowStart(instance, roster);
+        this.overshoot = overshoot;
+        this.slack = slack;
+    }
+
+    /** Applies the warm-up phases of the services of a configuration. */
+    public void configure(RoutingConfiguration configuration) {
+        Map<String, Phase> next = new HashMap<>();
+        for (ServiceDefinition service : configuration.services()) {
+            service.warmUp()
+                    .ifPresent(warmUp -> next.put(
+                            service.name(),
+                            new Phase(warmUp.durationMs(), SliceRate.within(warmUp.requestsPerS(), overshoot, slack))));
+        }
+        phases = next;
+    }
+
+    /** Returns the duration of the warm-up of a service's upstreams, in milliseconds; 0 if they need none. */
+    public long durationMs(String service) {
+        Phase phase = phases.get(service);
+        return phase == null ? 0 : phase.durationMs();
+    }
+
+    /** Returns whether an upstream is warming up, so that its requests are limited. */
+    public boolean isWarmingUp(Upstream upstream, long nowMs) {
+        return nowMs < upstream.warmUpEndMs()
+                && phases.containsKey(upstream.entry().service());
+    }
+
+    /** Returns whether an upstream may receive a request from this instance as far as its warm-up goes. */
+    public boolean admits(Upstream upstream, long nowMs) {
+        long elapsedMs = nowMs - upstream.warmUpEndMs();
+        if (elapsedMs >= RAMP_MS) {
+            return true;
+        }
+        Phase phase = phases.get(upstream.entry().service());
+        if (phase == null) {
+            return true;
+        }
+        String id = upstream.entry().id();
+        if (elapsedMs < 0) {
+            return phase.rate().isPresent() && slowStart.isFree(id, phase.rate().get(), nowMs);
+        }
+        return upstream.running() < 1 + upstream.entry().slots() * elapsedMs / RAMP_MS
+                && slowStart.isAdmittedInRamp(id, elapsedMs / (double) RAMP_MS, nowMs);
+    }
+
+    /**
+     * Returns the monotonic time from which an upstream may receive a request that is not admitted now: the next slot of
+     * this instance, or the end of the warm-up.
+     */
+    long admissionMs(Upstream upstream, long nowMs) {
+        Phase phase = phases.get(upstream.entry().service());
+        if (phase == null || !isWarmingUp(upstream, nowMs)) {
+            return nowMs;
+        }
+        OptionalLong slotMs = phase.rate().isEmpty()
+                ? OptionalLong.empty()
+                : slowStart.nextFreeMs(upstream.entry().id(), phase.rate().get(), nowMs);
+        return Math.min(upstream.warmUpEndMs(), Math.max(nowMs, slotMs.orElse(Long.MAX_VALUE)));
+    }
+
+    /** Reserves the slot for a request that is about to be sent; returns false if it needs none, or none is free. */
+    public boolean tryReserve(Upstream upstream, long nowMs) {
+        Optional<SliceRate> rate = rateInForce(upstream, nowMs);
+        return rate.isPresent() && slowStart.tryReserve(upstream.entry().id(), rate.get(), nowMs);
+    }
+
+    /**
+     * Takes the slot for a request that is sent now if it needs one; returns false if it must not be sent.
+     *
+     * @param reserved whether the request has reserved the slot; the reservation ends in any case
+     */
+    public boolean trySend(Upstream upstream, boolean reserved, long nowMs) {
+        Optional<SliceRate> rate = rateInForce(upstream, nowMs);
+        if (rate.isPresent() && slowStart.tryTake(upstream.entry().id(), rate.get(), reserved, nowMs)) {
+            sent++;
+            return true;
+        }
+        if (reserved) {
+            release(upstream);
+        }
+        return !isWarmingUp(upstream, nowMs);
+    }
+
+    /** Gives the slot back that a request has reserved, because nothing was sent. */
+    public void release(Upstream upstream) {
+        slowStart.release(upstream.entry().id());
+    }
+
+    private Optional<SliceRate> rateInForce(Upstream upstream, long nowMs) {
+        return isWarmingUp(upstream, nowMs)
+                ? phases.get(upstream.entry().service()).rate()
+                : Optional.empty();
+    }
+
+    /** Returns the number of requests that this instance has sent to upstreams during their warm-up. */
+    public long sentCount() {
+        return sent;
+    }
+}
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/FleetDirectoryTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/FleetDirectoryTest.java
@@ -6,14 +6,20 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.cranberrybend.core.slowstart.SenderRoster;
+import org.cranberrybend.core.slowstart.SliceRate;
+import org.cranberrybend.core.slowstart.SlowStart;
 import org.cranberrybend.entry.log.DecisionLog;
+import org.cranberrybend.entry.port.StoreChange;
 import org.cranberrybend.entry.port.StoreItem;
 import org.cranberrybend.entry.port.StoreSnapshot;
 import org.cranberrybend.entry.testing.ForwardingStore;
 import org.cranberrybend.entry.testing.MemoryStore;
 import org.cranberrybend.entry.testing.TestClock;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -57,4 +63,32 @@
         }
         assertThat(renewals.get()).isEqualTo(expectedRenewals);
     }
+
+    // Guards against a roster that is not confirmed by each response of the store, or that keeps instances which have
+    // left: no or too many instances would send to upstreams that are warming up.
+    @Test
+    void rosterFollowsTheRegistrations() {
+        SliceRate one = new SliceRate(1, 1_001);
+        SlowStart own = new SlowStart("own", directory.roster());
+        SlowStart other = new SlowStart("other", directory.roster());
+        directory.onSnapshot(new StoreSnapshot(List.of(entry("own", 500), entry("other", 500)), 1), 0);
+        respondFor(SenderRoster.SETTLE_MS);
+        boolean ownIsSender = own.isFree("u", one, clock.monotonicMs());
+        assertThat(other.isFree("u", one, clock.monotonicMs())).isNotEqualTo(ownIsSender);
+        String sender = ownIsSender ? "own" : "other";
+        directory.onChange(new StoreChange(FleetKeys.INSTANCES + sender, 2, Optional.empty()));
+        respondFor(SenderRoster.SETTLE_MS);
+        assertThat(own.isFree("u", one, clock.monotonicMs())).isNotEqualTo(ownIsSender);
+        clock.advance(SenderRoster.MAX_AGE_MS + 1);
+        assertThat(own.isFree("u", one, clock.monotonicMs())).isFalse();
+        assertThat(other.isFree("u", one, clock.monotonicMs())).isFalse();
+    }
+
+    private void respondFor(long durationMs) {
+        directory.onProgress(1);
+        for (long elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 4_000) {
+            clock.advance(4_000);
+            directory.onProgress(1);
+        }
+    }
 }
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Pattern;
 import org.cranberrybend.core.routing.Market;
+import org.cranberrybend.core.slowstart.SenderRoster;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.EntrySettings;
 import org.cranberrybend.entry.configuration.AccountEntry;
@@ -41,6 +42,7 @@
 import org.cranberrybend.entry.store.ConfigurationHolder;
 import org.cranberrybend.entry.upstream.UpstreamRecord;
 import org.cranberrybend.entry.upstream.UpstreamTable;
+import org.cranberrybend.entry.upstream.WarmUpLimiter;
 import org.cranberrybend.entry.usage.SteadyWallClock;
 import org.cranberrybend.entry.usage.UsageCounter;
 
@@ -65,11 +67,14 @@
 
     private static final ServerLimits LIMITS = new ServerLimits(8_192, 100_000, 2_000, 10_000);
     private static final String PREFIX = "upstreams/";
+    private static final ServiceDefinition.WarmUp WARM_UP = new ServiceDefinition.WarmUp(3_000, 9.5);
 
     /** Memory for responses that have not been passed on. */
     public static final long RESPONSE_MEMORY_BYTES = 4 * 1024 * 1024;
 
     private static final long LOG_WAIT_S = 5;
+    /** More than any test lasts. */
+    private static final long LONG_TEST_MS = 600_000;
 
     private final ByteArrayOutputStream logOutput = new ByteArrayOutputStream();
     private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -79,6 +84,8 @@
     private final MessageMemoryLimit responseMemory = new MessageMemoryLimit(RESPONSE_MEMORY_BYTES);
     private final RequestsInProgress requests;
     private final RequestHandler handler;
+    private final SenderRoster roster = new SenderRoster();
+    private final WarmUpLimiter warmUp;
     private final HttpServer server;
     private final UsageCounter usage = new UsageCounter(3_600_000, new SteadyWallClock(timeSource));
     private final int port;
@@ -110,7 +117,9 @@
                 usage,
                 log,
                 () -> 1,
+                roster,
                 new MetricRegistry());
+        warmUp = path.warmUp();
         requests = path.requests();
         handler = path.handler();
         server = new HttpServer(loop, timeSource, handler, () -> LIMITS, new MessageMemoryLimit(1_000_000), log);
@@ -128,6 +137,7 @@
                 + "\"metrics\":\"127.0.0.1:1\"},\"store\":{\"address\":\"127.0.0.1:1\"},"
                 + "\"duties\":{},\"memory_mb\":100,\"shutdown_limit_s\":8,"
                 + "\"retry_budget\":{\"ratio\":0.2,\"allowance\":50},\"lease_ms\":3000,"
+                + "\"slow_start\":{\"overshoot\":1.5,\"slack\":5},"
                 + "\"usage\":{\"window_s\":5,\"due_s\":10}}";
         return EntrySettings.parse(json.getBytes(StandardCharsets.UTF_8));
     }
@@ -144,7 +154,7 @@
         return new RoutingConfiguration(
                 1,
                 routes,
-                List.of(new ServiceDefinition("work", 100, Optional.empty(), Optional.empty())),
+                List.of(new ServiceDefinition("work", 100, Optional.empty(), Optional.empty(), Optional.of(WARM_UP))),
                 Map.of("good-key", new AccountEntry("alpha", AccountEntry.ROUTE_PRIORITY)),
                 true,
                 LIMITS);
@@ -171,9 +181,13 @@
                 open);
     }
 
-    /** Returns the entry of an upstream of the service {@code work}; the value is its port. */
+    /**
+     * Returns the entry of an upstream of the service {@code work}; the value is its port, and optionally the remaining
+     * warm-up time after a colon.
+     */
     public static UpstreamRecord record(String id, byte[] value) {
-        int port = Integer.parseInt(new String(value, StandardCharsets.UTF_8));
+        String[] parts = new String(value, StandardCharsets.UTF_8).split(":");
+        int port = Integer.parseInt(parts[0]);
         return new UpstreamRecord(
                 id,
                 "work",
@@ -183,18 +197,28 @@
                 false,
                 Market.GUARANTEED,
                 1,
-                0);
+                parts.length < 2 ? 0 : Long.parseLong(parts[1]));
     }
 
     /** Writes the entry of an upstream. */
     public void addEntry(String id, int upstreamPort) throws Exception {
-        byte[] value = Integer.toString(upstreamPort).getBytes(StandardCharsets.UTF_8);
+        addEntry(id, upstreamPort, 0);
+    }
+
+    /** Writes the entry of an upstream that is warming up. */
+    public void addEntry(String id, int upstreamPort, long warmUpRemainingMs) throws Exception {
         onLoop(() -> {
-            table.onChange(new StoreChange(PREFIX + id, 3, Optional.of(new StoreItem(PREFIX + id, value, 3, 3, 0))));
+            addEntryOnLoop(id, upstreamPort, warmUpRemainingMs);
             return null;
         });
     }
 
+    /** Does the same within a task of the event loop. */
+    public void addEntryOnLoop(String id, int upstreamPort, long warmUpRemainingMs) {
+        byte[] value = (upstreamPort + ":" + warmUpRemainingMs).getBytes(StandardCharsets.UTF_8);
+        table.onChange(new StoreChange(PREFIX + id, 3, Optional.of(new StoreItem(PREFIX + id, value, 3, 3, 0))));
+    }
+
     /** Removes the entry of an upstream, as the store does after missed heartbeats. */
     public void removeEntry(String id) throws Exception {
         onLoop(() -> {
@@ -265,6 +289,22 @@
         return table;
     }
 
+    /** Makes this instance the only registered one, for long enough to be a sender until the end of the test. */
+    public void settleRoster() throws Exception {
+        onLoop(() -> {
+            long nowMs = timeSource.monotonicMs();
+            for (long ms = -SenderRoster.SETTLE_MS; ms <= LONG_TEST_MS; ms += SenderRoster.MAX_AGE_MS) {
+                roster.confirm(Set.of("instance"), nowMs + ms);
+            }
+            return null;
+        });
+    }
+
+    /** Returns what limits requests to upstreams that are warming up, which may be used on the event loop only. */
+    public WarmUpLimiter warmUp() {
+        return warmUp;
+    }
+
     /** Returns the server that serves callers. */
     public HttpServer server() {
         return server;
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/Upstreams.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/Upstreams.java
@@ -4,12 +4,14 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import org.cranberrybend.core.routing.Market;
+import org.cranberrybend.core.slowstart.SenderRoster;
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.port.StoreItem;
 import org.cranberrybend.entry.port.StoreSnapshot;
 import org.cranberrybend.entry.upstream.Upstream;
 import org.cranberrybend.entry.upstream.UpstreamRecord;
 import org.cranberrybend.entry.upstream.UpstreamTable;
+import org.cranberrybend.entry.upstream.WarmUpLimiter;
 
 /** Creates listed upstreams without connections. */
 public final class Upstreams {
@@ -18,6 +20,11 @@
 
     private Upstreams() {}
 
+    /** Returns a limiter that knows no service with a warm-up phase. */
+    public static WarmUpLimiter unlimited() {
+        return new WarmUpLimiter("instance", new SenderRoster(), 1, 0);
+    }
+
     /** Returns an upstream that is listed as ready. */
     public static Upstream listed(String id, String zone) {
         TestClock clock = new TestClock();
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamSelectorTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamSelectorTest.java
@@ -17,6 +17,7 @@
 import org.cranberrybend.entry.port.StoreSnapshot;
 import org.cranberrybend.entry.testing.Connectors;
 import org.cranberrybend.entry.testing.TestClock;
+import org.cranberrybend.entry.testing.Upstreams;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -43,9 +44,10 @@
             Connectors.on(null),
             clock,
             new DecisionLog("instance", 1, clock, OutputStream.nullOutputStream()));
-    private final UpstreamSelector selector = new UpstreamSelector(table, new UpstreamEligibility(), "zone-a", REGIONS);
+    private final UpstreamSelector selector =
+            new UpstreamSelector(table, new UpstreamEligibility(Upstreams.unlimited()), "zone-a", REGIONS);
     private final UpstreamSelector selectorOfOtherZone =
-            new UpstreamSelector(table, new UpstreamEligibility(), "zone-b", REGIONS);
+            new UpstreamSelector(table, new UpstreamEligibility(Upstreams.unlimited()), "zone-b", REGIONS);
 
     @BeforeEach
     void listUpstreams() {
@@ -129,7 +131,8 @@
     @ParameterizedTest
     @EnumSource(names = {"TOLERANT", "UNIFORM"})
     void longSharedPrefixHasOneEngineForAllRegions(LatencyClass latencyClass) {
-        UpstreamSelector remote = new UpstreamSelector(table, new UpstreamEligibility(), "zone-c", REGIONS);
+        UpstreamSelector remote =
+                new UpstreamSelector(table, new UpstreamEligibility(Upstreams.unlimited()), "zone-c", REGIONS);
         for (int i = 0; i < 50; i++) {
             Prompt prompt = prompt("prompt-" + i, 13_000);
             String chosenHere =
