Count an upstream as cold after a refused connection

Cause: a process that starts again at the same address is cold before its entry reaches the instances, which send to it as to its predecessor until then.

Change: an attempt whose connection is refused, so that no process listens, assumes a warm-up of cold_start_s; only the entry of the next process ends it earlier. An entry received after an assumed warm-up no longer begins the ramp again. The zone leader compares with the end that the last entry stated, since followers may not share its assumptions. HttpConnector and ConnectionPool pass on that a connection was refused; other listeners see no difference.

Ruled out: lost responses and timeouts as a sign, since the process may live; the text of the failure, which depends on the library.

Tests: new cases of WarmUpTest and WarmingUpstreamTest.

Conclusion: instances that met no refused connection still learn of a restart from the entry only.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/HttpConnector.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/HttpConnector.java
@@ -35,6 +35,11 @@
 
         /** No connection was established. */
         void onFailure(String cause);
+
+        /** No connection was established, because no process listens at the address. */
+        default void onRefused(String cause) {
+            onFailure(cause);
+        }
     }
 
     /**
@@ -52,6 +57,8 @@
         attempt.addListener(done -> {
             if (done.isSuccess()) {
                 listener.onConnected(connection);
+            } else if (isRefusal(done.cause())) {
+                listener.onRefused(String.valueOf(done.cause().getMessage()));
             } else if (!done.isCancelled()) {
                 listener.onFailure(String.valueOf(done.cause().getMessage()));
             }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
@@ -42,7 +42,8 @@
             IntSupplier instances,
             SenderRoster roster,
             MetricRegistry metrics) {
-        warmUp = new WarmUpLimiter(settings.instance(), roster, settings.warmUpOvershoot(), settings.warmUpSlack());
+        warmUp =
+                new WarmUpLimiter(settings.instance(), roster, settings.warmUpOvershoot(), settings.warmUpSlack(), log);
         configuration.current().ifPresent(warmUp::configure);
         configuration.onChange(warmUp::configure);
         UpstreamSelector selector = new UpstreamSelector(
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
@@ -275,6 +275,12 @@
         }
     }
 
+    @Override
+    public void onRefused(String cause) {
+        warmUp.recordRefusedConnection(upstream, timeSource.monotonicMs());
+        onFailure(cause);
+    }
+
     @Override
     public void onHead(HttpResponse response) {
         if (mode == Mode.ENDED) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/WaitingRequests.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/WaitingRequests.java
@@ -10,8 +10,8 @@
 import org.cranberrybend.core.time.TimeSource;
 
 /**
- * Requests that wait because all upstreams of their service have asked for time or warm up. They are sent by priority, then in the
- * order of their arrival, as soon as an upstream may receive requests again. Confined to the event loop.
+ * Requests that wait because all upstreams of their service have asked for time or warm up. They are sent by priority,
+ * then in the order of their arrival, as soon as an upstream may receive requests again. Confined to the event loop.
  *
  * <p>A request waits only if the wait ends before its deadline; any other is refused at once, with the time after which
  * its caller may send it again.
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/ConnectionPool.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/ConnectionPool.java
@@ -71,6 +71,13 @@
                 openConnections--;
                 listener.onFailure(cause);
             }
+
+            @Override
+            public void onRefused(String cause) {
+                pending[0] = false;
+                openConnections--;
+                listener.onRefused(cause);
+            }
         };
         Runnable cancel = connector.connect(address, CONNECT_TIMEOUT_MS, this::onClosed, counted);
         return () -> {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Upstream.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Upstream.java
@@ -40,6 +40,8 @@
     private long pausedUntilMs = Long.MIN_VALUE / 2;
     /** Monotonic time at which the warm-up ends or has ended, as far as known. */
     private long warmUpEndMs = Long.MIN_VALUE / 2;
+    /** The same by the last entry alone, which other instances may know without what is assumed here. */
+    private long statedWarmUpEndMs = Long.MIN_VALUE / 2;
     /** Entries up to this revision of the store do not end the warm-up that is assumed until {@link #warmUpEndMs}. */
     private long warmUpAssumedAtRevision = -1;
 
@@ -85,6 +87,7 @@
     boolean stateWarmUp(long remainingMs, long revision, long nowMs) {
         boolean wasWarmingUp = nowMs < warmUpEndMs;
         long endMs = endOfWarmUp(remainingMs, nowMs);
+        statedWarmUpEndMs = endMs;
         if (wasWarmingUp && revision <= warmUpAssumedAtRevision) {
             warmUpEndMs = Math.max(warmUpEndMs, endMs);
         } else if (remainingMs > 0 || wasWarmingUp) {
@@ -99,9 +102,9 @@
         warmUpEndMs = Math.max(warmUpEndMs, endOfWarmUp(durationMs, nowMs));
     }
 
-    /** Returns whether an entry states a later end of the warm-up than is known. */
+    /** Returns whether an entry states a later end of the warm-up than the last one. */
     boolean isWarmUpExtended(long remainingMs, long nowMs) {
-        return remainingMs > 0 && endOfWarmUp(remainingMs, nowMs) > warmUpEndMs;
+        return remainingMs > 0 && endOfWarmUp(remainingMs, nowMs) > statedWarmUpEndMs;
     }
 
     private static long endOfWarmUp(long remainingMs, long nowMs) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
@@ -235,7 +235,15 @@
             known.update(record);
         }
         if (byId.get(id).stateWarmUp(record.warmUpRemainingMs(), item.revision(), timeSource.monotonicMs())) {
-            recordWarmingUp(record, record.warmUpRemainingMs(), "entry");
+            log.record(
+                    EventCode.UPSTREAM_WARMING_UP,
+                    id,
+                    "service",
+                    record.service(),
+                    "remaining_ms",
+                    record.warmUpRemainingMs(),
+                    "cause",
+                    "entry");
         }
         if (record.leaving() && !wasLeaving) {
             log.record(EventCode.UPSTREAM_LEAVING, id, "service", record.service(), "revision", item.revision());
@@ -328,29 +336,14 @@
     public void markWarmingUp(String zone, long endRevision, WarmUpLimiter warmUp) {
         long nowMs = timeSource.monotonicMs();
         for (Upstream each : byId.values()) {
-            UpstreamRecord entry = each.entry();
-            long durationMs = warmUp.durationMs(entry.service());
-            StoreItem item = itemsById.get(entry.id());
+            StoreItem item = itemsById.get(each.entry().id());
             boolean stated = item != null && item.revision() > endRevision;
-            if (durationMs > 0 && !stated && entry.zone().equals(zone)) {
-                each.assumeWarmUp(durationMs, endRevision, nowMs);
-                recordWarmingUp(entry, durationMs, "end of an evacuation");
+            if (!stated && each.entry().zone().equals(zone)) {
+                warmUp.assumeWarmUp(each, endRevision, "end of an evacuation", nowMs);
             }
         }
     }
 
-    private void recordWarmingUp(UpstreamRecord entry, long remainingMs, String cause) {
-        log.record(
-                EventCode.UPSTREAM_WARMING_UP,
-                entry.id(),
-                "service",
-                entry.service(),
-                "remaining_ms",
-                remainingMs,
-                "cause",
-                cause);
-    }
-
     /** Returns the number of upstreams that want no requests from this instance for now. */
     public long pausedCount() {
         long nowMs = timeSource.monotonicMs();
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/WarmUpLimiter.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/WarmUpLimiter.java
@@ -4,11 +4,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.cranberrybend.core.event.EventCode;
 import org.cranberrybend.core.slowstart.SenderRoster;
 import org.cranberrybend.core.slowstart.SliceRate;
 import org.cranberrybend.core.slowstart.SlowStart;
 import org.cranberrybend.entry.configuration.RoutingConfiguration;
 import org.cranberrybend.entry.configuration.ServiceDefinition;
+import org.cranberrybend.entry.log.DecisionLog;
 
 /**
  * Limits the requests to upstreams that are warming up, and lets them rise over a ramp afterwards. Upstreams of services
@@ -24,6 +26,7 @@
     private final SlowStart slowStart;
     private final double overshoot;
     private final double slack;
+    private final DecisionLog log;
     private Map<String, Phase> phases = Map.of();
     private long sent;
 
@@ -33,10 +36,11 @@
      * @param overshoot factor by which the bound on requests in a second exceeds the rate of a service
      * @param slack requests added to the bound
      */
-    public WarmUpLimiter(String instance, SenderRoster roster, double overshoot, double slack) {
+    public WarmUpLimiter(String instance, SenderRoster roster, double overshoot, double slack, DecisionLog log) {
         this.slowStart = new SlowStart(instance, roster);
         this.overshoot = overshoot;
         this.slack = slack;
+        this.log = log;
     }
 
     /** Applies the warm-up phases of the services of a configuration. */
@@ -96,6 +100,37 @@
         return Math.min(upstream.warmUpEndMs(), Math.max(nowMs, slotMs.orElse(Long.MAX_VALUE)));
     }
 
+    /**
+     * Records that no process listens at the address of an upstream. Its successor may use the same address and
+     * identifier and is cold before its entry can say so, and an entry of the process that has ended says nothing of it.
+     * The upstream therefore counts as warming up for the whole phase, from the last refused connection.
+     */
+    public void recordRefusedConnection(Upstream upstream, long nowMs) {
+        assumeWarmUp(upstream, Long.MAX_VALUE, "refused connection", nowMs);
+    }
+
+    /** Assumes a warm-up for the whole phase, unless an entry after the given revision says otherwise. */
+    void assumeWarmUp(Upstream upstream, long revision, String cause, long nowMs) {
+        long durationMs = durationMs(upstream.entry().service());
+        if (durationMs == 0) {
+            return;
+        }
+        boolean wasWarmingUp = isWarmingUp(upstream, nowMs);
+        upstream.assumeWarmUp(durationMs, revision, nowMs);
+        if (!wasWarmingUp) {
+            UpstreamRecord entry = upstream.entry();
+            log.record(
+                    EventCode.UPSTREAM_WARMING_UP,
+                    entry.id(),
+                    "service",
+                    entry.service(),
+                    "remaining_ms",
+                    durationMs,
+                    "cause",
+                    cause);
+        }
+    }
+
     /** Reserves the slot for a request that is about to be sent; returns false if it needs none, or none is free. */
     public boolean tryReserve(Upstream upstream, long nowMs) {
         Optional<SliceRate> rate = rateInForce(upstream, nowMs);
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/ServicePausesTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/ServicePausesTest.java
@@ -33,18 +33,14 @@
         "0, 0, 30000, 1000, false"
     })
     void waitIsLimited(long warmUpMs, long pauseMs, long limitMs, long waitedMs, boolean over) {
-        UpstreamTable table = new UpstreamTable(
-                "upstreams/",
-                EntryFixture::record,
-                Connectors.on(null),
-                clock,
-                new DecisionLog("instance", 1, clock, OutputStream.nullOutputStream()));
+        DecisionLog log = new DecisionLog("instance", 1, clock, OutputStream.nullOutputStream());
+        UpstreamTable table = new UpstreamTable("upstreams/", EntryFixture::record, Connectors.on(null), clock, log);
         byte[] value = ("9:" + warmUpMs).getBytes();
         table.onSnapshot(new StoreSnapshot(List.of(new StoreItem("upstreams/u", value, 1, 1, 0)), 1), 0);
         if (pauseMs > 0) {
             table.recordPause(table.find("u").get(), pauseMs);
         }
-        WarmUpLimiter warmUp = new WarmUpLimiter("instance", new SenderRoster(), 1.5, 5);
+        WarmUpLimiter warmUp = new WarmUpLimiter("instance", new SenderRoster(), 1.5, 5, log);
         warmUp.configure(EntryFixture.configuration());
         ServicePauses pauses = new ServicePauses("work", table, warmUp, clock);
         long endMs = clock.monotonicMs() + limitMs;
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/WarmingUpstreamTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/WarmingUpstreamTest.java
@@ -129,6 +129,19 @@
         }
     }
 
+    // Guards against unlimited requests to a process that starts again at the address of one that has ended.
+    @Test
+    void upstreamThatRefusedAConnectionIsLimited() throws Exception {
+        ScriptedUpstream gone = new ScriptedUpstream(SERVES);
+        int port = gone.port();
+        gone.close();
+        try (EntryFixture entry = new EntryFixture()) {
+            entry.addEntry("u0", port);
+            assertThat(statusOf(call(entry, "/once/x", "a1"))).isEqualTo("503");
+            assertThat(entry.awaitLog("refused connection")).isTrue();
+        }
+    }
+
     // Guards against a slot that is lost because no connection was established.
     @Test
     void slotIsGivenBackIfNothingWasSent() throws Exception {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/Upstreams.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/Upstreams.java
@@ -22,7 +22,8 @@
 
     /** Returns a limiter that knows no service with a warm-up phase. */
     public static WarmUpLimiter unlimited() {
-        return new WarmUpLimiter("instance", new SenderRoster(), 1, 0);
+        DecisionLog log = new DecisionLog("instance", 1, new TestClock(), OutputStream.nullOutputStream());
+        return new WarmUpLimiter("instance", new SenderRoster(), 1, 0, log);
     }
 
     /** Returns an upstream that is listed as ready. */
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/WarmUpTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/WarmUpTest.java
@@ -34,13 +34,9 @@
 
     private final TestClock clock = new TestClock();
     private final SenderRoster roster = new SenderRoster();
-    private final WarmUpLimiter warmUp = new WarmUpLimiter("own", roster, 1.5, 5);
-    private final UpstreamTable table = new UpstreamTable(
-            PREFIX,
-            WarmUpTest::decode,
-            Connectors.on(null),
-            clock,
-            new DecisionLog("own", 1, clock, new ByteArrayOutputStream()));
+    private final DecisionLog log = new DecisionLog("own", 1, clock, new ByteArrayOutputStream());
+    private final WarmUpLimiter warmUp = new WarmUpLimiter("own", roster, 1.5, 5, log);
+    private final UpstreamTable table = new UpstreamTable(PREFIX, WarmUpTest::decode, Connectors.on(null), clock, log);
 
     /** Decodes values of the form {@code service:zone:born:remaining}. */
     private static UpstreamRecord decode(String id, byte[] value) {
@@ -115,6 +111,9 @@
         list("cold:z1:1:" + knownMs);
         clock.advance(elapsedMs);
         assertThat(table.isMaterialChange(change("cold:z1:1:" + statedMs, 2))).isEqualTo(material);
+        // Followers may not share what this instance assumes.
+        warmUp.recordRefusedConnection(upstream(), clock.monotonicMs());
+        assertThat(table.isMaterialChange(change("cold:z1:1:" + statedMs, 2))).isEqualTo(material);
         assertThat(table.isMaterialChange(change("cold:z2:1:" + statedMs, 2))).isTrue();
     }
 
@@ -183,6 +182,27 @@
         assertThat(exclusion()).isEqualTo(expected);
     }
 
+    // Guards against requests to a process that has started again at the same address before its entry says so, and
+    // against a heartbeat of the process before that ends the limit.
+    @ParameterizedTest
+    @CsvSource({
+        "cold, -1, 2999, WARMING_UP",
+        "cold, 1, 2999, WARMING_UP",
+        "cold, 2, 2999, none",
+        "cold, -1, 4000, none",
+        "plain, -1, 0, none"
+    })
+    void refusedConnectionMeansThatTheNextProcessIsCold(
+            String service, int startedAtMs, long elapsedMs, String expected) {
+        list(service + ":z1:1:0");
+        warmUp.recordRefusedConnection(upstream(), clock.monotonicMs());
+        if (startedAtMs >= 0) {
+            table.onChange(change(service + ":z1:" + startedAtMs + ":0", 100));
+        }
+        clock.advance(elapsedMs);
+        assertThat(exclusion()).isEqualTo(expected);
+    }
+
     // Guards against a ramp that begins again with each entry that is received after the assumed warm-up.
     @Test
     void assumedWarmUpEndsOnce() {
