--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/event/EventCode.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/event/EventCode.java
@@ -58,6 +58,7 @@
     UPSTREAM_PAUSED(512, Severity.INFO, "An upstream has asked in a response for no requests for some time."),
     ZONE_EVACUATED(513, Severity.WARNING, "The upstreams of an availability zone receive no new requests."),
     ZONE_RETURNED(514, Severity.INFO, "The upstreams of an availability zone receive requests again."),
+    UPSTREAM_WARMING_UP(515, Severity.INFO, "An upstream is warming up."),
     LEASE_ACQUIRED(601, Severity.INFO, "A lease was acquired."),
     LEASE_LOST(602, Severity.WARNING, "A lease was lost."),
     ORDER_INTENT_RECORDED(603, Severity.INFO, "The intent of an upstream order was recorded."),
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
@@ -5,6 +5,7 @@
 import java.util.SplittableRandom;
 import java.util.function.IntSupplier;
 import org.cranberrybend.core.routing.RendezvousHash;
+import org.cranberrybend.core.slowstart.SenderRoster;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.EntrySettings;
 import org.cranberrybend.entry.http.RequestHandler;
@@ -15,6 +16,7 @@
 import org.cranberrybend.entry.upstream.UpstreamEligibility;
 import org.cranberrybend.entry.upstream.UpstreamSelector;
 import org.cranberrybend.entry.upstream.UpstreamTable;
+import org.cranberrybend.entry.upstream.WarmUpLimiter;
 import org.cranberrybend.entry.upstream.ZoneEvacuations;
 import org.cranberrybend.entry.usage.UsageCounter;
 
@@ -22,11 +24,13 @@
 public final class RequestPath {
     private final RequestRouter router;
     private final RequestsInProgress requests = new RequestsInProgress();
+    private final WarmUpLimiter warmUp;
 
     /**
      * Creates the components of one process.
      *
      * @param instances largest number of instances known to serve at the same time; 0 if unknown
+     * @param roster registered instances, which share the requests to upstreams that are warming up
      */
     public RequestPath(
             EntrySettings settings,
@@ -40,8 +44,13 @@
             UsageCounter usage,
             DecisionLog log,
             IntSupplier instances,
+            SenderRoster roster,
             MetricRegistry metrics) {
-        UpstreamEligibility eligibility = new UpstreamEligibility(settings.regionsByZone(), evacuations);
+        warmUp =
+                new WarmUpLimiter(settings.instance(), roster, settings.warmUpOvershoot(), settings.warmUpSlack(), log);
+        configuration.current().ifPresent(warmUp::configure);
+        configuration.onChange(warmUp::configure);
+        UpstreamEligibility eligibility = new UpstreamEligibility(settings.regionsByZone(), evacuations, warmUp);
         UpstreamSelector selector = new UpstreamSelector(
                 upstreams,
                 eligibility,
@@ -59,7 +68,9 @@
         metrics.gauge(
                 "requests_in_evacuated_zones",
                 () -> () -> upstreams.runningIn(evacuations.state().zones()));
-        evacuations.addListener(connectionListener(upstreams));
+        evacuations.addListener(zoneListener(upstreams, warmUp));
+        metrics.gauge("upstreams_warming_up", () -> () -> upstreams.warmingUpCount(warmUp));
+        metrics.gauge("warm_up_sends", () -> warmUp::sentCount);
         router = new RequestRouter(
                 configuration,
                 new RequestServices(
@@ -76,10 +87,11 @@
                         log,
                         new RequestMetrics(metrics),
                         requests,
-                        waiting));
+                        waiting,
+                        warmUp));
     }
 
-    private static ZoneEvacuations.Listener connectionListener(UpstreamTable upstreams) {
+    private static ZoneEvacuations.Listener zoneListener(UpstreamTable upstreams, WarmUpLimiter warmUp) {
         return new ZoneEvacuations.Listener() {
             @Override
             public void onEvacuated(String zone) {
@@ -89,6 +101,7 @@
             @Override
             public void onReturned(String zone, long revision) {
                 upstreams.keepConnections(zone, true);
+                upstreams.markWarmingUp(zone, revision, warmUp);
             }
         };
     }
@@ -98,6 +111,11 @@
         return requests;
     }
 
+    /** Returns what limits the requests to upstreams that are warming up. */
+    public WarmUpLimiter warmUp() {
+        return warmUp;
+    }
+
     /** Returns the handler of callers' requests. */
     public RequestHandler handler() {
         return router;
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPlacement.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPlacement.java
@@ -1,9 +1,9 @@
 package org.cranberrybend.entry.request;
 
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.cranberrybend.core.error.ErrorCode;
 import org.cranberrybend.entry.configuration.AccountEntry;
@@ -26,12 +26,14 @@
 
     private final RoutedRequest request;
     private final RequestServices services;
+    private final ServicePauses pauses;
     private Optional<RoutingConfiguration> appliedConfiguration;
     private RegionConstraint regions;
 
     RequestPlacement(RoutedRequest request, RequestServices services) {
         this.request = request;
         this.services = services;
+        this.pauses = new ServicePauses(request.service(), services.table(), services.warmUp(), services.timeSource());
         this.appliedConfiguration = services.configuration().current();
         this.regions = request.regions();
     }
@@ -69,18 +71,22 @@
      * @param excluded upstreams that do not count
      */
     long pauseRemainingMs(Set<String> excluded) {
-        OptionalLong endMs = services.table()
-                .firstPauseEndMs(
-                        request.service(),
-                        each -> !excluded.contains(each.entry().id())
-                                && zoneExclusion(each).isEmpty(),
-                        nowMs());
-        return endMs.isEmpty() ? 0 : Math.max(1, endMs.getAsLong() - nowMs());
+        return pauses.remainingMs(mayServe(excluded));
     }
 
-    /** Returns whether the first upstream may receive the request only after the given time. */
+    private Predicate<Upstream> mayServe(Set<String> excluded) {
+        return each ->
+                !excluded.contains(each.entry().id()) && zoneExclusion(each).isEmpty();
+    }
+
+    /** Returns whether the request should not wait until an upstream may receive it, or has waited long enough. */
     boolean isPausedAfter(long timeMs, Set<String> excluded) {
-        return nowMs() + pauseRemainingMs(excluded) > timeMs;
+        return pauses.outlast(timeMs, mayServe(excluded));
+    }
+
+    /** Returns whether the request has waited for upstreams that are warming up for as long as it may. */
+    boolean isWarmUpWaitOver() {
+        return pauses.isWarmUpWaitOver();
     }
 
     /** Returns the response to a request that was certainly not executed and for which no upstream is left. */
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
@@ -17,6 +17,7 @@
 import org.cranberrybend.entry.port.HeaderNames;
 import org.cranberrybend.entry.upstream.Exclusion;
 import org.cranberrybend.entry.upstream.Upstream;
+import org.cranberrybend.entry.upstream.WarmUpLimiter;
 
 /**
  * One attempt to have a request executed by one upstream. Reports exactly one result to its listener, unless aborted.
@@ -53,8 +54,8 @@
         Optional<Exclusion> zoneExclusion(UpstreamAttempt attempt);
 
         /**
-         * The upstream or its zone was excluded before a connection was established, so no byte of the request was
-         * sent.
+         * The upstream or its zone was excluded, or its warm-up began, before a connection was established, so no byte of
+         * the request was sent.
          */
         void onWithheld(UpstreamAttempt attempt, String cause);
 
@@ -94,6 +95,7 @@
     private final RoutedRequest request;
     private final Upstream upstream;
     private final HeaderNames headerNames;
+    private final WarmUpLimiter warmUp;
     private final TimeSource timeSource;
     private final StreamTiming timing;
     private final ResultListener listener;
@@ -105,6 +107,9 @@
     private ClientConnection connection;
     private HttpResponse head;
     private boolean sent;
+    /** Whether the request holds the slot of an upstream that is warming up, and was not sent yet. */
+    private boolean slotReserved;
+
     /** Whether the connection ended, or its bytes became unreadable, before the response was complete. */
     private boolean connectionLost;
 
@@ -119,11 +124,13 @@
             RoutedRequest request,
             Upstream upstream,
             HeaderNames headerNames,
+            WarmUpLimiter warmUp,
             TimeSource timeSource,
             ResultListener listener) {
         this.request = request;
         this.upstream = upstream;
         this.headerNames = headerNames;
+        this.warmUp = warmUp;
         this.timeSource = timeSource;
         this.timing = new StreamTiming(upstream, request.prompt(), timeSource.monotonicMs());
         this.listener = listener;
@@ -187,6 +194,7 @@
     void start(String resumeAfterEventId) {
         lastEventId = resumeAfterEventId;
         upstream.begin(timing.uncachedTokens());
+        slotReserved = warmUp.tryReserve(upstream, timeSource.monotonicMs());
         cancelConnect = upstream.pool().acquire(this);
     }
 
@@ -205,6 +213,10 @@
 
     private void markEnded() {
         mode = Mode.ENDED;
+        if (slotReserved) {
+            slotReserved = false;
+            warmUp.release(upstream);
+        }
         markPrefillDone();
         upstream.end();
     }
@@ -222,18 +234,15 @@
             upstream.release(established);
             return;
         }
-        boolean paused = upstream.isPaused(timeSource.monotonicMs());
-        if (upstream.isLeavingStated() || paused) {
-            markEnded();
-            upstream.release(established);
-            listener.onWithheld(this, paused ? "upstream has asked for time" : "upstream is leaving");
-            return;
+        // The zone is checked first: a claim uses up a slot of an upstream that is warming up.
+        Optional<String> withheld = listener.zoneExclusion(this).map(Exclusion::text);
+        if (withheld.isEmpty()) {
+            withheld = tryClaim(timeSource.monotonicMs());
         }
-        Optional<Exclusion> exclusion = listener.zoneExclusion(this);
-        if (exclusion.isPresent()) {
+        if (withheld.isPresent()) {
             markEnded();
             upstream.release(established);
-            listener.onWithheld(this, exclusion.get().text());
+            listener.onWithheld(this, withheld.get());
             return;
         }
         connection = established;
@@ -243,6 +252,19 @@
         connection.send(request.method(), request.target(), requestHeaders(), request.body(), this);
     }
 
+    /** Takes what the request needs to be sent now; returns the reason why it must not be, empty if it may. */
+    private Optional<String> tryClaim(long nowMs) {
+        if (upstream.isPaused(nowMs)) {
+            return Optional.of("upstream has asked for time");
+        }
+        if (upstream.isLeavingStated()) {
+            return Optional.of("upstream is leaving");
+        }
+        boolean admitted = warmUp.trySend(upstream, slotReserved, nowMs);
+        slotReserved = false;
+        return admitted ? Optional.empty() : Optional.of("upstream is warming up");
+    }
+
     private List<Header> requestHeaders() {
         List<Header> headers = new ArrayList<>(request.headers().size() + 6);
         for (Header header : request.headers()) {
@@ -271,6 +293,12 @@
         }
     }
 
+    @Override
+    public void onRefused(String cause) {
+        warmUp.recordRefusedConnection(upstream, timeSource.monotonicMs());
+        onFailure(cause);
+    }
+
     @Override
     public void onHead(HttpResponse response) {
         if (mode == Mode.ENDED) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamEligibility.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamEligibility.java
@@ -11,16 +11,19 @@
 
     private final Map<String, String> regionsByZone;
     private final ZoneEvacuations evacuations;
+    private final WarmUpLimiter warmUp;
 
     /**
      * Creates the rules.
      *
      * @param regionsByZone region of each availability zone
      * @param evacuations zones whose upstreams receive nothing
+     * @param warmUp limits the requests to upstreams that are warming up
      */
-    public UpstreamEligibility(Map<String, String> regionsByZone, ZoneEvacuations evacuations) {
+    public UpstreamEligibility(Map<String, String> regionsByZone, ZoneEvacuations evacuations, WarmUpLimiter warmUp) {
         this.regionsByZone = Map.copyOf(regionsByZone);
         this.evacuations = evacuations;
+        this.warmUp = warmUp;
     }
 
     /** Returns the reason why an upstream may not receive a request; empty if it may. */
@@ -35,6 +38,9 @@
         if (!upstream.admitsAfterPause(query.nowMs())) {
             return Optional.of(Exclusion.PAUSED);
         }
+        if (!warmUp.admits(upstream, query.nowMs())) {
+            return Optional.of(Exclusion.WARMING_UP);
+        }
         return upstream.accepts(query.nowMs()) ? Optional.empty() : Optional.of(Exclusion.EJECTED);
     }
 
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamSelectorTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamSelectorTest.java
@@ -17,6 +17,7 @@
 import org.cranberrybend.entry.port.StoreSnapshot;
 import org.cranberrybend.entry.testing.Connectors;
 import org.cranberrybend.entry.testing.TestClock;
+import org.cranberrybend.entry.testing.Upstreams;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -44,7 +45,9 @@
             clock,
             new DecisionLog("instance", 1, clock, OutputStream.nullOutputStream()));
     private final UpstreamEligibility eligibility = new UpstreamEligibility(
-            REGIONS, new ZoneEvacuations(new DecisionLog("instance", 1, clock, OutputStream.nullOutputStream())));
+            REGIONS,
+            new ZoneEvacuations(new DecisionLog("instance", 1, clock, OutputStream.nullOutputStream())),
+            Upstreams.unlimited());
     private final UpstreamSelector selector = new UpstreamSelector(table, eligibility, "zone-a", REGIONS);
     private final UpstreamSelector selectorOfOtherZone = new UpstreamSelector(table, eligibility, "zone-b", REGIONS);
 
