Bound the time for which a silent store connection goes unnoticed

Cause: a watch without a response failed after 5 s whatever the bound, a call that timed out discarded only its own connection, and a leader confirmed its state to followers if any call to the store had succeeded, although its watch was silent.

Ruled out: TCP keep-alive (a proxy answers it for a silent peer), ending connections in use after one time-out (one slow call would end sound watches), shorter limits for renewals (a slow store would cost leases).

Change: the hold time of the watches of configuration and upstreams follows from the new setting contact_ms (default 4,000). A time-out closes the idle connections to the address in all clients of the process. The watch after a failure is not held.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -130,11 +130,9 @@
                 new UpstreamTable(keys.upstreamPrefix(), ports.upstreamDecoder(), upstreamConnector, timeSource, log);
         store.setRelayFilter(keys.upstreamPrefix(), upstreams::isMaterialChange);
         store.setLoadExchange(keys.upstreamPrefix(), loadExchange());
-        configurationWatch =
-                new PrefixWatch(store, keys.configurationKey(), 0, loop, timeSource, configurationListener());
+        configurationWatch = boundedWatch(store, keys.configurationKey(), 0, configurationListener());
         long upstreamBatchDelayMs = (long) (settings.upstreamDrainMs() * UPSTREAM_BATCH_DELAY_RATIO);
-        upstreamWatch =
-                new PrefixWatch(store, keys.upstreamPrefix(), upstreamBatchDelayMs, loop, timeSource, upstreams);
+        upstreamWatch = boundedWatch(store, keys.upstreamPrefix(), upstreamBatchDelayMs, upstreams);
         directory = new FleetDirectory(
                 store,
                 settings.instance(),
@@ -144,7 +142,8 @@
                 settings.seeds(),
                 timeSource,
                 log);
-        fleetWatch = new PrefixWatch(store, FleetKeys.FLEET, FLEET_BATCH_DELAY_MS, loop, timeSource, directory);
+        // No bound of a request depends on the registrations, so their watch is held for the longest time.
+        fleetWatch = watch(store, FleetKeys.FLEET, PrefixWatch.MAX_HOLD_MS, FLEET_BATCH_DELAY_MS, directory);
         SteadyWallClock clock = new SteadyWallClock(timeSource);
         UsageCounter usage = new UsageCounter(settings.usageWindowMs(), clock);
         MessageMemoryLimit bodyMemory = memoryLimit(BODY_MEMORY_SHARE);
@@ -190,6 +189,18 @@
         readiness = new HttpServer(loop, timeSource, this::serveReadiness, () -> DEFAULT_LIMITS, bodyMemory, log);
     }
 
+    /** Creates a watch whose changes must be known in time after a failure of the instance's connections. */
+    private PrefixWatch boundedWatch(
+            KeyValueStore store, String prefix, long batchDelayMs, PrefixWatch.Listener listener) {
+        long holdMs = PrefixWatch.holdMs(settings.contactMs(), batchDelayMs);
+        return watch(store, prefix, holdMs, batchDelayMs, listener);
+    }
+
+    private PrefixWatch watch(
+            KeyValueStore store, String prefix, long holdMs, long batchDelayMs, PrefixWatch.Listener listener) {
+        return new PrefixWatch(store, prefix, holdMs, batchDelayMs, loop, timeSource, listener);
+    }
+
     private MessageMemoryLimit memoryLimit(double share) {
         return new MessageMemoryLimit((long) (settings.memoryMb() * 1024L * 1024L * share));
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntrySettings.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntrySettings.java
@@ -23,6 +23,8 @@
  * @param dutyAddress address of the platform for calls of duties; null if there are none
  * @param dutyNames names of the duties that the platform assigns
  * @param upstreamDrainMs time after an upstream starts to drain in which it still accepts requests, in milliseconds
+ * @param contactMs time after a failure of its connections from which an instance must know all changes again, in
+ *     milliseconds
  * @param memoryMb memory limit of the instance, in MB
  * @param shutdownLimitMs time from the stop signal until the process is killed, in milliseconds
  * @param retryRatio retries allowed as a ratio of requests
@@ -44,6 +46,7 @@
         InetSocketAddress dutyAddress,
         List<String> dutyNames,
         long upstreamDrainMs,
+        long contactMs,
         int memoryMb,
         long shutdownLimitMs,
         double retryRatio,
@@ -53,6 +56,7 @@
         long usageDueMs) {
     private static final double DEFAULT_RETRY_RATIO = 0.1;
     private static final long DEFAULT_UPSTREAM_DRAIN_MS = 2_500;
+    private static final long DEFAULT_CONTACT_MS = 4_000;
 
     public EntrySettings {
         regionsByZone = Map.copyOf(regionsByZone);
@@ -86,6 +90,7 @@
                 duties.has("address") ? duties.address("address") : null,
                 duties.strings("names"),
                 json.integer("upstream_drain_ms", DEFAULT_UPSTREAM_DRAIN_MS),
+                json.integer("contact_ms", DEFAULT_CONTACT_MS),
                 (int) json.integer("memory_mb"),
                 json.integer("shutdown_limit_s") * 1_000,
                 retries.decimal("ratio", DEFAULT_RETRY_RATIO),
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/ChangeFeed.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/ChangeFeed.java
@@ -30,8 +30,10 @@
 /**
  * Serves store changes to the followers of this instance by long polling. Confined to the event loop.
  *
- * <p>A follower takes an empty response as proof that nothing has changed, so one is sent only if the store has
- * responded to this instance recently. Prefixes that this instance itself reads through a leader are not served.
+ * <p>A follower takes an empty response as proof that nothing has changed, so one is sent only if this instance's own
+ * watch of the prefix has not failed since its last response, and the store has responded to this instance recently. The
+ * former shows a watch whose connection is silent while other calls succeed; the latter shows sooner that this instance
+ * is cut off. Prefixes that this instance itself reads through a leader are not served.
  */
 final class ChangeFeed implements RequestHandler {
     static final String PATH = "/fleet/changes";
@@ -57,6 +59,8 @@
         private final List<Follower> followers = new ArrayList<>();
         private Predicate<StoreChange> isRelevant = change -> true;
         private boolean watched;
+        /** Whether the watch at the store has failed since the last watch or snapshot that succeeded. */
+        private boolean watchFailed;
     }
 
     private static final class Follower {
@@ -102,6 +106,18 @@
         state.log.append(afterRevision, afterRevision, List.of());
     }
 
+    /** Records that the watch of a prefix at the store failed; the followers that wait are told so at once. */
+    void onWatchFailed(String prefix) {
+        PrefixState state = stateOf(prefix);
+        state.watchFailed = true;
+        respondToAll(state);
+    }
+
+    /** Records that this instance has received all items under a prefix, or all changes since a revision. */
+    void onWatchConfirmed(String prefix) {
+        stateOf(prefix).watchFailed = false;
+    }
+
     /** Records that this instance reads a prefix through a leader. */
     void onFollowStarted(String prefix) {
         stateOf(prefix).watched = false;
@@ -121,9 +137,12 @@
             }
         }
         state.log.append(afterRevision, changes.revision(), relevant);
-        if (relevant.isEmpty()) {
-            return;
+        if (!relevant.isEmpty()) {
+            respondToAll(state);
         }
+    }
+
+    private void respondToAll(PrefixState state) {
         List<Follower> waiting = new ArrayList<>(state.followers);
         state.followers.clear();
         for (Follower follower : waiting) {
@@ -178,7 +197,7 @@
         boolean storeResponsive = timeSource.monotonicMs() - lastStoreResponseMs <= STORE_RESPONSE_MAX_AGE_MS;
         if (changes.isEmpty()) {
             sendError(exchange, STATUS_NOT_COVERED, "Conflict");
-        } else if (changes.get().changes().isEmpty() && !storeResponsive) {
+        } else if (changes.get().changes().isEmpty() && (state.watchFailed || !storeResponsive)) {
             sendError(exchange, STATUS_STORE_UNAVAILABLE, "Service Unavailable");
         } else {
             sendChanges(exchange, changes.get());
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FollowingStore.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FollowingStore.java
@@ -165,7 +165,10 @@
         feed.onWatchStarted(prefix, afterRevision);
         return recordResponse(store.watch(prefix, afterRevision, waitMs)).whenComplete((changes, failure) -> {
             if (failure == null) {
+                feed.onWatchConfirmed(prefix);
                 feed.append(prefix, afterRevision, changes);
+            } else {
+                feed.onWatchFailed(prefix);
             }
         });
     }
@@ -186,7 +189,11 @@
 
     @Override
     public CompletableFuture<StoreSnapshot> list(String prefix) {
-        return recordResponse(store.list(prefix));
+        return recordResponse(store.list(prefix)).whenComplete((snapshot, failure) -> {
+            if (failure == null) {
+                feed.onWatchConfirmed(prefix);
+            }
+        });
     }
 
     @Override
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ApiClient.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ApiClient.java
@@ -20,23 +20,40 @@
  * Calls an API of the platform over persistent connections.
  *
  * <p>A call that times out resets its connection. Data of the call that is still in transit is then discarded, and
- * later calls do not use this connection, whose other end may be unresponsive.
+ * later calls do not use this connection, whose other end may be unresponsive. The idle connections to the same address
+ * may be unresponsive for the same reason, so those of all clients of the connector are closed.
  */
 public final class ApiClient {
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     /** Largest response; several times the size of the largest page of the store. */
     private static final int MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 
+    private static final long UNLIMITED = -1;
+
     private final HttpConnector connector;
     private final EventLoopGroup loop;
     private final InetSocketAddress address;
-    private final Deque<ClientConnection> idle = new ArrayDeque<>();
+    private final long maxIdleMs;
+    private final Deque<IdleConnection> idle = new ArrayDeque<>();
+
+    private record IdleConnection(ClientConnection connection, ScheduledFuture<?> closing) {}
 
-    /** Creates a client for the API at an address. */
+    /** Creates a client for the API at an address whose connections may be idle for any time. */
     public ApiClient(EventLoopGroup loop, HttpConnector connector, InetSocketAddress address) {
+        this(loop, connector, address, UNLIMITED);
+    }
+
+    /**
+     * Creates a client for the API at an address.
+     *
+     * @param maxIdleMs time after which an idle connection is closed, in milliseconds
+     */
+    public ApiClient(EventLoopGroup loop, HttpConnector connector, InetSocketAddress address, long maxIdleMs) {
         this.loop = loop;
         this.connector = connector;
         this.address = address;
+        this.maxIdleMs = maxIdleMs;
+        connector.onDiscardIdle(address, this::discardIdle);
     }
 
     /** Sends a request; the future completes on the event loop, on failure with an {@link ApiCallException}. */
@@ -49,21 +66,53 @@
             call.send(connection);
         } else {
             int connectMs = (int) Math.min(CONNECT_TIMEOUT_MS, timeoutMs);
-            call.cancelConnect = connector.connect(address, connectMs, idle::remove, call);
+            call.cancelConnect = connector.connect(address, connectMs, this::removeIdle, call);
         }
         return call.result;
     }
 
     private ClientConnection pollIdle() {
         while (!idle.isEmpty()) {
-            ClientConnection connection = idle.pollLast();
-            if (connection.isOpen()) {
-                return connection;
+            IdleConnection last = idle.pollLast();
+            cancelClosing(last);
+            if (last.connection.isOpen()) {
+                return last.connection;
             }
         }
         return null;
     }
 
+    private void addIdle(ClientConnection connection) {
+        idle.addLast(new IdleConnection(
+                connection,
+                maxIdleMs == UNLIMITED ? null : loop.schedule(connection::close, maxIdleMs, TimeUnit.MILLISECONDS)));
+    }
+
+    private void removeIdle(ClientConnection closed) {
+        idle.removeIf(each -> {
+            boolean removed = each.connection == closed;
+            if (removed) {
+                cancelClosing(each);
+            }
+            return removed;
+        });
+    }
+
+    private static void cancelClosing(IdleConnection idleConnection) {
+        if (idleConnection.closing != null) {
+            idleConnection.closing.cancel(false);
+        }
+    }
+
+    private void discardIdle() {
+        List<IdleConnection> discarded = new ArrayList<>(idle);
+        idle.clear();
+        discarded.forEach(each -> {
+            cancelClosing(each);
+            each.connection.close();
+        });
+    }
+
     private final class Call implements HttpConnector.Listener, ClientConnection.ResponseListener {
         private final String method;
         private final String target;
@@ -127,7 +176,7 @@
         public void onComplete() {
             timer.cancel(false);
             if (connection.isOpen()) {
-                idle.addLast(connection);
+                addIdle(connection);
             }
             result.complete(new ApiResponse(status, received.toByteArray()));
         }
@@ -141,6 +190,7 @@
             boolean sent = connection != null;
             if (sent) {
                 connection.reset();
+                connector.discardIdle(address);
             } else if (cancelConnect != null) {
                 cancelConnect.run();
             }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/HttpConnector.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/HttpConnector.java
@@ -10,13 +10,19 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 
 /** Opens connections to servers. Listeners are called on the event loop. */
 public final class HttpConnector {
     private final EventLoopGroup loop;
     private final MessageMemoryLimit responseMemory;
+    /** Actions that close the idle connections to an address, one of each client that was created for it. */
+    private final Map<InetSocketAddress, List<Runnable>> idleClosers = new ConcurrentHashMap<>();
 
     /**
      * Creates a connector whose connections run on the given loop.
@@ -59,6 +65,18 @@
         return () -> attempt.cancel(false);
     }
 
+    /** Adds an action that closes the idle connections which a client keeps to an address. */
+    void onDiscardIdle(InetSocketAddress address, Runnable closeIdle) {
+        idleClosers
+                .computeIfAbsent(address, each -> new CopyOnWriteArrayList<>())
+                .add(closeIdle);
+    }
+
+    /** Closes the idle connections of all clients to an address, because a call there had no response in time. */
+    void discardIdle(InetSocketAddress address) {
+        idleClosers.getOrDefault(address, List.of()).forEach(Runnable::run);
+    }
+
     /** Finds out whether a process listens at an address; the future completes on the event loop. */
     public CompletableFuture<ListenState> probe(InetSocketAddress address, int timeoutMs) {
         CompletableFuture<ListenState> result = new CompletableFuture<>();
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/port/KeyValueStore.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/port/KeyValueStore.java
@@ -14,7 +14,13 @@
     /** Reads all items under a prefix, in several pages if needed. */
     CompletableFuture<StoreSnapshot> list(String prefix);
 
-    /** Waits for changes under a prefix after a revision; completes without changes after the given time. */
+    /** Time beyond the given one after which a watch without a response fails, in milliseconds. */
+    long WATCH_MARGIN_MS = 1_000;
+
+    /**
+     * Waits for changes under a prefix after a revision; completes without changes after the given time, and fails
+     * {@link #WATCH_MARGIN_MS} later.
+     */
     CompletableFuture<StoreChanges> watch(String prefix, long afterRevision, long waitMs);
 
     /** Applies a write; returns the revision of the change. */
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/store/PrefixWatch.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/store/PrefixWatch.java
@@ -14,11 +14,17 @@
  * longer has the changes since the last revision, and after an outage. Confined to the event loop.
  */
 public final class PrefixWatch {
+    /** Longest time for which the store holds a watch without changes: each call is billed. */
+    public static final long MAX_HOLD_MS = 4_000;
+
+    private static final long MIN_HOLD_MS = 500;
     /**
-     * Time for which the store holds a watch without changes. A connection may become unresponsive without an error; a
-     * watch without a response shortly after this time fails and is retried on a new connection.
+     * Time from the failure of a watch to the end of the snapshot after it: the delay of the retry, and a connection and
+     * two calls to a store that takes some hundred milliseconds for each.
      */
-    private static final long WATCH_HOLD_MS = 4_000;
+    private static final long RECOVERY_MS = 900;
+    /** Hold time of the watch after a failure, which only shows that the store responds again. */
+    private static final long RETRY_HOLD_MS = 1;
 
     private static final long FIRST_RETRY_MS = 100;
     private static final long MAX_RETRY_MS = 800;
@@ -48,6 +54,7 @@
 
     private final KeyValueStore store;
     private final String prefix;
+    private final long holdMs;
     private final long batchDelayMs;
     private final ScheduledExecutorService loop;
     private final TimeSource timeSource;
@@ -60,29 +67,44 @@
     /**
      * Creates a watch that is not started.
      *
+     * @param holdMs time for which the store holds a watch without changes
      * @param batchDelayMs delay of the next call after a change, so that one call fetches several: each call is billed
      */
     public PrefixWatch(
             KeyValueStore store,
             String prefix,
+            long holdMs,
             long batchDelayMs,
             ScheduledExecutorService loop,
             TimeSource timeSource,
             Listener listener) {
         this.store = store;
         this.prefix = prefix;
+        this.holdMs = holdMs;
         this.batchDelayMs = batchDelayMs;
         this.loop = loop;
         this.timeSource = timeSource;
         this.listener = listener;
     }
 
+    /**
+     * Returns the hold time of a watch whose changes must be known within a time although its connection has become
+     * silent without an error. The watch may be sent just before that, or on an idle connection after the batch delay; it
+     * fails after the hold time and a margin, and the changes are then read on a new connection.
+     *
+     * @param contactMs time from the silence until changes must be known again
+     */
+    public static long holdMs(long contactMs, long batchDelayMs) {
+        long availableMs = contactMs - RECOVERY_MS - KeyValueStore.WATCH_MARGIN_MS - batchDelayMs;
+        return Math.max(MIN_HOLD_MS, Math.min(MAX_HOLD_MS, availableMs));
+    }
+
     /** Starts the watch, or continues it with the next call. */
     public void start() {
         if (revision < 0) {
             store.list(prefix).whenComplete(this::onList);
         } else {
-            store.watch(prefix, revision, WATCH_HOLD_MS).whenComplete(this::onWatch);
+            store.watch(prefix, revision, unavailable ? RETRY_HOLD_MS : holdMs).whenComplete(this::onWatch);
         }
     }
 
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FollowingStoreTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FollowingStoreTest.java
@@ -25,6 +25,7 @@
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.port.StoreChange;
 import org.cranberrybend.entry.port.StoreChanges;
+import org.cranberrybend.entry.port.StoreException;
 import org.cranberrybend.entry.port.StoreItem;
 import org.cranberrybend.entry.testing.Connectors;
 import org.cranberrybend.entry.testing.ForwardingStore;
@@ -33,6 +34,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class FollowingStoreTest {
     private static final ServerLimits LIMITS = new ServerLimits(8_192, 1_000_000, 2_000, 5_000);
@@ -161,6 +164,40 @@
         awaitDirectWatch();
     }
 
+    // Guards against a leader that confirms an old state because its other calls succeed, while the connection of its
+    // watch is silent: a withdrawn key worked at its followers for as long.
+    @Test
+    void followerOfLeaderWhoseWatchFailedWatchesStore() throws Exception {
+        onLoop(() -> leaderInstance.get("any"));
+        follow(10);
+        onLoop(() -> {
+            leaderStore
+                    .watches
+                    .poll()
+                    .completeExceptionally(new StoreException(StoreException.Kind.UNKNOWN, "no response"));
+            return leaderInstance.get("any");
+        });
+        awaitDirectWatch();
+    }
+
+    // Guards against followers that stay away from a leader whose watch works again, or that reads a snapshot.
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void leaderConfirmsAgainAfterItsWatchOrSnapshotSucceeded(boolean snapshot) throws Exception {
+        onLoop(() -> {
+            leaderStore
+                    .watches
+                    .poll()
+                    .completeExceptionally(new StoreException(StoreException.Kind.UNKNOWN, "no response"));
+            leaderInstance.watch(PREFIX, 10, 1);
+            return snapshot
+                    ? leaderInstance.list(PREFIX)
+                    : leaderStore.watches.peek().complete(new StoreChanges(List.of(), 12));
+        });
+        assertThat(text(follow(12).get(WAIT_S, TimeUnit.SECONDS))).isEqualTo("12");
+        assertThat(followerStore.watches).isEmpty();
+    }
+
     // Guards against a follower that receives no more changes after its leader was killed.
     @Test
     void followerOfStoppedLeaderWatchesStore() throws Exception {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/store/PrefixWatchTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/store/PrefixWatchTest.java
@@ -20,12 +20,15 @@
 import org.cranberrybend.entry.testing.TestClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class PrefixWatchTest {
     private final TestClock clock = new TestClock();
     private final Deque<CompletableFuture<StoreSnapshot>> lists = new ArrayDeque<>();
     private final Deque<CompletableFuture<StoreChanges>> watches = new ArrayDeque<>();
     private final List<String> calls = new ArrayList<>();
+    private final List<Long> holdTimesMs = new ArrayList<>();
     private final AtomicBoolean failingChange = new AtomicBoolean();
     private final ManualScheduler loop = new ManualScheduler();
 
@@ -44,6 +47,7 @@
         @Override
         public CompletableFuture<StoreChanges> watch(String prefix, long afterRevision, long waitMs) {
             calls.add("watch after " + afterRevision);
+            holdTimesMs.add(waitMs);
             watches.add(new CompletableFuture<>());
             return watches.getLast();
         }
@@ -69,7 +73,7 @@
         }
     };
 
-    private final PrefixWatch watch = new PrefixWatch(store, "p/", 0, loop, clock, new PrefixWatch.Listener() {
+    private final PrefixWatch watch = new PrefixWatch(store, "p/", 2_100, 0, loop, clock, new PrefixWatch.Listener() {
         @Override
         public void onSnapshot(StoreSnapshot snapshot, long outageMs) {
             calls.add("snapshot at " + snapshot.revision() + " outage " + outageMs);
@@ -159,6 +163,27 @@
         assertThat(calls).contains("snapshot at 6 outage 4000");
     }
 
+    // Guards against an instance that has an old state for one more hold time after a silent connection has failed.
+    @Test
+    void watchAfterAFailureIsNotHeld() {
+        watch.start();
+        lists.poll().complete(new StoreSnapshot(List.of(), 5));
+        fail(watches.poll(), StoreException.Kind.UNKNOWN);
+        loop.runNext();
+        watches.poll().complete(new StoreChanges(List.of(), 6));
+        lists.poll().complete(new StoreSnapshot(List.of(), 6));
+        assertThat(holdTimesMs).containsExactly(2_100L, 1L, 2_100L).inOrder();
+    }
+
+    // Guards against a watch on a silent connection that fails later than the changes must be known, and against more
+    // billed calls than the bound needs.
+    @ParameterizedTest
+    @CsvSource({"4000, 0, 2100", "4000, 500, 1600", "5000, 0, 3100", "5000, 1000, 2100", "9000, 0, 4000", "1000, 0, 500"
+    })
+    void holdTimeFollowsFromTheBound(long contactMs, long batchDelayMs, long expectedHoldMs) {
+        assertThat(PrefixWatch.holdMs(contactMs, batchDelayMs)).isEqualTo(expectedHoldMs);
+    }
+
     // Guards against a process that started in an outage, and removes the upstreams that its peers still use because
     // their entries expired before its start.
     @Test
