Keep the retry budget of the fleet through a restart of all processes

Cause: a process started with its whole share of the allowance, while the retries of its predecessor lay in the same window.

Ruled out: a smaller share at the start (two restarts in a window exceed the bound), counts in the store (a billed write for each retry), adding the whole share after a window (a process that earned and spent a share just before has two), a count of the last 10 s (windows of instances end at different times).

Change: a process starts without its share and receives one window later the part of it that it never had.

Conclusion: the bound holds through any number of restarts; a process lacks its share for 10 s after its start, 45 retries for a fleet that is killed with an allowance of 56.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
@@ -39,7 +39,8 @@
             MetricRegistry metrics) {
         UpstreamSelector selector =
                 new UpstreamSelector(upstreams, new UpstreamEligibility(), settings.zone(), settings.regionsByZone());
-        ServiceRetryBudget budget = new ServiceRetryBudget(settings.retryRatio(), settings.retryAllowance(), instances);
+        ServiceRetryBudget budget =
+                new ServiceRetryBudget(settings.retryRatio(), settings.retryAllowance(), instances, timeSource);
         WaitingRequests waiting = new WaitingRequests(loop, timeSource);
         metrics.gauge("requests_waiting", () -> waiting::count);
         metrics.gauge("upstreams_paused", () -> upstreams::pausedCount);
