--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -134,8 +134,7 @@
         evacuations = new ZoneEvacuations(log);
         operatorWatch = createOperatorWatch(store, keys);
         long upstreamBatchDelayMs = (long) (settings.upstreamDrainMs() * UPSTREAM_BATCH_DELAY_RATIO);
-        upstreamWatch =
-                new PrefixWatch(store, keys.upstreamPrefix(), upstreamBatchDelayMs, loop, timeSource, upstreams);
+        upstreamWatch = boundedWatch(store, keys.upstreamPrefix(), upstreamBatchDelayMs, upstreams);
         directory = new FleetDirectory(
                 store,
                 settings.instance(),
@@ -145,7 +144,8 @@
                 settings.seeds(),
                 timeSource,
                 log);
-        fleetWatch = new PrefixWatch(store, FleetKeys.FLEET, FLEET_BATCH_DELAY_MS, loop, timeSource, directory);
+        // No bound of a request depends on the registrations, so their watch is held for the longest time.
+        fleetWatch = watch(store, FleetKeys.FLEET, PrefixWatch.MAX_HOLD_MS, FLEET_BATCH_DELAY_MS, directory);
         SteadyWallClock clock = new SteadyWallClock(timeSource);
         UsageCounter usage = new UsageCounter(settings.usageWindowMs(), clock);
         MessageMemoryLimit bodyMemory = memoryLimit(BODY_MEMORY_SHARE);
@@ -187,7 +187,7 @@
     private PrefixWatch createOperatorWatch(FollowingStore store, StoreKeys keys) {
         OperatorState state = new OperatorState(keys, configuration, evacuations, log);
         store.setRelayFilter(keys.operatorPrefix(), state::isRelevant);
-        return new PrefixWatch(store, keys.operatorPrefix(), 0, loop, timeSource, state);
+        return boundedWatch(store, keys.operatorPrefix(), 0, state);
     }
 
     private FleetRelay createRelay(HttpConnector connector, KeyValueStore store) {
@@ -204,6 +204,18 @@
                 log);
     }
 
+    /** Creates a watch whose changes must be known in time after a failure of the instance's connections. */
+    private PrefixWatch boundedWatch(
+            KeyValueStore store, String prefix, long batchDelayMs, PrefixWatch.Listener listener) {
+        long holdMs = PrefixWatch.holdMs(settings.contactMs(), batchDelayMs);
+        return watch(store, prefix, holdMs, batchDelayMs, listener);
+    }
+
+    private PrefixWatch watch(
+            KeyValueStore store, String prefix, long holdMs, long batchDelayMs, PrefixWatch.Listener listener) {
+        return new PrefixWatch(store, prefix, holdMs, batchDelayMs, loop, timeSource, listener);
+    }
+
     private MessageMemoryLimit memoryLimit(double share) {
         return new MessageMemoryLimit((long) (settings.memoryMb() * 1024L * 1024L * share));
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntrySettings.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntrySettings.java
@@ -24,6 +24,8 @@
  * @param dutyAddress address of the platform for calls of duties; null if there are none
  * @param dutyNames names of the duties that the platform assigns
  * @param upstreamDrainMs time after an upstream starts to drain in which it still accepts requests, in milliseconds
+ * @param contactMs time after a failure of its connections from which an instance must know all changes again, in
+ *     milliseconds
  * @param memoryMb memory limit of the instance, in MB
  * @param shutdownLimitMs time from the stop signal until the process is killed, in milliseconds
  * @param retryRatio retries allowed as a ratio of requests
@@ -47,6 +49,7 @@
         InetSocketAddress dutyAddress,
         List<String> dutyNames,
         long upstreamDrainMs,
+        long contactMs,
         int memoryMb,
         long shutdownLimitMs,
         double retryRatio,
@@ -58,6 +61,7 @@
         double warmUpSlack) {
     private static final double DEFAULT_RETRY_RATIO = 0.1;
     private static final long DEFAULT_UPSTREAM_DRAIN_MS = 2_500;
+    private static final long DEFAULT_CONTACT_MS = 4_000;
     /** Without a stated bound, the rate of an upstream that is warming up is the bound. */
     private static final double DEFAULT_WARM_UP_OVERSHOOT = 1;
 
@@ -94,6 +98,7 @@
                 duties.has("address") ? duties.address("address") : null,
                 duties.strings("names"),
                 json.integer("upstream_drain_ms", DEFAULT_UPSTREAM_DRAIN_MS),
+                json.integer("contact_ms", DEFAULT_CONTACT_MS),
                 (int) json.integer("memory_mb"),
                 json.integer("shutdown_limit_s") * 1_000,
                 retries.decimal("ratio", DEFAULT_RETRY_RATIO),
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
@@ -58,7 +58,8 @@
                 settings.regionsByZone(),
                 instances,
                 new SplittableRandom(RendezvousHash.hash(settings.instance(), Long.toString(timeSource.wallMs()))));
-        ServiceRetryBudget budget = new ServiceRetryBudget(settings.retryRatio(), settings.retryAllowance(), instances);
+        ServiceRetryBudget budget =
+                new ServiceRetryBudget(settings.retryRatio(), settings.retryAllowance(), instances, timeSource);
         WaitingRequests waiting = new WaitingRequests(loop, timeSource);
         configuration.onChange(upstreams.serviceModels()::apply);
         metrics.gauge("engine_services_learned", () -> upstreams.serviceModels()::learnedCount);
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/EvacuationPropagationTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/EvacuationPropagationTest.java
@@ -90,7 +90,8 @@
             OperatorState state = new OperatorState(KEYS, configuration, evacuations, log);
             onLoop(() -> {
                 following.setRelayFilter(KEYS.operatorPrefix(), state::isRelevant);
-                new PrefixWatch(following, KEYS.operatorPrefix(), 0, loop, timeSource, state).start();
+                new PrefixWatch(following, KEYS.operatorPrefix(), PrefixWatch.MAX_HOLD_MS, 0, loop, timeSource, state)
+                        .start();
                 return null;
             });
             return this;
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
@@ -81,10 +81,23 @@
     private static final long LOG_WAIT_S = 5;
     /** More than any test lasts. */
     private static final long LONG_TEST_MS = 600_000;
+    /** Time for which the request path has run when a test begins: a process may use its retry allowance only later. */
+    private static final long UPTIME_MS = 10_000;
 
     private final ByteArrayOutputStream logOutput = new ByteArrayOutputStream();
     private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final TimeSource timeSource = TimeSource.system();
+    private volatile long clockOffsetMs;
+    private final TimeSource timeSource = new TimeSource() {
+        @Override
+        public long wallMs() {
+            return TimeSource.system().wallMs() + clockOffsetMs;
+        }
+
+        @Override
+        public long monotonicMs() {
+            return TimeSource.system().monotonicMs() + clockOffsetMs;
+        }
+    };
     private final UpstreamTable table;
     private final ZoneEvacuations evacuations;
     private final MetricRegistry metrics = new MetricRegistry();
@@ -117,6 +130,7 @@
         }
         table.onSnapshot(new StoreSnapshot(items, 1), 0);
         quarantine = new QuarantineService(loop, new MemoryStore(timeSource), "instance", connector, timeSource, log);
+        clockOffsetMs = -UPTIME_MS;
         RequestPath path = new RequestPath(
                 settings(),
                 loop,
@@ -132,6 +146,7 @@
                 roster,
                 metrics);
         warmUp = path.warmUp();
+        clockOffsetMs = 0;
         requests = path.requests();
         handler = path.handler();
         server = new HttpServer(loop, timeSource, handler, () -> LIMITS, new MessageMemoryLimit(1_000_000), log);
