Place prompts by expected cost among the first engines of their order

The choice of an engine looked at requests only: a prompt stayed at a slow engine, and long prompts paused streams with tight targets. When all engines of a group had more than 24 requests or 0.7 of their slots, prompts went to the engine with the fewest, whatever their prefix, so that each prefix was prefilled at all engines and loaded them further.

As soon as a service has been observed, the expected cost (late requests by both targets, streams made late, prefill) of the first three engines within the bound decides; the first in the rendezvous order wins unless another one is cheaper by 0.5 (PlacementChoice). Beyond the bound of the group, prompts keep to the order of their prefix in the region. Groups and bounds stay. A model service with more than 256 engines examines those that follow the hash of the prefix.

Ruled out: the least cost of all engines.

Passed: tests of placement, balancing, estimate, selector, table, request path, pauses, leaving and faulty upstreams, platform statements.

--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/engine/EngineEstimator.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/engine/EngineEstimator.java
@@ -14,6 +14,12 @@
     /** Time after which the mean of the slowdown reports returns to the normal speed. */
     private static final double MEAN_SLOWDOWN_DECAY_MS = 30_000;
 
+    /**
+     * Weight of the pauses of this engine against those of its service. The longest pauses of a few streams are mostly
+     * chance, and placement by them would move prompts away from the engine that has cached their prefix.
+     */
+    private static final double OWN_PAUSE_WEIGHT = 0.5;
+
     private static final double SMOOTHING = 0.1;
     /** Largest ratio by which one sample may differ from the expectation. */
     private static final double MAX_SAMPLE_RATIO = 1.6;
@@ -29,10 +35,18 @@
     /** Time after which the pauses of an engine say little: the prompts that caused them are complete. */
     private static final double PAUSE_DECAY_MS = 4_000;
 
+    /** Time after which the targets of earlier streams say little about those in progress. */
+    private static final double TARGET_DECAY_MS = 5_000;
+    /** Target of streams that have none. */
+    private static final double NO_PAUSE_TARGET_MS = 60_000;
+
     private final ServiceEngineModel service;
     private final SmoothedLevel pause = new SmoothedLevel(0.4, 0.1, PAUSE_DECAY_MS);
     private final SmoothedLevel meanSlowdown = new SmoothedLevel(SMOOTHING, SMOOTHING, MEAN_SLOWDOWN_DECAY_MS);
     private final SmoothedLevel logFactor = new SmoothedLevel(1, 1, FACTOR_DECAY_MS);
+    /** Logarithm of the pause targets of the streams that this instance has sent lately. */
+    private final SmoothedLevel logPauseTarget = new SmoothedLevel(SMOOTHING, SMOOTHING, TARGET_DECAY_MS);
+
     private double slowdown = 1;
     private long slowdownAtMs = Long.MIN_VALUE / 2;
     /** Expected end of the prefill of all prompts that this instance has sent. */
@@ -70,13 +84,26 @@
         return tokens;
     }
 
+    /** Records the target for the longest pause of a request that is sent; 0 if it has none. */
+    public void recordTarget(double pauseTargetMs, long nowMs) {
+        double log = Math.log(pauseTargetMs > 0 ? pauseTargetMs : NO_PAUSE_TARGET_MS);
+        logPauseTarget.add(log, service.logPauseTarget(nowMs), nowMs);
+        service.recordPauseTarget(log, nowMs);
+    }
+
+    /** Returns the expected target for the longest pause of the streams at the engine. */
+    public double pauseTargetMs(long nowMs) {
+        return Math.exp(logPauseTarget.at(service.logPauseTarget(nowMs), nowMs));
+    }
+
     /** Returns the part of the tokens of this instance whose prefill is not expected to be complete yet. */
     private double remainingPrefillTokens(long ownPrefillTokens, long nowMs) {
         double remaining = Math.max(0, prefillEndMs - nowMs) / prefillMsPerToken(nowMs);
         return Math.min(ownPrefillTokens, remaining);
     }
 
-    private double prefillMsPerToken(long nowMs) {
+    /** Returns the time that the prefill of a token takes at this engine. */
+    public double prefillMsPerToken(long nowMs) {
         return service.prefillMsPerToken() * speedFactor(nowMs) * meanSlowdown.at(1, nowMs);
     }
 
@@ -175,7 +202,9 @@
         double firstEventMs = queueMs + factor * service.firstEventMs(uncachedTokens + pendingTokens);
         double running = Math.min(requests + 1, capacity);
         double knownPauseMs = service.stepMs(running) + service.prefillPauseMs(pendingTokens, nowMs);
-        double longestPauseMs = Math.max(pause.at(usualPauseMs(nowMs), nowMs), factor * knownPauseMs);
+        double usualPauseMs = usualPauseMs(nowMs);
+        double expectedPauseMs = usualPauseMs + OWN_PAUSE_WEIGHT * (pause.at(usualPauseMs, nowMs) - usualPauseMs);
+        double longestPauseMs = Math.max(expectedPauseMs, factor * knownPauseMs);
         return new LatencyEstimate(
                 firstEventMs, longestPauseMs, factor * service.prefillPauseMs(uncachedTokens, nowMs));
     }
--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/engine/ServiceEngineModel.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/engine/ServiceEngineModel.java
@@ -24,6 +24,9 @@
     private static final double MIN_REQUEST_DIFFERENCE = 3;
     private static final double INITIAL_DURATION_MS = 2_000;
     private static final double INITIAL_REQUEST_TOKENS = 2_000;
+    /** Logarithm of the pause target of streams before any was sent, in ms: tight, so that long prompts keep away. */
+    private static final double UNKNOWN_LOG_TARGET = Math.log(200);
+
     private static final double SMOOTHING = 0.05;
     /** Time over which the length of the longest prompt is forgotten. */
     private static final double LONGEST_PROMPT_DECAY_MS = 60_000;
@@ -43,6 +46,7 @@
     private final SmoothedLevel longestPrompt = new SmoothedLevel(1, 0, LONGEST_PROMPT_DECAY_MS);
     private final SmoothedLevel meanRequests = new SmoothedLevel(SMOOTHING, SMOOTHING, PAUSE_DECAY_MS);
     private final PrefixMemory prefixes = new PrefixMemory();
+    private final SmoothedLevel logPauseTarget = new SmoothedLevel(SMOOTHING, SMOOTHING, PAUSE_DECAY_MS);
     private double durationMs = INITIAL_DURATION_MS;
     private double requestTokens = INITIAL_REQUEST_TOKENS;
     private double logFactor;
@@ -79,6 +83,14 @@
         requestTokens += SMOOTHING * (tokens - requestTokens);
     }
 
+    void recordPauseTarget(double log, long nowMs) {
+        logPauseTarget.add(log, log, nowMs);
+    }
+
+    double logPauseTarget(long nowMs) {
+        return logPauseTarget.at(UNKNOWN_LOG_TARGET, nowMs);
+    }
+
     void recordFactor(double factor) {
         logFactor += SMOOTHING * (Math.log(factor) - logFactor);
     }
--- a/cranberrybend-core/src/test/java/org/cranberrybend/core/engine/SimulatedEngine.java
+++ b/cranberrybend-core/src/test/java/org/cranberrybend/core/engine/SimulatedEngine.java
@@ -47,6 +47,8 @@
     private final double tokensPerMs;
     /** Ratio of the time that work takes to the normal time, by the time of day. */
     private final DoubleUnaryOperator slowdown;
+    /** Whether each prompt in prefill receives a chunk in each iteration, rather than one in all. */
+    private final boolean chunkForEach;
 
     private final List<Job> running = new ArrayList<>();
     private final Deque<Job> waiting = new ArrayDeque<>();
@@ -54,6 +56,17 @@
 
     SimulatedEngine(
             int slots, double stepMs, double stepMsPerRequest, double tokensPerMs, DoubleUnaryOperator slowdown) {
+        this(slots, stepMs, stepMsPerRequest, tokensPerMs, slowdown, false);
+    }
+
+    SimulatedEngine(
+            int slots,
+            double stepMs,
+            double stepMsPerRequest,
+            double tokensPerMs,
+            DoubleUnaryOperator slowdown,
+            boolean chunkForEach) {
+        this.chunkForEach = chunkForEach;
         this.slots = slots;
         this.stepMs = stepMs;
         this.stepMsPerRequest = stepMsPerRequest;
@@ -88,14 +101,16 @@
             running.add(waiting.poll());
         }
         int chunk = CHUNK_TOKENS;
+        int prefilled = 0;
         int decoding = 0;
         for (Job job : running) {
             int tokens = Math.min(chunk, job.promptLeft);
             job.promptLeft -= tokens;
-            chunk -= tokens;
+            prefilled += tokens;
+            chunk -= chunkForEach ? 0 : tokens;
             decoding += job.promptLeft == 0 ? 1 : 0;
         }
-        double normalMs = (CHUNK_TOKENS - chunk) / tokensPerMs + stepMs + stepMsPerRequest * decoding;
+        double normalMs = prefilled / tokensPerMs + stepMs + stepMsPerRequest * decoding;
         nowMs += normalMs * slowdown.applyAsDouble(nowMs);
         for (Iterator<Job> jobs = running.iterator(); jobs.hasNext(); ) {
             Job job = jobs.next();
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
@@ -50,6 +50,8 @@
         WaitingRequests waiting = new WaitingRequests(loop, timeSource);
         configuration.onChange(upstreams.serviceModels()::apply);
         metrics.gauge("engine_services_learned", () -> upstreams.serviceModels()::learnedCount);
+        metrics.gauge("placements_moved_by_cost", () -> selector::placementsMovedByCost);
+        metrics.gauge("placements_outside_group", () -> selector::placementsOutsideGroup);
         metrics.gauge("requests_waiting", () -> waiting::count);
         metrics.gauge("upstreams_paused", () -> upstreams::pausedCount);
         router = new RequestRouter(
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/StreamTiming.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/StreamTiming.java
@@ -22,6 +22,7 @@
     private final long prefixHash;
     private final int uncachedTokens;
     private final boolean prefixKnown;
+    private final long pauseTargetMs;
     private double sentTokens;
     private boolean queued;
     private long sentMs;
@@ -33,8 +34,9 @@
     /** Whether the next event ends a time in which the caller could not receive events. */
     private boolean interrupted;
 
-    StreamTiming(Upstream upstream, Prompt prompt, long nowMs) {
+    StreamTiming(Upstream upstream, Prompt prompt, long pauseTargetMs, long nowMs) {
         this.upstream = upstream;
+        this.pauseTargetMs = pauseTargetMs;
         this.prompt = prompt;
         this.prefixHash = prompt.isEmpty() ? 0 : prompt.sharedPrefixHash();
         EngineState engine = upstream.engine();
@@ -54,6 +56,7 @@
             long earlierTokens = upstream.prefillTokens() - uncachedTokens;
             sentTokens = estimator().recordSent(uncachedTokens, earlierTokens, nowMs);
             queued = upstream.estimatedRequests(nowMs) > upstream.entry().slots();
+            estimator().recordTarget(pauseTargetMs, nowMs);
             upstream.engine().recordPrefix(prefixHash, nowMs);
         }
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
@@ -118,7 +118,8 @@
         this.upstream = upstream;
         this.headerNames = headerNames;
         this.timeSource = timeSource;
-        this.timing = new StreamTiming(upstream, request.prompt(), timeSource.monotonicMs());
+        this.timing = new StreamTiming(
+                upstream, request.prompt(), request.route().eventGapTargetMs(), timeSource.monotonicMs());
         this.listener = listener;
     }
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/EngineState.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/EngineState.java
@@ -57,12 +57,15 @@
 
     /** Returns the expected effect of sending a request. */
     public LatencyEstimate estimate(double uncachedTokens, int slots, long nowMs) {
-        long ageMs = load.reportAgeMs(nowMs);
-        EngineLoad known = new EngineLoad(
+        return estimator.estimate(uncachedTokens, expectedLoad(slots, nowMs), slots, nowMs);
+    }
+
+    /** Returns the expected load; its age is 0, as the requests that others have sent since are included. */
+    EngineLoad expectedLoad(int slots, long nowMs) {
+        return new EngineLoad(
                 load.running(),
-                load.estimatedRequests(nowMs),
+                load.expectedRequests(slots, nowMs),
                 load.prefillTokens(),
-                ageMs > UpstreamLoad.ESTIMATE_MAX_REPORT_AGE_MS ? EngineLoad.NO_REPORT : ageMs);
-        return estimator.estimate(uncachedTokens, known, slots, nowMs);
+                load.service().isReported() ? 0 : EngineLoad.NO_REPORT);
     }
 }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamLoad.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamLoad.java
@@ -11,7 +11,7 @@
  */
 final class UpstreamLoad {
     /** Age up to which a load report is used to estimate the load. */
-    static final long ESTIMATE_MAX_REPORT_AGE_MS = 1_500;
+    private static final long ESTIMATE_MAX_REPORT_AGE_MS = 1_500;
     /** Age up to which a load report states the load of the fleet for decisions that tolerate a delay. */
     private static final long RECENT_REPORT_AGE_MS = 3_000;
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -47,6 +48,7 @@
     /** The upstreams in {@link #byId} by service. Lists are replaced, not changed, when upstreams join or leave. */
     private final Map<String, List<Upstream>> byService = new HashMap<>();
 
+    private final Map<String, List<Upstream>> byServiceAndHash = new HashMap<>();
     private boolean byServiceOutdated;
     /** Entries of the upstreams in {@link #byId} as read from the store. */
     private final Map<String, StoreItem> itemsById = new TreeMap<>();
@@ -379,6 +381,14 @@
         return byService.getOrDefault(service, List.of());
     }
 
+    /** Returns the upstreams of a service with many, in an order that all instances derive from their identifiers. */
+    List<Upstream> ofServiceByHash(String service) {
+        if (byServiceOutdated) {
+            groupByService();
+        }
+        return byServiceAndHash.getOrDefault(service, List.of());
+    }
+
     private void groupByService() {
         byServiceOutdated = false;
         byService.clear();
@@ -387,6 +397,14 @@
                     .computeIfAbsent(upstream.entry().service(), name -> new ArrayList<>())
                     .add(upstream);
         }
+        byServiceAndHash.clear();
+        byService.forEach((service, upstreams) -> {
+            if (upstreams.size() > UpstreamSelector.MAX_EXAMINED) {
+                List<Upstream> ordered = new ArrayList<>(upstreams);
+                ordered.sort(Comparator.comparingLong(each -> each.engine().hash()));
+                byServiceAndHash.put(service, ordered);
+            }
+        });
     }
 
     /** Returns an upstream. */
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamSelectorTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamSelectorTest.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
+import org.cranberrybend.core.engine.EngineEstimator;
 import org.cranberrybend.core.routing.Market;
 import org.cranberrybend.entry.configuration.LatencyClass;
 import org.cranberrybend.entry.configuration.RegionConstraint;
@@ -66,7 +68,7 @@
 
     private UpstreamQuery query(Prompt prompt, LatencyClass latencyClass) {
         return new UpstreamQuery(
-                SERVICE, prompt, latencyClass, 1_000, 0, RegionConstraint.NONE, Set.of(), clock.monotonicMs());
+                SERVICE, prompt, latencyClass, 1_000, 200, RegionConstraint.NONE, Set.of(), clock.monotonicMs());
     }
 
     private String choose(UpstreamSelector from, String promptKey, LatencyClass latencyClass) {
@@ -177,4 +179,40 @@
         });
         assertThat(selector.choose(query(Prompt.NONE, LatencyClass.UNIFORM))).isPresent();
     }
+
+    // Guards against instances that all choose the same upstream by the same reports.
+    @Test
+    void instancesWithTheSameReportsChooseDifferentUpstreams() {
+        table.all()
+                .forEach(
+                        each -> each.mergeLoadReport(new LoadReport(each.entry().id(), 3, 200), clock.monotonicMs()));
+        Set<String> chosen = new HashSet<>();
+        for (int i = 0; i < 40; i++) {
+            UpstreamSelector other = new UpstreamSelector(
+                    table, new UpstreamEligibility(), "zone-a", REGIONS, () -> 40, new SplittableRandom(i));
+            chosen.add(choose(other, "", LatencyClass.UNIFORM));
+        }
+        assertThat(chosen).containsAtLeast("zone-a-0", "zone-a-1", "zone-a-2", "zone-a-3");
+        assertThat(String.join(",", chosen)).doesNotContain("zone-c");
+    }
+
+    // Guards against a request that misses its targets at a slow engine while the next one in its order would keep
+    // them,
+    // and against instances that prefill a prefix elsewhere although all engines are alike.
+    @Test
+    void slowEngineIsPassedOverOnceItsSpeedIsKnown() {
+        table.all().forEach(each -> observe(each, 5));
+        String first = choose(selector, "prompt", LatencyClass.UNIFORM);
+        assertThat(choose(selectorOfOtherZone, "prompt", LatencyClass.UNIFORM)).isEqualTo(first);
+        observe(table.find(first).get(), 150);
+        assertThat(choose(selector, "prompt", LatencyClass.UNIFORM)).isNotEqualTo(first);
+    }
+
+    private void observe(Upstream engine, double eventMs) {
+        EngineEstimator estimator = engine.engine().estimator();
+        for (int i = 0; i < 20; i++) {
+            estimator.recordFirstEvent(300 + 200 * i, 20 * eventMs, false, clock.monotonicMs());
+            estimator.recordEvents(1, eventMs, 2 * eventMs, clock.monotonicMs());
+        }
+    }
 }
