--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
@@ -132,7 +132,8 @@
         this.headerNames = headerNames;
         this.warmUp = warmUp;
         this.timeSource = timeSource;
-        this.timing = new StreamTiming(upstream, request.prompt(), timeSource.monotonicMs());
+        this.timing = new StreamTiming(
+                upstream, request.prompt(), request.route().eventGapTargetMs(), timeSource.monotonicMs());
         this.listener = listener;
     }
 
