Take a response without a length as complete only if its upstream listens

Cause: the kernel ends the connections of a killed process without an error, so a response that is delimited by its connection looked complete wherever it was cut.

Ruled out: holding the last chunk back (delays each event and decides nothing), one check instead of two (an upstream that closes connections before it stops listening passes), breaking all such responses off.

Change: UpstreamAttempt checks with the connections of CrashDetector, at once and 200 ms later, before it reports the end. Anything but two connections makes it a lost response. Events are passed on as before; bodies have the same fault and are held back as a whole. The quarantine's own check after such answers, and PromptQuarantine.isImplicated with it, are no longer needed. TruncatedResponseTest.responseWithoutLengthIsCompleteOnlyIfTheUpstreamListens failed in its 2 cases of a crash on the unchanged product.

--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/quarantine/PromptQuarantine.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/quarantine/PromptQuarantine.java
@@ -208,11 +208,6 @@
         return new Verdict(kind, Optional.of(longest), PROBE_RETRY_MS);
     }
 
-    /** Returns whether a part may have caused a recent crash. */
-    public boolean isImplicated(PartFingerprint part) {
-        return implicated.contains(part);
-    }
-
     /** Returns the quarantines in force. */
     public List<Quarantine> quarantines() {
         return quarantines;
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/quarantine/QuarantineService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/quarantine/QuarantineService.java
@@ -101,24 +101,13 @@
         }
     }
 
-    /**
-     * Records a complete and successful response.
-     *
-     * @param delimitedByClose whether the response ended with its connection, as it also does if the upstream crashes
-     */
-    public void onAnswered(Upstream upstream, Collection<PartFingerprint> parts, boolean delimitedByClose) {
-        if (!delimitedByClose) {
-            recordAnswer(parts);
-        } else if (parts.stream().anyMatch(quarantine::isImplicated)) {
-            detector.probeTwice(upstream).thenAccept(state -> {
-                if (state == ListenState.LISTENING) {
-                    recordAnswer(parts);
-                }
-            });
-        }
+    /** Finds out whether an upstream listens and goes on listening; the future completes on the event loop. */
+    public CompletableFuture<Boolean> isListening(Upstream upstream) {
+        return detector.probeTwice(upstream).thenApply(state -> state == ListenState.LISTENING);
     }
 
-    private void recordAnswer(Collection<PartFingerprint> parts) {
+    /** Records a complete and successful response. */
+    public void onAnswered(Collection<PartFingerprint> parts) {
         if (quarantine.recordAnswer(parts, timeSource.monotonicMs())) {
             logChanges("normal answer");
         }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -179,7 +179,13 @@
     private void send(Upstream upstream, String reason) {
         attemptedUpstreams.add(upstream.entry().id());
         requestLog.recordDispatch(upstream, reason, attemptedUpstreams.size() == 1);
-        attempt = new UpstreamAttempt(request, upstream, services.headerNames(), services.timeSource(), this);
+        attempt = new UpstreamAttempt(
+                request,
+                upstream,
+                services.headerNames(),
+                services.timeSource(),
+                services.quarantine()::isListening,
+                this);
         attempt.start(lastEventId);
     }
 
@@ -311,7 +317,7 @@
         } else {
             ended.upstream().recordSuccess();
         }
-        recordAnswer(ended, head);
+        recordAnswer(head);
         if (headSent) {
             abortStream("status " + head.getCode() + " instead of the rest of the stream");
             return;
@@ -351,9 +357,9 @@
         }
     }
 
-    private void recordAnswer(UpstreamAttempt ended, HttpResponse head) {
+    private void recordAnswer(HttpResponse head) {
         if (head.getCode() / 100 == SUCCESS_STATUS_CLASS) {
-            services.quarantine().onAnswered(ended.upstream(), parts, ended.isDelimitedByClose());
+            services.quarantine().onAnswered(parts);
         }
     }
 
@@ -361,7 +367,7 @@
     public void onStreamEnd(UpstreamAttempt ended, HttpResponse head, byte[] trailingBytes) {
         sends++;
         ended.upstream().recordSuccess();
-        recordAnswer(ended, head);
+        recordAnswer(head);
         if (!headSent) {
             onExecutionStarted(ended);
             beginStream(head);
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
@@ -5,6 +5,8 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpResponse;
@@ -24,6 +26,10 @@
  * connection that carried another request before. A successful response must have both the identifier of this request
  * and a signature.
  *
+ * <p>A response without a length ends with its connection. The kernel ends the connections of a killed process in the
+ * same way, mostly between two events, so such a response is complete only once the upstream was found to listen. What
+ * was received of a stream is passed on before; only its end waits.
+ *
  * <p>An upstream may send bytes without end, so whatever is kept or discarded of a response is limited.
  */
 final class UpstreamAttempt implements HttpConnector.Listener, ClientConnection.ResponseListener {
@@ -84,6 +90,7 @@
     private final Upstream upstream;
     private final HeaderNames headerNames;
     private final TimeSource timeSource;
+    private final Function<Upstream, CompletableFuture<Boolean>> listeningCheck;
     private final ResultListener listener;
     private final EventStreamSplitter splitter = new EventStreamSplitter();
     private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
@@ -96,6 +103,9 @@
     /** Whether the connection ended, or its bytes became unreadable, before the response was complete. */
     private boolean connectionLost;
 
+    /** Whether the response has ended with its connection and the upstream is being checked. */
+    private boolean checking;
+
     private boolean prefillDone;
     private boolean reading = true;
     private int discardedBytes;
@@ -108,11 +118,13 @@
             Upstream upstream,
             HeaderNames headerNames,
             TimeSource timeSource,
+            Function<Upstream, CompletableFuture<Boolean>> listeningCheck,
             ResultListener listener) {
         this.request = request;
         this.upstream = upstream;
         this.headerNames = headerNames;
         this.timeSource = timeSource;
+        this.listeningCheck = listeningCheck;
         this.listener = listener;
     }
 
@@ -129,11 +141,6 @@
         return connectionLost;
     }
 
-    /** Returns whether the response ended with its connection. */
-    boolean isDelimitedByClose() {
-        return connection != null && connection.isDelimitedByClose();
-    }
-
     long sentMs() {
         return sentMs;
     }
@@ -151,9 +158,12 @@
         return hasEvents() && reading && nowMs - lastProgressMs >= limitMs;
     }
 
-    /** Returns whether the response is read as fast as it arrives, rather than as fast as the caller receives it. */
+    /**
+     * Returns whether the response is read as fast as it arrives, rather than as fast as the caller receives it, or not
+     * at all because it has ended.
+     */
     boolean isReading() {
-        return reading;
+        return reading && !checking;
     }
 
     /** Suspends or resumes reading of the response. */
@@ -178,6 +188,7 @@
 
     /** Closes the connection, so that the upstream stops executing the request; nothing more is reported. */
     void abort() {
+        checking = false;
         if (mode == Mode.ENDED) {
             return;
         }
@@ -383,7 +394,29 @@
         } else if (previous == Mode.STREAMING && connection.isDelimitedByClose() && !hadEvents) {
             connectionLost = true;
             listener.onResponseLost(this, "connection ended before the first event");
-        } else if (previous == Mode.STREAMING) {
+        } else if (connection.isDelimitedByClose()) {
+            checking = true;
+            listeningCheck.apply(upstream).thenAccept(listening -> onChecked(previous, listening));
+        } else {
+            reportComplete(previous);
+        }
+    }
+
+    private void onChecked(Mode received, boolean listening) {
+        if (!checking) {
+            return;
+        }
+        checking = false;
+        if (listening) {
+            reportComplete(received);
+        } else {
+            connectionLost = true;
+            listener.onResponseLost(this, "connection ended, and the upstream does not listen");
+        }
+    }
+
+    private void reportComplete(Mode received) {
+        if (received == Mode.STREAMING) {
             listener.onStreamEnd(this, head, splitter.incompleteEvent());
         } else {
             listener.onResponse(this, head, buffered.toByteArray());
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/TruncatedResponseTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/TruncatedResponseTest.java
@@ -12,6 +12,7 @@
 import org.cranberrybend.entry.testing.ScriptedUpstream;
 import org.cranberrybend.entry.testing.ScriptedUpstream.Script;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** Upstreams that close the connection within a response. */
@@ -76,6 +77,30 @@
         assertWithMessage("complete responses to the caller").that(complete).isEmpty();
     }
 
+    // Guards against a stream or body without a length that reaches the caller as complete although its upstream was
+    // killed (review/4): the kernel then ends the connection without an error, mostly between two events. The same
+    // response of an upstream that goes on listening is complete.
+    @ParameterizedTest
+    @CsvSource({"/single/x, true", "/single/x, false", "/once/x, true", "/once/x, false"})
+    void responseWithoutLengthIsCompleteOnlyIfTheUpstreamListens(String path, boolean crash) throws Exception {
+        ScriptedUpstream[] upstream = new ScriptedUpstream[1];
+        upstream[0] = new ScriptedUpstream((received, connection) -> {
+            write(connection, path.startsWith("/single/") ? STREAM_HEAD + "\r\n" + EVENTS : HEAD + "\r\nwhole order");
+            if (crash) {
+                upstream[0].crash();
+            }
+            connection.close();
+        });
+        try (ScriptedUpstream running = upstream[0];
+                EntryFixture entry = new EntryFixture(running);
+                RawCaller caller = entry.caller()) {
+            String sent = request("POST", path, "ATTEMPT", "order");
+            String answer = caller.send(sent.replace("\nDeadline", "\nConnection: close\nDeadline"))
+                    .readAll();
+            assertWithMessage(answer).that(isComplete(answer)).isEqualTo(!crash);
+        }
+    }
+
     private static boolean isComplete(String answer) {
         boolean success = answer.startsWith("HTTP/1.1 200");
         return success && (!answer.contains("chunked") || answer.endsWith("\r\n0\r\n\r\n"));
