--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -177,7 +177,13 @@
         attemptedUpstreams.add(upstream.entry().id());
         requestLog.recordDispatch(upstream, reason, attemptedUpstreams.size() == 1, placement);
         attempt = new UpstreamAttempt(
-                request, upstream, services.headerNames(), services.warmUp(), services.timeSource(), this);
+                request,
+                upstream,
+                services.headerNames(),
+                services.warmUp(),
+                services.timeSource(),
+                services.quarantine()::isListening,
+                this);
         attempt.start(lastEventId);
     }
 
@@ -318,7 +324,7 @@
         } else {
             ended.upstream().recordSuccess();
         }
-        recordAnswer(ended, head);
+        recordAnswer(head);
         if (headSent) {
             abortStream("status " + head.getCode() + " instead of the rest of the stream");
             return;
@@ -358,9 +364,9 @@
         }
     }
 
-    private void recordAnswer(UpstreamAttempt ended, HttpResponse head) {
+    private void recordAnswer(HttpResponse head) {
         if (head.getCode() / 100 == SUCCESS_STATUS_CLASS) {
-            services.quarantine().onAnswered(ended.upstream(), parts, ended.isDelimitedByClose());
+            services.quarantine().onAnswered(parts);
         }
     }
 
@@ -368,7 +374,7 @@
     public void onStreamEnd(UpstreamAttempt ended, HttpResponse head, byte[] trailingBytes) {
         sends++;
         ended.upstream().recordSuccess();
-        recordAnswer(ended, head);
+        recordAnswer(head);
         if (!headSent) {
             onExecutionStarted(ended);
             beginStream(head);
