--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamSelectorTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamSelectorTest.java
@@ -192,8 +192,8 @@
                         each -> each.mergeLoadReport(new LoadReport(each.entry().id(), 3, 200), clock.monotonicMs()));
         Set<String> chosen = new HashSet<>();
         for (int i = 0; i < 40; i++) {
-            UpstreamSelector other = new UpstreamSelector(
-                    table, new UpstreamEligibility(), "zone-a", REGIONS, () -> 40, new SplittableRandom(i));
+            UpstreamSelector other =
+                    new UpstreamSelector(table, eligibility, "zone-a", REGIONS, () -> 40, new SplittableRandom(i));
             chosen.add(choose(other, "", LatencyClass.UNIFORM));
         }
         assertThat(chosen).containsAtLeast("zone-a-0", "zone-a-1", "zone-a-2", "zone-a-3");
