Move the headers of attempts into a class of their own

AttemptHeaders builds the headers of a request to an upstream and reads the statements of its responses; UpstreamAttempt takes the shared services instead of four of them.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -176,14 +176,7 @@
     private void send(Upstream upstream, String reason) {
         attemptedUpstreams.add(upstream.entry().id());
         requestLog.recordDispatch(upstream, reason, attemptedUpstreams.size() == 1, placement);
-        attempt = new UpstreamAttempt(
-                request,
-                upstream,
-                services.headerNames(),
-                services.warmUp(),
-                services.timeSource(),
-                services.quarantine()::isListening,
-                this);
+        attempt = new UpstreamAttempt(request, upstream, services, this);
         attempt.start(lastEventId);
     }
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.Unpooled;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -11,7 +10,6 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpResponse;
-import org.apache.hc.core5.http.message.BasicHeader;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.configuration.RetryRule;
 import org.cranberrybend.entry.http.ClientConnection;
@@ -40,10 +38,6 @@
     /** Status of a response of another process than the one that the request is addressed to. */
     static final int MISDIRECTED_REQUEST = 421;
 
-    /** Position in the load header of the time that work takes on the machine, in percent of normal. */
-    private static final int SLOWDOWN_INDEX = 3;
-
-    private static final double PERCENT = 100;
     /**
      * Size up to which a response without streaming is buffered; an incomplete one can still be replaced by a retry.
      */
@@ -101,6 +95,7 @@
     private final RoutedRequest request;
     private final Upstream upstream;
     private final HeaderNames headerNames;
+    private final AttemptHeaders headers;
     private final WarmUpLimiter warmUp;
     private final TimeSource timeSource;
     private final StreamTiming timing;
@@ -130,22 +125,16 @@
     /** Time of the last complete event, or at which the caller became able to receive more of them. */
     private long lastProgressMs;
 
-    UpstreamAttempt(
-            RoutedRequest request,
-            Upstream upstream,
-            HeaderNames headerNames,
-            WarmUpLimiter warmUp,
-            TimeSource timeSource,
-            Function<Upstream, CompletableFuture<Boolean>> listeningCheck,
-            ResultListener listener) {
+    UpstreamAttempt(RoutedRequest request, Upstream upstream, RequestServices services, ResultListener listener) {
         this.request = request;
         this.upstream = upstream;
-        this.headerNames = headerNames;
-        this.warmUp = warmUp;
-        this.timeSource = timeSource;
+        this.headerNames = services.headerNames();
+        this.headers = new AttemptHeaders(headerNames);
+        this.warmUp = services.warmUp();
+        this.timeSource = services.timeSource();
         this.timing = new StreamTiming(
                 upstream, request.prompt(), request.route().eventGapTargetMs(), timeSource.monotonicMs());
-        this.listeningCheck = listeningCheck;
+        this.listeningCheck = services.quarantine()::isListening;
         this.listener = listener;
     }
 
@@ -261,7 +250,9 @@
         sent = true;
         sentMs = timeSource.monotonicMs();
         timing.onSent(sentMs);
-        connection.send(request.method(), request.target(), requestHeaders(), request.body(), this);
+        List<Header> requestHeaders =
+                headers.ofRequest(request, upstream.entry().id(), lastEventId, request.deadlineMs() - sentMs);
+        connection.send(request.method(), request.target(), requestHeaders, request.body(), this);
     }
 
     /** Takes what the request needs to be sent now; returns the reason why it must not be, empty if it may. */
@@ -277,26 +268,6 @@
         return admitted ? Optional.empty() : Optional.of("upstream is warming up");
     }
 
-    private List<Header> requestHeaders() {
-        List<Header> headers = new ArrayList<>(request.headers().size() + 6);
-        for (Header header : request.headers()) {
-            if (lastEventId.isEmpty() || !header.getName().equalsIgnoreCase(headerNames.lastEventId())) {
-                headers.add(header);
-            }
-        }
-        if (!lastEventId.isEmpty()) {
-            headers.add(new BasicHeader(headerNames.lastEventId(), lastEventId));
-        }
-        long remainingMs = Math.max(1, request.deadlineMs() - sentMs);
-        headers.add(new BasicHeader(headerNames.deadlineMs(), remainingMs));
-        headers.add(new BasicHeader(headerNames.upstreamId(), upstream.entry().id()));
-        request.account().ifPresent(account -> headers.add(new BasicHeader(headerNames.account(), account.name())));
-        if (!request.prompt().isEmpty()) {
-            headers.add(new BasicHeader(headerNames.enginePriority(), request.enginePriority()));
-        }
-        return headers;
-    }
-
     @Override
     public void onFailure(String cause) {
         if (mode != Mode.ENDED) {
@@ -317,8 +288,8 @@
             return;
         }
         upstream.recordReceived(timeSource.monotonicMs());
-        recordLoad(response);
-        if (statesLeaving(response)) {
+        headers.recordLoad(response, upstream, timeSource.monotonicMs());
+        if (headers.statesLeaving(response)) {
             listener.onLeavingStated(this);
         }
         RetryAfter.pauseMs(response).ifPresent(pauseMs -> listener.onPauseStated(this, pauseMs));
@@ -355,33 +326,6 @@
                 && (type == null || type.getValue().trim().startsWith(EVENT_STREAM));
     }
 
-    private boolean statesLeaving(HttpResponse response) {
-        for (Header header : response.getHeaders(headerNames.leaving())) {
-            if (header.getValue() != null && header.getValue().trim().equals(HeaderNames.LEAVING)) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    private void recordLoad(HttpResponse response) {
-        Header load = response.getFirstHeader(headerNames.load());
-        if (load == null) {
-            return;
-        }
-        String[] counts = load.getValue().split(",");
-        try {
-            long nowMs = timeSource.monotonicMs();
-            upstream.reported(Integer.parseInt(counts[0].trim()), Integer.parseInt(counts[1].trim()), nowMs);
-            if (counts.length > SLOWDOWN_INDEX) {
-                double percent = Double.parseDouble(counts[SLOWDOWN_INDEX].trim());
-                upstream.engine().estimator().recordSlowdown(percent / PERCENT, nowMs);
-            }
-        } catch (NumberFormatException | ArrayIndexOutOfBoundsException ignored) {
-            // An unreadable load report is ignored; the previous report and this process's own counts remain in use.
-        }
-    }
-
     @Override
     public void onBody(ByteBuffer piece) {
         upstream.recordReceived(timeSource.monotonicMs());
