--- a/cranberrybend-integration/src/test/java/org/cranberrybend/integration/architecture/PlatformAdapterTest.java
+++ b/cranberrybend-integration/src/test/java/org/cranberrybend/integration/architecture/PlatformAdapterTest.java
@@ -54,6 +54,8 @@
                 "kv-watch",
                 "kv-range",
                 "op/config",
+                "op/evacuate",
+                "allowed_regions",
                 "desired_count",
                 "route_type"
             })
