Evacuate a zone in each soak run

Cause: no run on real processes covered evacuations.

Change: a zone is evacuated once in each run of at least 16.5 s, from random numbers of its own. Oracle: 5 s after the store has taken it, nothing reaches the zone from an instance that was undisrupted for 5 s.

Tests: PromisesTest has 5 cases of the oracle, 2 of them broken. The oracle was not run against a product without the rule.

--- a/cranberrybend-soak/src/test/java/org/cranberrybend/soak/Fault.java
+++ b/cranberrybend-soak/src/test/java/org/cranberrybend/soak/Fault.java
@@ -27,7 +27,9 @@
     UPSTREAM_FAILS(2_000),
     UPSTREAM_LEAVES(0),
     CONFIGURATION_CHANGED(0),
-    CONFIGURATION_STORM(0);
+    CONFIGURATION_STORM(0),
+    /** Drawn apart from the others, once in a run that is long enough. */
+    ZONE_EVACUATED(8_000);
 
     private final long maxDurationMs;
 
@@ -45,6 +47,7 @@
                 || this == INSTANCE_SETTINGS_RELOADED
                 || this == CONFIGURATION_CHANGED
                 || this == CONFIGURATION_STORM
+                || this == ZONE_EVACUATED
                 || this == UPSTREAM_LEAVES;
     }
 }
--- a/cranberrybend-soak/src/test/java/org/cranberrybend/soak/FaultInjector.java
+++ b/cranberrybend-soak/src/test/java/org/cranberrybend/soak/FaultInjector.java
@@ -118,6 +118,9 @@
             case CONFIGURATION_CHANGED:
                 operator.writeNextVersion();
                 break;
+            case ZONE_EVACUATED:
+                evacuate(upstreams.zone(entry.target()), entry.durationMs());
+                break;
             case CONFIGURATION_STORM:
                 for (int i = 0; i < STORM_CHANGES; i++) {
                     schedule(i * STORM_GAP_MS, () -> {
@@ -131,6 +134,16 @@
         }
     }
 
+    private void evacuate(String zone, long durationMs) {
+        operator.evacuate(zone);
+        promises.recordEvacuation(zone);
+        schedule(durationMs, () -> {
+            promises.recordEvacuationEnd(zone);
+            operator.endEvacuation(zone);
+            return null;
+        });
+    }
+
     private void injectSignal(Schedule.Entry entry, SoakInstance instance, long nowMs) throws IOException {
         EntryProcess process = instance.process();
         switch (entry.fault()) {
--- a/cranberrybend-soak/src/test/java/org/cranberrybend/soak/Operator.java
+++ b/cranberrybend-soak/src/test/java/org/cranberrybend/soak/Operator.java
@@ -28,6 +28,16 @@
         return version;
     }
 
+    /** Requests that nothing more is sent to the upstreams of a zone. */
+    void evacuate(String zone) {
+        store.put(StandInConfiguration.EVACUATION_PREFIX + zone, new byte[0]);
+    }
+
+    /** Returns a zone to service. */
+    void endEvacuation(String zone) {
+        store.delete(StandInConfiguration.EVACUATION_PREFIX + zone);
+    }
+
     /** Writes the next version to the key-value store. */
     synchronized void writeNextVersion() {
         int next = version + 1;
--- a/cranberrybend-soak/src/test/java/org/cranberrybend/soak/Promises.java
+++ b/cranberrybend-soak/src/test/java/org/cranberrybend/soak/Promises.java
@@ -60,6 +60,7 @@
     private final Map<String, Integer> executions = new HashMap<>();
     private final Map<String, RequestKind> refusedRequests = new HashMap<>();
     private final Map<String, Long> leavingSinceMs = new HashMap<>();
+    private final Map<String, Long> evacuatedSinceMs = new HashMap<>();
     private final Map<String, Long> leavingStatedSinceMs = new HashMap<>();
     private final Map<String, Sent> sentRequests = new HashMap<>();
     /** Requests that arrived at an upstream whose responses contained the statement. */
@@ -110,6 +111,32 @@
         leavingSinceMs.put(id, clockMs.getAsLong());
     }
 
+    /** Records that the store has taken the evacuation of a zone. */
+    synchronized void recordEvacuation(String zone) {
+        evacuatedSinceMs.put(zone, clockMs.getAsLong());
+    }
+
+    /** Records that the evacuation of a zone is about to end. */
+    synchronized void recordEvacuationEnd(String zone) {
+        evacuatedSinceMs.remove(zone);
+    }
+
+    /**
+     * Checks that nothing reaches an evacuated zone after the bound from an instance that was undisrupted as long. The
+     * recovery grace period is a part of this time.
+     */
+    private void checkEvacuation(StandInUpstream upstream, String attemptId, long nowMs) {
+        Long sinceMs = evacuatedSinceMs.get(upstream.zone());
+        Sent sent = sentRequests.get(attemptId);
+        if (sinceMs == null || sent == null || nowMs - sinceMs <= SoakBounds.EVACUATION_MS) {
+            return;
+        }
+        long undisruptedMs = SoakBounds.EVACUATION_MS - SoakBounds.RECOVERY_GRACE_MS;
+        if (disruptions.isUndisrupted(sent.instance(), nowMs - undisruptedMs, nowMs)) {
+            recordViolation("no request for an evacuated zone", attemptId + " at " + upstream.id());
+        }
+    }
+
     /** Records that an upstream states in its responses from now on that it is leaving. */
     synchronized void recordLeavingStated(String id) {
         leavingStatedSinceMs.putIfAbsent(id, clockMs.getAsLong());
@@ -172,6 +199,7 @@
         }
         checkStatement(upstream.id(), attemptId, nowMs);
         checkPause(upstream.id(), attemptId, nowMs);
+        checkEvacuation(upstream, attemptId, nowMs);
         Long leavingMs = leavingSinceMs.get(upstream.id());
         if (run
                 && leavingMs != null
--- a/cranberrybend-soak/src/test/java/org/cranberrybend/soak/PromisesTest.java
+++ b/cranberrybend-soak/src/test/java/org/cranberrybend/soak/PromisesTest.java
@@ -11,6 +11,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Each case breaks one promise. Guards against checks that miss a violation. */
 class PromisesTest {
@@ -114,6 +116,27 @@
         assertViolated("no request for an upstream that leaves");
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        // zone, time since the start, time since a disruption of the instance, whether the promise is broken
+        "zone-a, 5001, 99999, true",
+        "zone-a, 5000, 99999, false",
+        "zone-b, 5001, 99999, false",
+        "zone-a, 9000, 4900, false",
+        "zone-a, 9000, 5001, true"
+    })
+    void requestToAnEvacuatedZone(String zone, long sinceStartMs, long sinceDisruptionMs, boolean broken) {
+        promises.recordEvacuation(zone);
+        nowMs += sinceStartMs;
+        disruptions.add("entry-0", 0, nowMs - sinceDisruptionMs);
+        promises.recordSent(ORDER_ID, "entry-0", nowMs);
+        promises.recordUpstreamRequest(upstream, ORDER_ID, headers, false);
+        assertThat(promises.violations()).hasSize(broken ? 1 : 0);
+        promises.recordEvacuationEnd(zone);
+        promises.recordUpstreamRequest(upstream, ORDER_ID, headers, false);
+        assertThat(promises.violations()).hasSize(broken ? 1 : 0);
+    }
+
     private void passStatementOn() {
         promises.recordLeavingStated("up-0");
         nowMs += 200;
--- a/cranberrybend-soak/src/test/java/org/cranberrybend/soak/Schedule.java
+++ b/cranberrybend-soak/src/test/java/org/cranberrybend/soak/Schedule.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.Random;
 
 /**
@@ -20,6 +21,12 @@
     private static final long MEAN_GAP_MS = 1_100;
     private static final long BURST_GAP_MS = 350;
     private static final int MAX_BURST = 3;
+    /** Faults that overlap at any time: all but the last, {@link Fault#ZONE_EVACUATED}. */
+    private static final int FAULT_KINDS = Fault.values().length - 1;
+    /** Shortest evacuation; longer than the time after which nothing may reach the zone. */
+    private static final long MIN_EVACUATION_MS = 6_500;
+
+    private static final long EVACUATION_SEED_OFFSET = 1L << 32;
 
     /**
      * One fault.
@@ -46,7 +53,7 @@
         List<Entry> entries = new ArrayList<>();
         long atMs = FIRST_FAULT_MS;
         while (atMs < lengthMs - RECOVERY_MS) {
-            Fault fault = Fault.values()[random.nextInt(Fault.values().length)];
+            Fault fault = Fault.values()[random.nextInt(FAULT_KINDS)];
             int burstSize = random.nextInt(4) == 0 ? 1 + random.nextInt(MAX_BURST) : 1;
             for (int i = 0; i < burstSize; i++) {
                 long maxDurationMs = Math.max(0, Math.min(fault.maxDurationMs(), lengthMs - RECOVERY_MS - atMs));
@@ -55,7 +62,21 @@
             }
             atMs += (long) (MEAN_GAP_MS * (0.3 + 1.4 * random.nextDouble()));
         }
+        drawEvacuation(seed, lengthMs).ifPresent(entries::add);
         entries.sort(Comparator.comparingLong(Entry::atMs));
         return new Schedule(seed, entries);
     }
+
+    /** Draws the evacuation of a zone from random numbers of its own, so that the other faults of a seed stay the same. */
+    private static Optional<Entry> drawEvacuation(long seed, long lengthMs) {
+        Random random = new Random(seed + EVACUATION_SEED_OFFSET);
+        long longestMs = Math.min(Fault.ZONE_EVACUATED.maxDurationMs(), lengthMs - RECOVERY_MS - FIRST_FAULT_MS);
+        if (longestMs < MIN_EVACUATION_MS) {
+            return Optional.empty();
+        }
+        long durationMs = MIN_EVACUATION_MS + (long) (random.nextDouble() * (longestMs - MIN_EVACUATION_MS));
+        long latestMs = lengthMs - RECOVERY_MS - durationMs;
+        long atMs = FIRST_FAULT_MS + (long) (random.nextDouble() * (latestMs - FIRST_FAULT_MS));
+        return Optional.of(new Entry(atMs, Fault.ZONE_EVACUATED, random.nextInt(16), durationMs));
+    }
 }
--- a/cranberrybend-soak/src/test/java/org/cranberrybend/soak/SoakBounds.java
+++ b/cranberrybend-soak/src/test/java/org/cranberrybend/soak/SoakBounds.java
@@ -14,6 +14,9 @@
     /** Time after which an upstream that leaves must not receive requests. */
     static final long DRAIN_MS = 2_500;
 
+    /** Time after the start of an evacuation after which nothing may reach the upstreams of its zone. */
+    static final long EVACUATION_MS = 5_000;
+
     static final long CONFIGURATION_APPLY_MS = 2_500;
     /** Time after the first response under a configuration in which requests may still be routed by an older one. */
     static final long ROLLBACK_SLACK_MS = 250;
--- a/cranberrybend-soak/src/test/java/org/cranberrybend/soak/SoakUpstreams.java
+++ b/cranberrybend-soak/src/test/java/org/cranberrybend/soak/SoakUpstreams.java
@@ -41,6 +41,10 @@
         store.put(upstream.key(), upstream.entry(proxy.port(), false));
     }
 
+    String zone(int number) {
+        return zones.get(Math.floorMod(number, zones.size()));
+    }
+
     synchronized ProxiedUpstream pick(int number) {
         return listed.get(Math.floorMod(number, listed.size()));
     }
