Discard idle upstream connections when a request times out

Cause: after a silence of the connections to an upstream, each request that must not run twice took another silent idle connection and waited there until its time limit; only its own connection was closed.

Ruled out: moving such a request (it may have run), and discarding only if nothing was received from the upstream for a while (other connections may work while the idle ones are silent).

Change: a time-out of a request that was sent closes the idle connections to its upstream. UpstreamAttempt takes the services instead of three of them.

Measured: FaultyUpstreamTest.timeoutDiscardsTheIdleConnectionsToTheUpstream failed on the unchanged product: the request after the time-out got no response. It passes now, with the other tests of that class.

Conclusion: one request at most waits in vain for each upstream.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -179,13 +179,7 @@
     private void send(Upstream upstream, String reason) {
         attemptedUpstreams.add(upstream.entry().id());
         requestLog.recordDispatch(upstream, reason, attemptedUpstreams.size() == 1);
-        attempt = new UpstreamAttempt(
-                request,
-                upstream,
-                services.headerNames(),
-                services.timeSource(),
-                services.quarantine()::isListening,
-                this);
+        attempt = new UpstreamAttempt(request, upstream, services, this);
         attempt.start(lastEventId);
     }
 
@@ -438,6 +432,9 @@
 
     private void onTimeout() {
         long limitMs = request.deadlineMs() - request.receivedMs();
+        if (attempt != null) {
+            attempt.discardIdleConnections();
+        }
         end("time limit", ErrorResponse.outcomeUnknown(ErrorCode.UPSTREAM_TIMEOUT, limitMs), ErrorCode.NO_UPSTREAM);
     }
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
@@ -5,8 +5,6 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
-import java.util.function.Function;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpResponse;
@@ -16,6 +14,7 @@
 import org.cranberrybend.entry.http.ClientConnection;
 import org.cranberrybend.entry.http.HttpConnector;
 import org.cranberrybend.entry.port.HeaderNames;
+import org.cranberrybend.entry.quarantine.QuarantineService;
 import org.cranberrybend.entry.upstream.Upstream;
 
 /**
@@ -90,7 +89,7 @@
     private final Upstream upstream;
     private final HeaderNames headerNames;
     private final TimeSource timeSource;
-    private final Function<Upstream, CompletableFuture<Boolean>> listeningCheck;
+    private final QuarantineService quarantine;
     private final ResultListener listener;
     private final EventStreamSplitter splitter = new EventStreamSplitter();
     private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
@@ -113,18 +112,12 @@
     /** Time of the last complete event, or at which the caller became able to receive more of them. */
     private long lastProgressMs;
 
-    UpstreamAttempt(
-            RoutedRequest request,
-            Upstream upstream,
-            HeaderNames headerNames,
-            TimeSource timeSource,
-            Function<Upstream, CompletableFuture<Boolean>> listeningCheck,
-            ResultListener listener) {
+    UpstreamAttempt(RoutedRequest request, Upstream upstream, RequestServices services, ResultListener listener) {
         this.request = request;
         this.upstream = upstream;
-        this.headerNames = headerNames;
-        this.timeSource = timeSource;
-        this.listeningCheck = listeningCheck;
+        this.headerNames = services.headerNames();
+        this.timeSource = services.timeSource();
+        this.quarantine = services.quarantine();
         this.listener = listener;
     }
 
@@ -200,6 +193,13 @@
         }
     }
 
+    /** Closes the idle connections to the upstream, which may be as silent as that of this attempt if it was sent. */
+    void discardIdleConnections() {
+        if (sent) {
+            upstream.pool().discardIdle();
+        }
+    }
+
     private void markEnded() {
         mode = Mode.ENDED;
         markPrefillDone();
@@ -396,7 +396,7 @@
             listener.onResponseLost(this, "connection ended before the first event");
         } else if (connection.isDelimitedByClose()) {
             checking = true;
-            listeningCheck.apply(upstream).thenAccept(listening -> onChecked(previous, listening));
+            quarantine.isListening(upstream).thenAccept(listening -> onChecked(previous, listening));
         } else {
             reportComplete(previous);
         }
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/FaultyUpstreamTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/FaultyUpstreamTest.java
@@ -13,6 +13,10 @@
 import com.google.common.util.concurrent.Uninterruptibles;
 import java.io.IOException;
 import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -63,6 +67,43 @@
         };
     }
 
+    // Guards against requests that each wait until their time limit on another idle connection after all connections to
+    // an upstream have become silent. A request that runs once cannot be moved, so only its time-out shows the silence.
+    @Test
+    void timeoutDiscardsTheIdleConnectionsToTheUpstream() throws Exception {
+        int connections = 3;
+        CountDownLatch arrived = new CountDownLatch(connections);
+        Set<Socket> silent = ConcurrentHashMap.newKeySet();
+        Script script = (request, connection) -> {
+            if (arrived.getCount() > 0) {
+                silent.add(connection);
+                arrived.countDown();
+                Uninterruptibles.awaitUninterruptibly(arrived);
+            } else if (silent.contains(connection)) {
+                return;
+            }
+            write(connection, response(request, "200 OK", "done"));
+        };
+        try (ScriptedUpstream upstream = new ScriptedUpstream(script);
+                EntryFixture entry = new EntryFixture(upstream)) {
+            List<RawCaller> callers = new ArrayList<>();
+            for (int i = 0; i < connections; i++) {
+                callers.add(entry.caller().send(longRequest("POST", "/once/x", "a" + i, "order")));
+            }
+            for (RawCaller caller : callers) {
+                caller.readUntil("done");
+                caller.close();
+            }
+            try (RawCaller caller = entry.caller()) {
+                String impatient = request("POST", "/once/x", "b1", "order").replace("Deadline: 1400", "Deadline: 300");
+                assertThat(statusOf(caller.send(impatient).readUntil("}}"))).isEqualTo("504");
+                String next = caller.send(longRequest("POST", "/once/x", "b2", "order"))
+                        .readUntil("done");
+                assertThat(statusOf(next)).isEqualTo("200");
+            }
+        }
+    }
+
     // Guards against forwarding a late copy of the previous response on a reused connection, and against reporting the
     // request as lost although its own response follows.
     @Test
