Register again after the own entry was deleted

Cause: a first registration without a response may be executed after the second one, under a lease that has expired. The store deletes the entry, and the instance goes on renewing the second lease.

Ruled out: registering again at each deletion (one in the same batch as the write after it is old), comparing with the known entries at each renewal (the watch shows the own entry later than the write ends).

Change: FleetDirectory notes a deletion of its own entry until the entry is written again, and registers under a new lease at the next tick.

Measured: FleetDirectoryTest.instanceRegistersAgainAfterItsEntryWasDeleted failed on the unchanged product in the case without another write, and passes in both cases now.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetDirectory.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetDirectory.java
@@ -61,6 +61,8 @@
     private boolean pending;
     private long nextCallMs;
     private boolean released;
+    /** Whether the entry of this instance was deleted, as far as the last change of it shows. */
+    private boolean ownEntryDeleted;
 
     /** Creates a directory that contains only the addresses of the seeds. */
     public FleetDirectory(
@@ -132,6 +134,11 @@
             return;
         }
         pending = true;
+        if (ownEntryDeleted) {
+            // A first write without a response may be executed later, over the second one and under an expired lease.
+            leaseId = 0;
+            ownEntryDeleted = false;
+        }
         nextCallMs = nowMs + (zoneLeader().isEmpty() ? LEADER_RENEW_INTERVAL_MS : RENEW_INTERVAL_MS);
         if (leaseId != 0) {
             store.renewLease(leaseId).whenComplete((done, failure) -> {
@@ -196,6 +203,10 @@
             leaseHeld = false;
         } else if (change.key().startsWith(FleetKeys.INSTANCES)) {
             String name = change.key().substring(FleetKeys.INSTANCES.length());
+            if (name.equals(instance)) {
+                ownEntryDeleted = true;
+                nextCallMs = 0;
+            }
             if (live.remove(name)) {
                 log.record(EventCode.MEMBER_DEAD, name, "revision", change.revision());
             }
@@ -213,7 +224,9 @@
         String name = item.key().substring(FleetKeys.INSTANCES.length());
         try {
             JsonObject value = Json.readObject(item.value());
-            if (!name.equals(instance)) {
+            if (name.equals(instance)) {
+                ownEntryDeleted = false;
+            } else {
                 addresses.remove(name);
                 addresses.put(name, value.address("address"));
                 evictOldest();
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/FleetDirectoryTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/FleetDirectoryTest.java
@@ -6,9 +6,11 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.cranberrybend.entry.log.DecisionLog;
+import org.cranberrybend.entry.port.StoreChange;
 import org.cranberrybend.entry.port.StoreItem;
 import org.cranberrybend.entry.port.StoreSnapshot;
 import org.cranberrybend.entry.testing.ForwardingStore;
@@ -21,9 +23,10 @@
     private static final long TICK_MS = 250;
 
     private final TestClock clock = new TestClock();
+    private final MemoryStore store = new MemoryStore(clock);
     private final AtomicInteger renewals = new AtomicInteger();
     private final FleetDirectory directory = new FleetDirectory(
-            new ForwardingStore(new MemoryStore(clock)) {
+            new ForwardingStore(store) {
                 @Override
                 public CompletableFuture<Void> renewLease(long leaseId) {
                     renewals.incrementAndGet();
@@ -57,4 +60,22 @@
         }
         assertThat(renewals.get()).isEqualTo(expectedRenewals);
     }
+
+    // Guards against an instance that is missing although it renews its lease: its first write was executed late, over
+    // the
+    // second one and under a lease that had expired, so that the store deleted the entry. And against another
+    // registration if the entry was written again already.
+    @ParameterizedTest
+    @CsvSource({"false, 2", "true, 1"})
+    void instanceRegistersAgainAfterItsEntryWasDeleted(boolean writtenAgain, int expectedWrites) {
+        directory.tick();
+        directory.onSnapshot(new StoreSnapshot(List.of(entry("own", 500)), 1), 0);
+        directory.onChange(new StoreChange(FleetKeys.INSTANCES + "own", 2, Optional.empty()));
+        if (writtenAgain) {
+            directory.onChange(new StoreChange(FleetKeys.INSTANCES + "own", 3, Optional.of(entry("own", 500))));
+        }
+        clock.advance(TICK_MS);
+        directory.tick();
+        assertThat(store.writes()).isEqualTo(expectedWrites);
+    }
 }
