--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -435,6 +435,9 @@
 
     private void onTimeout() {
         long limitMs = request.deadlineMs() - request.receivedMs();
+        if (attempt != null) {
+            attempt.discardIdleConnections();
+        }
         end("time limit", ErrorResponse.outcomeUnknown(ErrorCode.UPSTREAM_TIMEOUT, limitMs), ErrorCode.NO_UPSTREAM);
     }
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
@@ -5,8 +5,6 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
-import java.util.function.Function;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpResponse;
@@ -15,6 +13,7 @@
 import org.cranberrybend.entry.http.ClientConnection;
 import org.cranberrybend.entry.http.HttpConnector;
 import org.cranberrybend.entry.port.HeaderNames;
+import org.cranberrybend.entry.quarantine.QuarantineService;
 import org.cranberrybend.entry.upstream.Exclusion;
 import org.cranberrybend.entry.upstream.Upstream;
 import org.cranberrybend.entry.upstream.WarmUpLimiter;
@@ -99,7 +98,7 @@
     private final WarmUpLimiter warmUp;
     private final TimeSource timeSource;
     private final StreamTiming timing;
-    private final Function<Upstream, CompletableFuture<Boolean>> listeningCheck;
+    private final QuarantineService quarantine;
     private final ResultListener listener;
     private final EventStreamSplitter splitter = new EventStreamSplitter();
     private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
@@ -134,7 +133,7 @@
         this.timeSource = services.timeSource();
         this.timing = new StreamTiming(
                 upstream, request.prompt(), request.route().eventGapTargetMs(), timeSource.monotonicMs());
-        this.listeningCheck = services.quarantine()::isListening;
+        this.quarantine = services.quarantine();
         this.listener = listener;
     }
 
@@ -212,6 +211,13 @@
         }
     }
 
+    /** Closes the idle connections to the upstream, which may be as silent as that of this attempt if it was sent. */
+    void discardIdleConnections() {
+        if (sent) {
+            upstream.pool().discardIdle();
+        }
+    }
+
     private void markEnded() {
         mode = Mode.ENDED;
         if (slotReserved) {
@@ -399,7 +405,7 @@
             listener.onResponseLost(this, "connection ended before the first event");
         } else if (connection.isDelimitedByClose()) {
             checking = true;
-            listeningCheck.apply(upstream).thenAccept(listening -> onChecked(previous, listening));
+            quarantine.isListening(upstream).thenAccept(listening -> onChecked(previous, listening));
         } else {
             reportComplete(previous);
         }
