--- a/cranberrybend-experiment/src/main/java/org/cranberrybend/experiment/capacity/CapacityMain.java
+++ b/cranberrybend-experiment/src/main/java/org/cranberrybend/experiment/capacity/CapacityMain.java
@@ -77,7 +77,12 @@
 
     private static List<CapacityGroup> selected(CommandLine line) throws ParseException {
         List<CapacityGroup> groups = new ArrayList<>(List.of(
-                new ConfigurationGroup(), new SlotGroup(), new ShardGroup(), new UsageGroup(), new MembershipGroup()));
+                new ConfigurationGroup(),
+                new SlotGroup(),
+                new ShardGroup(),
+                new UsageGroup(),
+                new MembershipGroup(),
+                new SelectorGroup()));
         if (line.hasOption("fleet")) {
             groups.add(new RouterGroup(Path.of(line.getOptionValue("fleet"))));
         }
@@ -112,7 +117,7 @@
                         null,
                         "only",
                         true,
-                        "measure one group: configuration, slots, shards, usage, membership, router")
+                        "measure one group: configuration, slots, shards, usage, membership, selector, router")
                 .addOption(null, "fleet", true, "fleet.json of an idle local fleet; adds the group router")
                 .addOption(null, "output", true, "table (default) or json");
     }
