--- a/cranberrybend-experiment/src/main/java/org/cranberrybend/experiment/capacity/SelectorGroup.java
+++ b/cranberrybend-experiment/src/main/java/org/cranberrybend/experiment/capacity/SelectorGroup.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.cranberrybend.core.engine.EngineEstimator;
 import org.cranberrybend.core.routing.Market;
+import org.cranberrybend.core.slowstart.SenderRoster;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.configuration.LatencyClass;
 import org.cranberrybend.entry.configuration.RegionConstraint;
@@ -25,6 +26,8 @@
 import org.cranberrybend.entry.upstream.UpstreamRecord;
 import org.cranberrybend.entry.upstream.UpstreamSelector;
 import org.cranberrybend.entry.upstream.UpstreamTable;
+import org.cranberrybend.entry.upstream.WarmUpLimiter;
+import org.cranberrybend.entry.upstream.ZoneEvacuations;
 
 /** Costs of the choice of an upstream by an entry instance. */
 final class SelectorGroup implements CapacityGroup {
@@ -39,6 +42,7 @@
     private static final String SERVICE = "service";
 
     private final TimeSource timeSource = TimeSource.system();
+    private final DecisionLog log = new DecisionLog("capacity", 1, timeSource, OutputStream.nullOutputStream());
 
     @Override
     public String name() {
@@ -59,8 +63,10 @@
         return List.of(plain.toMeasurement(), sensitive.toMeasurement(), longPrefix.toMeasurement());
     }
 
-    private static double choiceUs(UpstreamTable table, List<UpstreamQuery> queries) {
-        UpstreamSelector selector = new UpstreamSelector(table, new UpstreamEligibility(), zone(0), regions());
+    private double choiceUs(UpstreamTable table, List<UpstreamQuery> queries) {
+        UpstreamEligibility eligibility = new UpstreamEligibility(
+                regions(), new ZoneEvacuations(log), new WarmUpLimiter("capacity", new SenderRoster(), 1, 0, log));
+        UpstreamSelector selector = new UpstreamSelector(table, eligibility, zone(0), regions());
         return ResourceMeter.medianCpuUs(() -> {
                     for (int i = 0; i < CHOICES; i++) {
                         selector.choose(queries.get(i % queries.size())).orElseThrow();
@@ -86,11 +92,7 @@
 
     private UpstreamTable table(int upstreams) {
         UpstreamTable table = new UpstreamTable(
-                PREFIX,
-                SelectorGroup::decode,
-                new HttpConnector(null, new MessageMemoryLimit(1)),
-                timeSource,
-                new DecisionLog("capacity", 1, timeSource, OutputStream.nullOutputStream()));
+                PREFIX, SelectorGroup::decode, new HttpConnector(null, new MessageMemoryLimit(1)), timeSource, log);
         List<StoreItem> items = new ArrayList<>();
         List<LoadReport> reports = new ArrayList<>();
         for (int i = 0; i < upstreams; i++) {
