Account for the memory of callers' connections and bound it

Cause: heads and trailers were limited by line only (200 lines of 16 KiB, two bytes of heap a character), up to 1 MB was buffered before it was parsed, bodies were allocated as declared and doubled, unread responses had no limit, and the log line of a failed accept needed a descriptor and ended the loop.

Change: ConnectionMemory reserves input, heads, bodies and unread responses at their capacity in a limit for each port (ServerShare: a share of the memory and of the heap). When it is full, connections longest without a complete request are closed, never one whose request is handled; large bodies get 503. Heads count as a whole. Input is parsed as it is read. max_fds bounds the connections. Metrics, event 414 (once a second and port), settings, docs.

Mended as found by the fuzz test: negative chunk sizes and HTTP versions raised unexpected exceptions; control characters and white space before the first header were skipped by the parser (request smuggling).

Ruled out: one limit for all ports; pausing uploads, which block each other; closing young uploads, which then never finish.

--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/event/EventCode.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/event/EventCode.java
@@ -17,6 +17,7 @@
     INTERNAL_FAILURE(106, Severity.ERROR, "Unexpected failure."),
     SETTINGS_RELOADED(107, Severity.INFO, "The settings file was read again."),
     SETTINGS_UNREADABLE(108, Severity.WARNING, "The settings file cannot be used; the process goes on with its own."),
+    PROCESS_FAILED(109, Severity.ERROR, "The process ends by an error."),
     CONFIGURATION_ACCEPTED(201, Severity.INFO, "Configuration revision is in force."),
     CONFIGURATION_OLDER_REFUSED(202, Severity.WARNING, "An older configuration was refused."),
     CONFIGURATION_DIVERGED(203, Severity.ERROR, "A configuration with a different history was refused."),
@@ -44,6 +45,8 @@
     IDEMPOTENCY_REPLAYED(411, Severity.INFO, "A stored response was replayed."),
     PROMPT_QUARANTINED(412, Severity.WARNING, "Requests with prompt parts that crash upstreams are refused."),
     PROMPT_RELEASED(413, Severity.INFO, "Requests with prompt parts are no longer refused."),
+    CALLER_MEMORY_EXHAUSTED(
+            414, Severity.WARNING, "Callers were refused or disconnected for lack of memory or descriptors."),
     UPSTREAM_JOINED(501, Severity.INFO, "An upstream can be used."),
     UPSTREAM_LEAVING(502, Severity.INFO, "An upstream is leaving and receives no new requests."),
     UPSTREAM_UNHEALTHY(503, Severity.WARNING, "An upstream's circuit breaker opened."),
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -82,10 +82,8 @@
     private static final long LAST_EVENT_TIMEOUT_MS = 200;
 
     private static final long MAINTENANCE_INTERVAL_MS = 250;
-    /** Share of the instance's memory that buffered request bodies may use. */
-    private static final double BODY_MEMORY_SHARE = 0.08;
-    /** Share of the instance's memory that responses may use which have not been passed on. */
-    private static final double RESPONSE_MEMORY_SHARE = 0.04;
+    /** Share of the instance's memory, and of the heap, that responses may use which have not been passed on. */
+    private static final MemoryShare RESPONSE_MEMORY = new MemoryShare(0.04, 0.15);
 
     private final EntrySettings settings;
     private final DecisionLog log;
@@ -113,10 +111,10 @@
     public EntryService(EntrySettings settings, EntryPorts ports, DecisionLog log) {
         this.settings = settings;
         this.log = log;
-        MessageMemoryLimit responseMemory = memoryLimit(RESPONSE_MEMORY_SHARE);
+        MessageMemoryLimit responseMemory = RESPONSE_MEMORY.limit(settings.memoryMb());
         HttpConnector upstreamConnector = new HttpConnector(loop, responseMemory);
         // Calls of the store and of peers must not fail for responses of upstreams, so they have a limit of their own.
-        HttpConnector connector = new HttpConnector(loop, memoryLimit(RESPONSE_MEMORY_SHARE));
+        HttpConnector connector = new HttpConnector(loop, RESPONSE_MEMORY.limit(settings.memoryMb()));
         FollowingStore store = new FollowingStore(
                 new CountedStore(ports.openStore(loop, connector, settings.storeAddress()), metrics),
                 loop,
@@ -147,7 +145,6 @@
         fleetWatch = new PrefixWatch(store, FleetKeys.FLEET, FLEET_BATCH_DELAY_MS, loop, timeSource, directory);
         SteadyWallClock clock = new SteadyWallClock(timeSource);
         UsageCounter usage = new UsageCounter(settings.usageWindowMs(), clock);
-        MessageMemoryLimit bodyMemory = memoryLimit(BODY_MEMORY_SHARE);
         relay = new FleetRelay(
                 loop,
                 connector,
@@ -183,15 +180,12 @@
                 directory::maxFleetSize,
                 metrics);
         requests = path.requests();
-        control = new HttpServer(loop, timeSource, instanceHandler(store), () -> DEFAULT_LIMITS, bodyMemory, log);
-        callers = new HttpServer(loop, timeSource, path.handler(), this::callerLimits, bodyMemory, log);
-        metricsServer = new HttpServer(loop, timeSource, this::serveMetrics, () -> DEFAULT_LIMITS, bodyMemory, log);
-        registerGauges(bodyMemory, responseMemory, quarantine);
-        readiness = new HttpServer(loop, timeSource, this::serveReadiness, () -> DEFAULT_LIMITS, bodyMemory, log);
-    }
-
-    private MessageMemoryLimit memoryLimit(double share) {
-        return new MessageMemoryLimit((long) (settings.memoryMb() * 1024L * 1024L * share));
+        ServerFactory servers = new ServerFactory(loop, timeSource, settings, metrics, log);
+        callers = servers.create(ServerShare.CALLERS, path.handler(), this::callerLimits);
+        control = servers.create(ServerShare.CONTROL, instanceHandler(store), () -> DEFAULT_LIMITS);
+        metricsServer = servers.create(ServerShare.METRICS, this::serveMetrics, () -> DEFAULT_LIMITS);
+        readiness = servers.create(ServerShare.READINESS, this::serveReadiness, () -> DEFAULT_LIMITS);
+        registerGauges(responseMemory, quarantine);
     }
 
     private LoadExchange loadExchange() {
@@ -308,15 +302,13 @@
         return !stopping && configuration.current().isPresent() && upstreams.isLoaded();
     }
 
-    private void registerGauges(
-            MessageMemoryLimit bodyMemory, MessageMemoryLimit responseMemory, QuarantineService quarantine) {
+    private void registerGauges(MessageMemoryLimit responseMemory, QuarantineService quarantine) {
         metrics.gauge("prompt_quarantines", () -> () -> quarantine.quarantineCount());
         metrics.gauge("configuration_version", () -> () -> configuration.version());
         metrics.gauge("upstreams_age_ms", () -> () -> upstreams.ageMs());
         metrics.gauge("upstreams_listed", () -> () -> upstreams.all().size());
         metrics.gauge("caller_connections", () -> () -> callers.connectionCount());
         metrics.gauge("requests_in_progress", () -> () -> callers.activeConnectionCount());
-        metrics.gauge("body_bytes", () -> () -> bodyMemory.usedBytes());
         metrics.gauge("response_bytes", () -> () -> responseMemory.usedBytes());
         metrics.gauge(
                 "instances_registered", () -> () -> directory.liveInstances().size());
@@ -333,6 +325,11 @@
         exchange.respond(ready ? 200 : 503, ready ? "OK" : "Service Unavailable", List.of(), new byte[0]);
     }
 
+    /** Sets what is called on another thread when the event loop has ended, which it does by an error only. */
+    public void onLoopEnded(Runnable listener) {
+        loop.terminationFuture().addListener(ended -> listener.run());
+    }
+
     /**
      * Starts the watches and listens. The start runs on the event loop, so that only one thread loads classes and reads
      * files at a time.
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntrySettings.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntrySettings.java
@@ -24,6 +24,7 @@
  * @param dutyNames names of the duties that the platform assigns
  * @param upstreamDrainMs time after an upstream starts to drain in which it still accepts requests, in milliseconds
  * @param memoryMb memory limit of the instance, in MB
+ * @param maxDescriptors limit on the open descriptors of the process; 0 if unknown
  * @param shutdownLimitMs time from the stop signal until the process is killed, in milliseconds
  * @param retryRatio retries allowed as a ratio of requests
  * @param retryAllowance additional retries allowed in a window, for all instances together
@@ -45,6 +46,7 @@
         List<String> dutyNames,
         long upstreamDrainMs,
         int memoryMb,
+        int maxDescriptors,
         long shutdownLimitMs,
         double retryRatio,
         double retryAllowance,
@@ -87,6 +89,7 @@
                 duties.strings("names"),
                 json.integer("upstream_drain_ms", DEFAULT_UPSTREAM_DRAIN_MS),
                 (int) json.integer("memory_mb"),
+                (int) json.integer("max_fds", 0),
                 json.integer("shutdown_limit_s") * 1_000,
                 retries.decimal("ratio", DEFAULT_RETRY_RATIO),
                 retries.decimal("allowance", 0),
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/HeaderRules.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/HeaderRules.java
@@ -8,6 +8,7 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HeaderElements;
 import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.MessageHeaders;
 
 /** Rules on header fields that apply to all messages. */
@@ -58,6 +59,20 @@
         return false;
     }
 
+    /**
+     * Returns whether method and target can be written into the request line of another request unchanged. HttpCore's
+     * parser takes a carriage return within the target for a space, which would end the target at the next parser.
+     */
+    static boolean isRequestLineWellFormed(HttpRequest request) {
+        String target = request.getRequestUri();
+        for (int i = 0; i < target.length(); i++) {
+            if (target.charAt(i) <= ' ' || target.charAt(i) == 0x7f) {
+                return false;
+            }
+        }
+        return isToken(request.getMethod());
+    }
+
     /**
      * Returns whether all header names are tokens and no value contains control characters. HttpCore's parser accepts
      * control characters, which another parser could interpret as the end of a line.
@@ -71,6 +86,11 @@
         return true;
     }
 
+    /** Returns whether a value consists of digits; HttpCore also takes a sign for the start of a length. */
+    static boolean isDigits(String value) {
+        return value != null && !value.isEmpty() && value.chars().allMatch(each -> each >= '0' && each <= '9');
+    }
+
     private static boolean isToken(String name) {
         for (int i = 0; i < name.length(); i++) {
             char each = name.charAt(i);
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/HttpServer.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/HttpServer.java
@@ -4,6 +4,8 @@
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -12,9 +14,12 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
+import org.apache.hc.core5.http.HttpRequest;
 import org.cranberrybend.core.event.EventCode;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.log.DecisionLog;
@@ -23,26 +28,43 @@
 /** An HTTP server on one address, with its connections. Confined to one event loop. */
 public final class HttpServer {
     private static final int BACKLOG = 1024;
+    private static final int MEMORY_EXHAUSTED_STATUS = 503;
     /** Number of consecutive reads from one connection before the event loop serves others. */
     private static final int MAX_READS_PER_EVENT = 16;
 
     private static final long TIMEOUT_CHECK_PERIOD_MS = 500;
+    /** Share of the memory that bodies may use beyond their first segment; the rest is for small requests. */
+    private static final double LARGE_BODY_SHARE = 0.75;
+    /**
+     * Time after which a connection with a body in transit or an unread response may be closed in favor of another body.
+     * Younger ones stay, since uploads that displace each other would all fail.
+     */
+    private static final long SLOW_TRANSFER_MS = 1_500;
+
+    private static final long OVERLOAD_LOG_INTERVAL_MS = 1_000;
 
     private final EventLoopGroup loop;
     private final TimeSource timeSource;
     private final RequestHandler handler;
     private final Supplier<ServerLimits> limits;
-    private final MessageMemoryLimit bodyMemory;
+    private final MessageMemoryLimit memory;
     private final DecisionLog log;
     private final Set<ServerConnection> connections = new LinkedHashSet<>();
     private Channel channel;
     private boolean draining;
     private boolean closing;
+    private int maxConnections = Integer.MAX_VALUE;
+    private long refusals;
+    private long memoryRefusals;
+    private long reclaimedConnections;
+    private long reportedOverloads;
+    private long lastOverloadLogMs;
 
     /**
      * Creates a server that does not listen yet.
      *
      * @param loop group of exactly one event loop
+     * @param memory limit on the memory that all connections of this server occupy together
      * @param limits supplies the limits in force; a connection keeps the limit on head lines from when it was opened
      */
     public HttpServer(
@@ -50,16 +72,21 @@
             TimeSource timeSource,
             RequestHandler handler,
             Supplier<ServerLimits> limits,
-            MessageMemoryLimit bodyMemory,
+            MessageMemoryLimit memory,
             DecisionLog log) {
         this.loop = loop;
         this.timeSource = timeSource;
         this.handler = handler;
         this.limits = limits;
-        this.bodyMemory = bodyMemory;
+        this.memory = memory;
         this.log = log;
     }
 
+    /** Limits the number of open connections; called before {@link #listen}. */
+    public void setMaxConnections(int count) {
+        maxConnections = count;
+    }
+
     /** Starts to listen on an address; the bound address is the local address of the future's channel. */
     public ChannelFuture listen(InetSocketAddress address) {
         ChannelFuture bound = new ServerBootstrap()
@@ -82,6 +109,7 @@
                 })
                 .bind(address);
         channel = bound.channel();
+        bound.addListener(done -> channel.pipeline().addLast(new AcceptFailureHandler()));
         loop.scheduleWithFixedDelay(
                 new GuardedTask("connection timeouts", this::checkTimeouts, log),
                 TIMEOUT_CHECK_PERIOD_MS,
@@ -90,9 +118,94 @@
         return bound;
     }
 
+    /**
+     * Ends the exceptions of failed accepts, after which Netty waits a second. Its own handler would log them, and
+     * without a free descriptor the formatter of the log line cannot load its time zones and ends the event loop.
+     */
+    private static final class AcceptFailureHandler extends ChannelInboundHandlerAdapter {
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            // The connection stays in the backlog of the socket.
+        }
+    }
+
     private void checkTimeouts() {
         long nowMs = nowMs();
         new ArrayList<>(connections).forEach(each -> each.checkTimeouts(nowMs));
+        long overloads = memoryRefusals + reclaimedConnections;
+        if (overloads > reportedOverloads && nowMs - lastOverloadLogMs >= OVERLOAD_LOG_INTERVAL_MS) {
+            lastOverloadLogMs = nowMs;
+            reportedOverloads = overloads;
+            log.record(
+                    EventCode.CALLER_MEMORY_EXHAUSTED,
+                    channel.localAddress().toString(),
+                    "refused",
+                    memoryRefusals,
+                    "closed",
+                    reclaimedConnections,
+                    "memory_bytes",
+                    memory.usedBytes(),
+                    "connections",
+                    connections.size());
+        }
+    }
+
+    /**
+     * Acquires memory for a connection, if necessary by closing other connections without a request in progress, first
+     * those that have gone longest without a complete request.
+     *
+     * @param large whether the memory is for a body beyond its first segment; only slow transfers are closed for it
+     */
+    boolean acquireMemory(long bytes, boolean large, ServerConnection requester) {
+        double share = large ? LARGE_BODY_SHARE : 1;
+        long slowLimitMs = nowMs() - SLOW_TRANSFER_MS;
+        while (!memory.tryAcquire(bytes, share)) {
+            if (!reclaimOldest(each -> each != requester && (!large || each.isSlowSince(slowLimitMs)))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private boolean reclaimOldest(Predicate<ServerConnection> condition) {
+        ServerConnection oldest = null;
+        for (ServerConnection each : connections) {
+            if (each.isReclaimable()
+                    && (oldest == null || each.lastRequestMs() < oldest.lastRequestMs())
+                    && condition.test(each)) {
+                oldest = each;
+            }
+        }
+        if (oldest == null) {
+            return false;
+        }
+        reclaimedConnections++;
+        oldest.reclaim();
+        return true;
+    }
+
+    /** Records that the server refused a request by itself, for the handler and the metrics. */
+    void recordRefusal(HttpRequest head, RequestRefusedException refusal) {
+        refusals++;
+        if (refusal.status() == MEMORY_EXHAUSTED_STATUS) {
+            memoryRefusals++;
+        }
+        handler.onRefused(Optional.ofNullable(head), refusal.status(), refusal.getMessage());
+    }
+
+    /** Counts a connection that was closed because its caller does not read and memory is exhausted. */
+    void countUnreadResponse() {
+        reclaimedConnections++;
+    }
+
+    /** Returns the number of requests that the server refused by itself because they are malformed or over a limit. */
+    public long refusals() {
+        return refusals;
+    }
+
+    /** Returns the number of connections that were closed for lack of memory or descriptors. */
+    public long reclaimedConnections() {
+        return reclaimedConnections;
     }
 
     /** Begins to drain: each response from now on closes its connection. */
@@ -151,8 +264,9 @@
         return limits.get();
     }
 
-    MessageMemoryLimit bodyMemory() {
-        return bodyMemory;
+    /** Returns the limit on the memory of all connections of this server. */
+    public MessageMemoryLimit memory() {
+        return memory;
     }
 
     RequestHandler handler() {
@@ -172,8 +286,15 @@
         loop.schedule(task, delayMs, TimeUnit.MILLISECONDS);
     }
 
-    void addConnection(ServerConnection connection) {
-        connections.add(connection);
+    /** Adds a connection, if necessary in place of another one; returns false if there is no room for it. */
+    boolean addConnection(ServerConnection connection) {
+        while (connections.size() >= maxConnections) {
+            if (!reclaimOldest(each -> true)) {
+                reclaimedConnections++;
+                return false;
+            }
+        }
+        return connections.add(connection);
     }
 
     void removeConnection(ServerConnection connection) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/MessageMemoryLimit.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/MessageMemoryLimit.java
@@ -11,7 +11,12 @@
     }
 
     boolean tryAcquire(long bytes) {
-        if (usedBytes + bytes > limitBytes) {
+        return tryAcquire(bytes, 1.0);
+    }
+
+    /** Acquires bytes if at most the given share of the limit is in use afterwards; returns whether it did. */
+    boolean tryAcquire(long bytes, double share) {
+        if (usedBytes + bytes > limitBytes * share) {
             return false;
         }
         usedBytes += bytes;
@@ -22,6 +27,11 @@
         usedBytes -= bytes;
     }
 
+    /** Returns the limit in bytes. */
+    public long limitBytes() {
+        return limitBytes;
+    }
+
     /** Returns the number of bytes that are currently reserved. */
     public long usedBytes() {
         return usedBytes;
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/MessageReader.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/MessageReader.java
@@ -4,9 +4,11 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
+import java.util.function.Supplier;
 import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpMessage;
+import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
 import org.apache.hc.core5.http.impl.nio.ChunkDecoder;
@@ -23,6 +25,13 @@
 final class MessageReader<T extends HttpMessage> {
     private static final int MAX_HEADERS = 200;
     private static final int MAX_BODY_READ_BYTES = 16 * 1024;
+    private static final int LINE_END_BYTES = 2;
+    /** Heap that the parser keeps for each line beside its characters: two objects and a list entry. */
+    private static final int LINE_OVERHEAD_BYTES = 208;
+
+    private static final int BYTES_PER_CHARACTER = 2;
+    /** A parser keeps the buffer of its longest line; one that has read a longer head is replaced. */
+    private static final int MAX_REUSED_HEAD_BYTES = 4 * 1024;
 
     /** Signals the end of the input to the decoders; supplies no bytes, since these come from the buffer. */
     private final class EndOfInputChannel implements ReadableByteChannel {
@@ -43,7 +52,8 @@
     }
 
     private final ReceiveBuffer buffer;
-    private final NHttpMessageParser<T> parser;
+    private final Supplier<NHttpMessageParser<T>> parsers;
+    private NHttpMessageParser<T> parser;
     private final EndOfInputChannel channel = new EndOfInputChannel();
     private final BasicHttpTransportMetrics transportMetrics = new BasicHttpTransportMetrics();
     private final Http1Config config;
@@ -51,10 +61,33 @@
     /** Decoder of the current body; null before the first one. */
     private ContentDecoder body;
 
+    private final long maxHeadBytes;
+    private boolean headComplete = true;
+    private long headBytes;
+    private long headLines;
+    /** Bytes of chunk lines and trailers since the last byte of the body. */
+    private long framingBytes;
+
+    private long framingLines;
+    /** Bytes of chunk lines or trailers that the decoder may keep. */
+    private long keptFramingBytes;
+
     MessageReader(NHttpMessageParser<T> parser, Http1Config config) {
-        this.parser = parser;
+        this(() -> parser, config, Long.MAX_VALUE);
+    }
+
+    /**
+     * Creates a reader of requests. It limits heads as a whole, and the chunk lines and trailers between two bytes of a
+     * body, and rejects control characters within lines.
+     *
+     * @param maxHeadBytes largest number of bytes, line ends not counted
+     */
+    MessageReader(Supplier<NHttpMessageParser<T>> parsers, Http1Config config, long maxHeadBytes) {
+        this.parsers = parsers;
+        this.parser = parsers.get();
         this.config = config;
-        this.buffer = new ReceiveBuffer(config.getMaxLineLength());
+        this.buffer = new ReceiveBuffer(config.getMaxLineLength(), maxHeadBytes < Long.MAX_VALUE);
+        this.maxHeadBytes = Math.max(maxHeadBytes, maxHeadBytes + LINE_END_BYTES * (MAX_HEADERS + 2L));
     }
 
     static Http1Config config(int maxHeadBytes) {
@@ -76,18 +109,71 @@
         return buffer.length();
     }
 
+    /** Returns the capacity of the input buffer beyond its smallest one, after the given number of bytes was appended. */
+    int inputBytesAfter(int added) {
+        return buffer.capacityAfter(added) - ReceiveBuffer.INITIAL_BYTES;
+    }
+
+    /** Returns the heap that the current or last head and the framing of its body occupy, at most. */
+    long headMemoryBytes() {
+        return BYTES_PER_CHARACTER * (headBytes + keptFramingBytes) + LINE_OVERHEAD_BYTES * (headLines + framingLines);
+    }
+
+    /** Releases what was kept of the last message; the unread input stays. */
+    void releaseMessage() {
+        body = null;
+        keptFramingBytes = 0;
+        framingLines = 0;
+        if (headBytes > MAX_REUSED_HEAD_BYTES || !headComplete) {
+            parser = parsers.get();
+            headComplete = true;
+        }
+        headBytes = 0;
+        headLines = 0;
+    }
+
+    /** Discards the unread input. */
+    void discardInput() {
+        buffer.clear();
+    }
+
     /** Returns the next head, or null while it is incomplete, also at the end of the input. */
     T readHead() throws HttpException, IOException {
+        if (headComplete) {
+            buffer.setReadingChunkLines(false);
+            headComplete = false;
+            headBytes = 0;
+            headLines = 0;
+        }
+        long consumedBefore = buffer.consumedBytes();
+        long linesBefore = buffer.lineCount();
         // At the end of the input the parser would take the lines received so far for a head.
-        T head = parser.parse(buffer, false);
+        T head = parseHead();
+        headBytes += buffer.consumedBytes() - consumedBefore;
+        headLines += buffer.lineCount() - linesBefore;
+        if (headBytes + (head == null ? buffer.length() : 0) > maxHeadBytes) {
+            throw new MessageConstraintException("head exceeds " + maxHeadBytes + " bytes");
+        }
         if (head != null) {
+            headComplete = true;
             parser.reset();
         }
         return head;
     }
 
+    private T parseHead() throws HttpException, IOException {
+        try {
+            return parser.parse(buffer, false);
+        } catch (IllegalArgumentException e) {
+            // The parser reports a version with a sign by this exception.
+            throw new HttpException("malformed head", e);
+        }
+    }
+
     /** Begins a body of the given length, which may be a constant of {@link ContentLengthStrategy}. */
     void beginBody(long length) {
+        framingBytes = 0;
+        buffer.setReadingChunkLines(length == ContentLengthStrategy.CHUNKED);
         if (length == ContentLengthStrategy.CHUNKED) {
             body = new ChunkDecoder(channel, buffer, config, transportMetrics);
         } else if (length >= 0) {
@@ -110,6 +196,26 @@
         return piece.flip();
     }
 
+    /** Reads the next bytes of the body into a buffer with room; returns their number, 0 if none are available. */
+    int readBody(ByteBuffer target) throws IOException {
+        int positionBefore = target.position();
+        long consumedBefore = buffer.consumedBytes();
+        long linesBefore = buffer.lineCount();
+        int last = isBodyComplete() ? 0 : body.read(target);
+        while (last > 0 && target.hasRemaining()) {
+            last = body.read(target);
+        }
+        int count = target.position() - positionBefore;
+        long framing = buffer.consumedBytes() - consumedBefore - count;
+        framingBytes = count > 0 ? 0 : framingBytes + framing;
+        if (framingBytes > maxHeadBytes) {
+            throw new MessageConstraintException("framing exceeds " + maxHeadBytes + " bytes");
+        }
+        keptFramingBytes = Math.max(keptFramingBytes, Math.min(maxHeadBytes, Math.max(framing, framingBytes)));
+        framingLines = count > 0 ? 0 : framingLines + buffer.lineCount() - linesBefore;
+        return count;
+    }
+
     /** Returns whether the body was read to its end. A body of length 0 is complete after the first read. */
     boolean isBodyComplete() {
         return body == null || body.isCompleted();
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ReceiveBuffer.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ReceiveBuffer.java
@@ -2,9 +2,11 @@
 
 import io.netty.buffer.ByteBuf;
 import java.io.IOException;
+import java.net.ProtocolException;
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
 import java.nio.channels.WritableByteChannel;
+import org.apache.hc.core5.http.MalformedChunkCodingException;
 import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.util.CharArrayBuffer;
@@ -16,16 +18,40 @@
  * that HttpCore passes to {@link #fill} only signals the end of the input.
  */
 final class ReceiveBuffer implements SessionInputBuffer {
-    private static final int INITIAL_BYTES = 1024;
+    /** Smallest capacity; each buffer has it from the start. */
+    static final int INITIAL_BYTES = 1024;
+
+    private static final byte DELETE = 0x7f;
     private static final int MAX_RETAINED_BYTES = 16 * 1024;
 
     private final int maxLineBytes;
+    /**
+     * Whether a control character within a line is an error, and white space at the start of the first header line.
+     * HttpCore skips them, so that another parser could read other headers.
+     */
+    private final boolean strict;
+    /** Whether lines are chunk sizes and trailers. HttpCore accepts a sign before the size of a chunk. */
+    private boolean readingChunkLines;
+    /** Number of lines of the current head so far, without empty ones. */
+    private int headLines;
+
     private byte[] bytes = new byte[INITIAL_BYTES];
     private int start;
     private int end;
+    /** Bytes after {@link #start} that are known to contain no line feed, so that a long line is searched once. */
+    private int searchedBytes;
+
+    private long consumedBytes;
+    private long lineCount;
 
-    ReceiveBuffer(int maxLineBytes) {
+    ReceiveBuffer(int maxLineBytes, boolean strict) {
         this.maxLineBytes = maxLineBytes;
+        this.strict = strict;
+    }
+
+    void setReadingChunkLines(boolean reading) {
+        readingChunkLines = reading;
+        headLines = 0;
     }
 
     void append(ByteBuf source) {
@@ -35,12 +61,38 @@
         end += added;
     }
 
+    int capacity() {
+        return bytes.length;
+    }
+
+    /** Returns the capacity that the buffer has after the given number of bytes was appended. */
+    int capacityAfter(int added) {
+        int needed = length() + added;
+        return bytes.length >= needed ? bytes.length : Math.max(bytes.length * 2, needed);
+    }
+
+    /** Returns the number of bytes that were read from this buffer since its creation. */
+    long consumedBytes() {
+        return consumedBytes;
+    }
+
+    /** Returns the number of lines that were read from this buffer since its creation. */
+    long lineCount() {
+        return lineCount;
+    }
+
+    /** Discards the unread bytes. */
+    void clear() {
+        consume(length());
+    }
+
     private void ensureCapacity(int added) {
         if (bytes.length - end >= added) {
             return;
         }
         int length = end - start;
-        byte[] target = bytes.length - length >= added ? bytes : new byte[Math.max(bytes.length * 2, length + added)];
+        int capacity = capacityAfter(added);
+        byte[] target = capacity == bytes.length ? bytes : new byte[capacity];
         System.arraycopy(bytes, start, target, 0, length);
         bytes = target;
         start = 0;
@@ -49,6 +101,8 @@
 
     private void consume(int count) {
         start += count;
+        consumedBytes += count;
+        searchedBytes = 0;
         if (start == end) {
             start = 0;
             end = 0;
@@ -123,17 +177,40 @@
             return false;
         }
         int textEnd = lineEnd > start && bytes[lineEnd - 1] == '\r' ? lineEnd - 1 : lineEnd;
+        checkLine(textEnd);
         line.append(bytes, start, textEnd - start);
         consume(newline + 1 - start);
+        lineCount++;
         return true;
     }
 
+    private void checkLine(int textEnd) throws IOException {
+        int first = start;
+        while (readingChunkLines && first < textEnd && (bytes[first] == ' ' || bytes[first] == '\t')) {
+            first++;
+        }
+        if (readingChunkLines && first < textEnd && (bytes[first] == '-' || bytes[first] == '+')) {
+            throw new MalformedChunkCodingException("sign before the size of a chunk");
+        }
+        boolean indented = textEnd > start && (bytes[start] == ' ' || bytes[start] == '\t');
+        if (strict && indented && headLines == 1 && !readingChunkLines) {
+            throw new ProtocolException("white space before the first header");
+        }
+        headLines += textEnd > start ? 1 : 0;
+        for (int i = start; strict && i < textEnd; i++) {
+            if (bytes[i] >= 0 && bytes[i] < ' ' && bytes[i] != '\t' || bytes[i] == DELETE) {
+                throw new ProtocolException("control character within a line");
+            }
+        }
+    }
+
     private int indexOfNewline() {
-        for (int i = start; i < end; i++) {
+        for (int i = start + searchedBytes; i < end; i++) {
             if (bytes[i] == '\n') {
                 return i;
             }
         }
+        searchedBytes = end - start;
         return -1;
     }
 }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ServerConnection.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ServerConnection.java
@@ -5,24 +5,20 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import java.io.ByteArrayOutputStream;
+import io.netty.channel.ChannelOutboundBuffer;
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
-import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpVersion;
 import org.apache.hc.core5.http.MessageConstraintException;
-import org.apache.hc.core5.http.impl.DefaultContentLengthStrategy;
-import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestFactory;
-import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParser;
 import org.apache.hc.core5.http.message.BasicHeader;
+import org.cranberrybend.entry.http.ConnectionMemory.Use;
+import org.cranberrybend.entry.http.RequestReceiver.Stage;
 
 /**
  * One connection of a caller. Requests are received completely and answered one at a time. The connection is also read
@@ -30,7 +26,7 @@
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter implements ServerExchange {
     /** Pipelined input from which reading is suspended until the response in progress ends. */
-    private static final int MAX_PIPELINED_BYTES = 256 * 1024;
+    private static final int MAX_PIPELINED_BYTES = 64 * 1024;
     /** Time for a caller to read the last response before the connection is closed. */
     private static final long CLOSE_LINGER_MS = 1_000;
 
@@ -41,19 +37,21 @@
         IDLE,
         READING_HEAD,
         READING_BODY,
+        /** The request is complete and is handled as soon as the input was read to its end. */
+        RECEIVED,
         RESPONDING,
         CLOSING
     }
 
     private final HttpServer server;
-    private final MessageReader<HttpRequest> reader;
+    private final ConnectionMemory memory;
+    private final RequestReceiver receiver;
     private ChannelHandlerContext context;
     private Phase phase = Phase.IDLE;
     private long phaseStartMs;
-    private HttpRequest request;
-    private long requestReceivedMs;
-    private ByteArrayOutputStream body;
-    private long reservedBodyBytes;
+    /** Time of the last complete request, or of the opening of the connection. */
+    private long lastRequestMs;
+
     private boolean keepAlive;
     private boolean chunkedResponse;
     private boolean responseBegun;
@@ -62,17 +60,19 @@
 
     ServerConnection(HttpServer server) {
         this.server = server;
-        this.reader = new MessageReader<>(
-                new DefaultHttpRequestParser<>(
-                        MessageReader.config(server.limits().maxHeadLineBytes()), DefaultHttpRequestFactory.INSTANCE),
-                MessageReader.config(server.limits().maxHeadLineBytes()));
+        this.memory = new ConnectionMemory(server, this);
+        this.receiver = new RequestReceiver(server, memory);
         this.phaseStartMs = server.nowMs();
+        this.lastRequestMs = phaseStartMs;
     }
 
     @Override
     public void channelActive(ChannelHandlerContext channelContext) {
         context = channelContext;
-        server.addConnection(this);
+        if (!server.addConnection(this) || !memory.resize(Use.CONNECTION, ConnectionMemory.CONNECTION_BYTES)) {
+            phase = Phase.CLOSING;
+            channelContext.close();
+        }
     }
 
     @Override
@@ -88,8 +88,14 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext channelContext) {
-        if (isOpen() && channelContext.channel().isWritable() && writableListener != null) {
+        reserveOutput();
+        if (!channelContext.channel().isWritable()) {
+            return;
+        }
+        if (isOpen() && writableListener != null) {
             writableListener.run();
+        } else if (phase == Phase.IDLE) {
+            resumeInput();
         }
     }
 
@@ -97,7 +103,9 @@
         boolean responding = phase == Phase.RESPONDING;
         phase = Phase.CLOSING;
         server.removeConnection(this);
-        releaseBody();
+        receiver.release();
+        receiver.discardInput();
+        memory.releaseAll();
         if (responding && disconnectListener != null) {
             Runnable listener = disconnectListener;
             disconnectListener = null;
@@ -105,166 +113,133 @@
         }
     }
 
+    /**
+     * Receives the input at once, so that what was read is either part of the request or accounted for as unread input,
+     * before the next piece is read.
+     */
     @Override
     public void channelRead(ChannelHandlerContext channelContext, Object message) {
         ByteBuf received = (ByteBuf) message;
         try {
-            if (phase == Phase.CLOSING) {
+            if (phase == Phase.CLOSING || isBusy() && !keepAlive) {
+                return;
+            }
+            if (!receiver.append(received)) {
+                refuseInput();
                 return;
             }
-            reader.append(received);
         } finally {
             received.release();
         }
-        if (phase == Phase.RESPONDING && reader.unreadBytes() > MAX_PIPELINED_BYTES) {
+        receive();
+        if ((isBusy() || !context.channel().isWritable()) && receiver.unreadBytes() > MAX_PIPELINED_BYTES) {
             context.channel().config().setAutoRead(false);
         }
     }
 
+    /** Ends the receipt of requests for lack of memory; a request that is in progress gets its response. */
+    private void refuseInput() {
+        if (isBusy()) {
+            keepAlive = false;
+            receiver.discardInput();
+        } else {
+            refuse(RequestRefusedException.memoryExhausted());
+        }
+    }
+
+    private boolean isBusy() {
+        return phase == Phase.RECEIVED || phase == Phase.RESPONDING;
+    }
+
     /**
-     * Processes the input in a separate task. Netty reports the end of the connection only after this call, and a
-     * request whose caller has disconnected must not be handled.
+     * Handles a complete request in a separate task. Netty reports the end of the connection only after this call, and
+     * a request whose caller has disconnected must not be handled.
      */
     @Override
     public void channelReadComplete(ChannelHandlerContext channelContext) {
-        if (phase != Phase.RESPONDING && phase != Phase.CLOSING) {
-            channelContext.executor().execute(this::process);
+        if (phase == Phase.RECEIVED) {
+            channelContext.executor().execute(this::handleReceived);
         }
     }
 
-    private void process() {
+    private void receive() {
         try {
-            while (phase != Phase.RESPONDING
-                    && phase != Phase.CLOSING
-                    && context.channel().isActive()) {
-                if (!advance()) {
-                    return;
-                }
+            boolean advancing =
+                    !isBusy() && phase != Phase.CLOSING && context.channel().isWritable();
+            while (advancing) {
+                advancing = receiver.advance();
+                followStage();
             }
+        } catch (RequestRefusedException e) {
+            refuse(e);
         } catch (MessageConstraintException e) {
-            refuse(431, "Request Header Fields Too Large");
+            refuse(new RequestRefusedException(431, "Request Header Fields Too Large"));
         } catch (HttpException | IOException e) {
-            refuse(400, "Bad Request");
+            refuse(new RequestRefusedException(400, "Bad Request"));
         } catch (RuntimeException e) {
             failUnexpectedly(e);
         }
     }
 
-    /** Ends the request in progress after an unexpected error, so that its caller does not wait for a response. */
-    private void failUnexpectedly(RuntimeException cause) {
-        server.recordFailure(request == null ? "unread request" : request.getRequestUri(), cause);
-        if (disconnectListener != null) {
-            Runnable listener = disconnectListener;
-            disconnectListener = null;
-            listener.run();
-        }
-        if (phase == Phase.RESPONDING && responseBegun) {
-            abort();
-            return;
-        }
-        keepAlive = false;
-        enterPhase(Phase.RESPONDING);
-        respond(500, "Internal Server Error", List.of(), new byte[0]);
-    }
-
-    private boolean advance() throws HttpException, IOException {
-        if (phase == Phase.IDLE) {
-            if (reader.unreadBytes() == 0) {
-                return false;
-            }
-            request = null;
+    private void followStage() {
+        if (phase == Phase.IDLE && receiver.stage() == Stage.HEAD) {
             enterPhase(Phase.READING_HEAD);
+        } else if (phase == Phase.READING_HEAD && receiver.stage() == Stage.BODY) {
+            beginBody();
+        } else if (phase == Phase.READING_BODY && receiver.stage() == Stage.COMPLETE) {
+            enterPhase(Phase.RECEIVED);
         }
-        if (phase == Phase.READING_HEAD) {
-            request = reader.readHead();
-            return request != null && beginBody();
-        }
-        return readBody();
     }
 
-    private boolean beginBody() throws HttpException {
-        requestReceivedMs = server.nowMs();
+    private void beginBody() {
+        HttpRequest request = receiver.head();
         keepAlive = !HeaderRules.announcesClose(request)
                 && (request.getVersion() == null || request.getVersion().greaterEquals(HttpVersion.HTTP_1_1));
-        long length = bodyLength();
-        if (length > server.limits().maxBodyBytes()) {
-            refuse(413, "Content Too Large");
-            return false;
-        }
-        body = new ByteArrayOutputStream(length > 0 ? (int) length : 0);
-        if (length > 0 && !reserveMemory(length)) {
-            return false;
-        }
-        reader.beginBody(length);
         enterPhase(Phase.READING_BODY);
-        Header expect = request.getFirstHeader(HttpHeaders.EXPECT);
-        if (expect != null && length != 0) {
+        if (receiver.bodyLength() != 0 && request.getFirstHeader(HttpHeaders.EXPECT) != null) {
             context.writeAndFlush(HeadFormatter.response(100, "Continue", List.of()));
         }
-        return true;
     }
 
-    /** Returns the length of the body; rejects framing that parsers could interpret differently (request smuggling). */
-    private long bodyLength() throws HttpException {
-        int codings = request.countHeaders(HttpHeaders.TRANSFER_ENCODING);
-        int lengths = request.countHeaders(HttpHeaders.CONTENT_LENGTH);
-        if (!HeaderRules.areWellFormed(request) || codings + lengths > 1) {
-            throw new HttpException("ambiguous or malformed headers");
-        }
-        if (codings + lengths == 0) {
-            return 0;
-        }
-        if (codings == 1
-                && !request.getFirstHeader(HttpHeaders.TRANSFER_ENCODING)
-                        .getValue()
-                        .trim()
-                        .equalsIgnoreCase("chunked")) {
-            throw new HttpException("unknown transfer coding");
-        }
-        long length = DefaultContentLengthStrategy.INSTANCE.determineLength(request);
-        if (length < 0 && length != ContentLengthStrategy.CHUNKED) {
-            throw new HttpException("undefined length of the body");
+    private void handleReceived() {
+        if (phase != Phase.RECEIVED || !context.channel().isActive()) {
+            return;
         }
-        return length;
-    }
-
-    private boolean reserveMemory(long bytes) {
-        if (!server.bodyMemory().tryAcquire(bytes)) {
-            refuse(503, "Service Unavailable");
-            return false;
+        try {
+            responseBegun = false;
+            lastRequestMs = server.nowMs();
+            enterPhase(Phase.RESPONDING);
+            server.handler().handle(receiver.take(), this);
+        } catch (RuntimeException e) {
+            failUnexpectedly(e);
         }
-        reservedBodyBytes += bytes;
-        return true;
     }
 
-    private boolean readBody() throws IOException {
-        ByteBuffer piece = reader.readBody();
-        int count = piece.remaining();
-        if (body.size() + (long) count > server.limits().maxBodyBytes()) {
-            refuse(413, "Content Too Large");
-            return false;
-        }
-        if (body.size() + count > reservedBodyBytes && !reserveMemory(body.size() + count - reservedBodyBytes)) {
-            return false;
+    /** Ends the request in progress after an unexpected error, so that its caller does not wait for a response. */
+    private void failUnexpectedly(RuntimeException cause) {
+        HttpRequest request = receiver.head();
+        server.recordFailure(request == null ? "unread request" : request.getRequestUri(), cause);
+        if (disconnectListener != null) {
+            Runnable listener = disconnectListener;
+            disconnectListener = null;
+            listener.run();
         }
-        body.write(piece.array(), piece.position(), count);
-        if (!reader.isBodyComplete()) {
-            return count > 0;
+        if (phase == Phase.RESPONDING && responseBegun) {
+            abort();
+            return;
         }
-        ReceivedRequest received = new ReceivedRequest(request, body.toByteArray(), requestReceivedMs);
-        body = null;
-        responseBegun = false;
+        keepAlive = false;
         enterPhase(Phase.RESPONDING);
-        server.handler().handle(received, this);
-        return true;
+        respond(500, "Internal Server Error", List.of(), new byte[0]);
     }
 
     /** Refuses a request that was not received completely, and closes the connection after the response. */
-    private void refuse(int status, String reason) {
+    private void refuse(RequestRefusedException refusal) {
         keepAlive = false;
-        server.handler().onRefused(Optional.ofNullable(request), status, reason);
+        server.recordRefusal(receiver.head(), refusal);
         enterPhase(Phase.RESPONDING);
-        respond(status, reason, List.of(), new byte[0]);
+        respond(refusal.status(), refusal.getMessage(), List.of(), new byte[0]);
+        receiver.discardInput();
     }
 
     private void enterPhase(Phase next) {
@@ -272,12 +247,6 @@
         phaseStartMs = server.nowMs();
     }
 
-    private void releaseBody() {
-        server.bodyMemory().release(reservedBodyBytes);
-        reservedBodyBytes = 0;
-        body = null;
-    }
-
     @Override
     public void onCallerDisconnected(Runnable listener) {
         disconnectListener = listener;
@@ -335,6 +304,7 @@
             context.writeAndFlush(
                     Unpooled.wrappedBuffer(Unpooled.wrappedBuffer(size), piece, Unpooled.wrappedBuffer(LINE_END)),
                     context.voidPromise());
+            reserveOutput();
         } else {
             context.write(piece, context.voidPromise());
         }
@@ -347,20 +317,49 @@
         }
         disconnectListener = null;
         writableListener = null;
-        releaseBody();
+        receiver.release();
         if (chunkedResponse) {
             context.write(Unpooled.wrappedBuffer(LAST_CHUNK), context.voidPromise());
         }
         context.flush();
+        reserveOutput();
+        if (!isOpen()) {
+            return;
+        }
         if (!keepAlive || server.isClosing()) {
             closeAfterResponse();
             return;
         }
         enterPhase(Phase.IDLE);
+        // A caller that does not read its responses gets no further ones.
+        if (context.channel().isWritable()) {
+            resumeInput();
+        }
+    }
+
+    private void resumeInput() {
         context.channel().config().setAutoRead(true);
         // A separate task, so that a sequence of pipelined requests does not deepen the call stack.
-        if (reader.unreadBytes() > 0) {
-            context.executor().execute(this::process);
+        if (receiver.unreadBytes() > 0) {
+            context.executor().execute(this::receivePipelined);
+        }
+    }
+
+    private void receivePipelined() {
+        receive();
+        handleReceived();
+    }
+
+    /**
+     * Accounts for the response that the caller has not read. Without memory for it the connection is closed: all of the
+     * memory is then held by requests in progress.
+     */
+    private void reserveOutput() {
+        ChannelOutboundBuffer unwritten = context.channel().unsafe().outboundBuffer();
+        long bytes = unwritten == null ? 0 : unwritten.totalPendingWriteBytes();
+        if (!memory.resize(Use.OUTPUT, bytes)) {
+            server.countUnreadResponse();
+            context.close();
         }
     }
 
@@ -370,6 +369,7 @@
      */
     private void closeAfterResponse() {
         enterPhase(Phase.CLOSING);
+        receiver.discardInput();
         context.channel().config().setAutoRead(true);
         context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> {
             ((io.netty.channel.socket.SocketChannel) context.channel()).shutdownOutput();
@@ -391,7 +391,7 @@
     }
 
     boolean isIdle() {
-        return phase == Phase.IDLE && reader.unreadBytes() == 0;
+        return phase == Phase.IDLE && receiver.unreadBytes() == 0;
     }
 
     boolean isIdleSince(long timeMs) {
@@ -404,7 +404,30 @@
         }
     }
 
+    /** Returns whether the connection may be closed in favor of others: no request of it is in progress. */
+    boolean isReclaimable() {
+        return !isBusy();
+    }
+
+    /** Returns whether the connection holds a body or an unread response, and has done so since the given time. */
+    boolean isSlowSince(long timeMs) {
+        return phaseStartMs <= timeMs && memory.reservedBytes(Use.BODY) + memory.reservedBytes(Use.OUTPUT) > 0;
+    }
+
+    /** Returns the time of the last complete request, or of the opening of the connection. */
+    long lastRequestMs() {
+        return lastRequestMs;
+    }
+
+    /** Closes the connection at once and releases its memory. */
+    void reclaim() {
+        phase = Phase.CLOSING;
+        context.close();
+        handleDisconnect();
+    }
+
     void checkTimeouts(long nowMs) {
+        reserveOutput();
         long elapsedMs = nowMs - phaseStartMs;
         boolean reading = phase == Phase.READING_HEAD || phase == Phase.READING_BODY;
         if (phase == Phase.IDLE && elapsedMs > server.limits().idleTimeoutMs()
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/log/DecisionLog.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/log/DecisionLog.java
@@ -31,6 +31,8 @@
     private static final int SAMPLE_DIVISOR = 16;
 
     private static final long FLUSH_INTERVAL_MS = 250;
+    /** A subject may be an identifier that a caller has chosen; a full queue of long ones would not fit the heap. */
+    private static final int MAX_SUBJECT_LENGTH = 256;
 
     private final String instance;
     private final long incarnation;
@@ -88,7 +90,7 @@
         line.put("instance", instance);
         line.put("incarnation", incarnation);
         line.put("sequence", sequence);
-        line.put("subject", subject);
+        line.put("subject", truncated(subject));
         Map<String, Object> details = new LinkedHashMap<>();
         for (int i = 0; i + 1 < fields.length; i += 2) {
             details.put((String) fields[i], fields[i + 1]);
@@ -97,6 +99,12 @@
         return Json.write(line);
     }
 
+    private static String truncated(String subject) {
+        return subject == null || subject.length() <= MAX_SUBJECT_LENGTH
+                ? subject
+                : subject.substring(0, MAX_SUBJECT_LENGTH);
+    }
+
     /** Returns the number of lines that were dropped. */
     public long droppedLines() {
         return dropped.get();
