End the process with a nonzero status and a reason after an error

Cause: Netty ends its loop after an error, no other thread keeps the JVM, and it exits with status 0. The JDK's log handler loads time zones for each line, which fails without a free descriptor.

Ruled out: catching OutOfMemoryError, which leaves the loop's state unknown.

--- a/cranberrybend-daemon/src/main/java/org/cranberrybend/daemon/EntryDaemon.java
+++ b/cranberrybend-daemon/src/main/java/org/cranberrybend/daemon/EntryDaemon.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import org.cranberrybend.core.event.EventCode;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.EntryService;
 import org.cranberrybend.entry.EntrySettings;
@@ -24,6 +25,9 @@
     private static final int EXIT_USAGE = 2;
     private static final int EXIT_SETTINGS = 3;
     private static final int EXIT_START = 4;
+    /** The event loop ended by an error. */
+    private static final int EXIT_ERROR = 5;
+
     private static final long LOG_FLUSH_LIMIT_MS = 300;
 
     private EntryDaemon() {}
@@ -61,10 +65,13 @@
     private static void run(Path file) throws InterruptedException {
         EntrySettings settings = load(file);
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        LibraryLogHandler libraryLog = new LibraryLogHandler(System.err);
+        libraryLog.install();
         TimeSource timeSource = TimeSource.system();
         DecisionLog log = new DecisionLog(settings.instance(), timeSource.wallMs(), timeSource, System.out);
         log.start();
         EntryService service = new EntryService(settings, new PlatformPorts(), log);
+        service.onLoopEnded(() -> exitAfterError(log, libraryLog));
         Signal.handle(new Signal("HUP"), signal -> service.reload(file));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(service, log), "shutdown"));
         try {
@@ -75,6 +82,14 @@
         }
     }
 
+    /** Ends the process at once: without its event loop it can neither serve nor drain. */
+    private static void exitAfterError(DecisionLog log, LibraryLogHandler libraryLog) {
+        String cause = libraryLog.lastThrown().map(Throwable::toString).orElse("unknown");
+        log.record(EventCode.PROCESS_FAILED, "event loop", "cause", cause, "exit_status", EXIT_ERROR);
+        log.stop(LOG_FLUSH_LIMIT_MS);
+        Runtime.getRuntime().halt(EXIT_ERROR);
+    }
+
     private static void stop(EntryService service, DecisionLog log) {
         try {
             service.stop();
