--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntrySettings.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntrySettings.java
@@ -27,6 +27,7 @@
  * @param contactMs time after a failure of its connections from which an instance must know all changes again, in
  *     milliseconds
  * @param memoryMb memory limit of the instance, in MB
+ * @param maxDescriptors limit on the open descriptors of the process; 0 if unknown
  * @param shutdownLimitMs time from the stop signal until the process is killed, in milliseconds
  * @param retryRatio retries allowed as a ratio of requests
  * @param retryAllowance additional retries allowed in a window, for all instances together
@@ -51,6 +52,7 @@
         long upstreamDrainMs,
         long contactMs,
         int memoryMb,
+        int maxDescriptors,
         long shutdownLimitMs,
         double retryRatio,
         double retryAllowance,
@@ -100,6 +102,7 @@
                 json.integer("upstream_drain_ms", DEFAULT_UPSTREAM_DRAIN_MS),
                 json.integer("contact_ms", DEFAULT_CONTACT_MS),
                 (int) json.integer("memory_mb"),
+                (int) json.integer("max_fds", 0),
                 json.integer("shutdown_limit_s") * 1_000,
                 retries.decimal("ratio", DEFAULT_RETRY_RATIO),
                 retries.decimal("allowance", 0),
