--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/json/JsonObject.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/json/JsonObject.java
@@ -125,6 +125,15 @@
         throw typeError(name, "a number");
     }
 
+    /** Returns a number field, which must not be negative; 0 if the field is absent or null. */
+    public double notNegative(String name) throws JsonFormatException {
+        double value = decimal(name, 0);
+        if (value < 0) {
+            throw typeError(name, "a number that is not negative");
+        }
+        return value;
+    }
+
     /** Returns a boolean field, or the default if the field is absent or null. */
     public boolean booleanValue(String name, boolean defaultValue) throws JsonFormatException {
         Object value = fields.get(name);
