Check a configuration and list what differs from the one in force

Operators learned only from the log of the instances that a configuration was refused, and never that an entry of it could not match.

Comparing each account with each route: accounts are grouped by their constraint.

Change: entry.check has ConfigurationCheck (findings) and ConfigurationDifference (changes, API keys as digests), both without input and output.

Tests: no test of the daemon module before; ConfigurationCheckCommandTest 33 pass after.

Conclusion: what the check accepts an instance accepts, and the reverse, in all cases tried.

--- a/cranberrybend-daemon/src/main/java/org/cranberrybend/daemon/EntryDaemon.java
+++ b/cranberrybend-daemon/src/main/java/org/cranberrybend/daemon/EntryDaemon.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.EntryService;
 import org.cranberrybend.entry.EntrySettings;
@@ -14,13 +15,14 @@
 import sun.misc.Signal;
 
 /**
- * Starts an entry instance from its settings file, validates such a file,
+ * Starts an entry instance from its settings file, validates such a file, checks a configuration,
  * or makes the training run of the class archive.
  */
 public final class EntryDaemon {
     private static final String SETTINGS_VARIABLE = "CRANBERRYBEND_NODE_FILE";
     private static final String VALIDATE = "--validate";
     private static final String TRAIN = "--train-class-archive";
+    private static final String CHECK = "--check-configuration";
     private static final int EXIT_USAGE = 2;
     private static final int EXIT_SETTINGS = 3;
     private static final int EXIT_START = 4;
@@ -35,14 +37,18 @@
             System.out.println("settings are valid");
             return;
         }
+        if (arguments.length > 0 && arguments[0].equals(CHECK)) {
+            String[] ofCheck = Arrays.copyOfRange(arguments, 1, arguments.length);
+            System.exit(ConfigurationCheckCommand.run(ofCheck, System.out, System.err));
+        }
         if (arguments.length == 1 && arguments[0].equals(TRAIN)) {
             train();
             return;
         }
         String file = System.getenv(SETTINGS_VARIABLE);
         if (arguments.length > 0 || file == null) {
-            System.err.println("usage: [" + VALIDATE + " FILE | " + TRAIN + "]; the variable " + SETTINGS_VARIABLE
-                    + " names the settings file of a start");
+            System.err.println("usage: [" + VALIDATE + " FILE | " + CHECK + " NEW [OPTION...] | " + TRAIN
+                    + "]; the variable " + SETTINGS_VARIABLE + " names the settings file of a start");
             System.exit(EXIT_USAGE);
         }
         run(Path.of(file));
