Add config check to cranberrybendctl

Ruled out: a start of the daemon's program by the command line, because an architecture test lets no program start another; a dependency on platform/, because only the wiring module may know the adapter.

--- a/cranberrybend-ctl/src/main/java/org/cranberrybend/ctl/CtlMain.java
+++ b/cranberrybend-ctl/src/main/java/org/cranberrybend/ctl/CtlMain.java
@@ -18,6 +18,7 @@
 import org.cranberrybend.ctl.command.CommandContext;
 import org.cranberrybend.ctl.command.CommandTable;
 import org.cranberrybend.ctl.render.OutputFormat;
+import org.cranberrybend.daemon.ConfigurationCheckCommand;
 import org.cranberrybend.runtime.lifecycle.ExitCode;
 import org.cranberrybend.runtime.lifecycle.Version;
 
@@ -66,7 +67,7 @@
             throw new CommandException(ExitCode.USAGE, "unknown command \"" + name + "\"; see " + NAME + " --help");
         }
         OutputFormat format = format(line.getOptionValue("output", "table"));
-        if (name.equals("completion") || readsLogs(name, line)) {
+        if (name.equals("completion") || name.equals("config") || readsLogs(name, line)) {
             entry.command().run(new CommandContext(line, arguments, null, format, out));
             return;
         }
@@ -105,7 +106,7 @@
     }
 
     private static Options options() {
-        return new Options()
+        Options options = new Options()
                 .addOption("h", "help", false, "print this help and exit")
                 .addOption(null, "version", false, "print the version and exit")
                 .addOption("p", "profile", true, "profile file; default: $" + PROFILE_VARIABLE)
@@ -123,5 +124,6 @@
                 .addOption(null, "member", true, "timeline: only this process, instance/role")
                 .addOption(null, "since", true, "timeline: from this time, or for this duration back")
                 .addOption(null, "severity", true, "timeline: INFO, WARNING or ERROR and above");
+        return ConfigurationCheckCommand.addOptions(options);
     }
 }
--- a/cranberrybend-ctl/src/main/java/org/cranberrybend/ctl/command/CommandTable.java
+++ b/cranberrybend-ctl/src/main/java/org/cranberrybend/ctl/command/CommandTable.java
@@ -18,6 +18,9 @@
             Map.entry(
                     "validate",
                     new Entry("FILE", "check a whole configuration against the fleet's", ChangeCommands::validate)),
+            Map.entry(
+                    "config",
+                    new Entry("check NEW", "check a configuration file of entry instances", ConfigCommand::run)),
             Map.entry("diff", new Entry("FILE", "show what apply would change", ChangeCommands::diff)),
             Map.entry("apply", new Entry("FILE", "apply a whole configuration", ChangeCommands::apply)),
             Map.entry(
--- a/cranberrybend-ctl/src/test/java/org/cranberrybend/ctl/CtlMainTest.java
+++ b/cranberrybend-ctl/src/test/java/org/cranberrybend/ctl/CtlMainTest.java
@@ -208,4 +208,28 @@
                         "zone");
         assertThat(fieldNames(first.path("stamp"))).containsExactly("counter", "wall_ms");
     }
+
+    // Guards against a check that needs a profile, and against an exit status that hides errors from a script.
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = ';',
+            quoteCharacter = '`',
+            value = {
+                "{\"version\":1}; check; 0",
+                "{\"version\":1,\"services\":[{\"name\":\"s\"}]}; check; 0",
+                "{\"version\":1,\"services\":[{\"name\":\"s\"}]}; check --strict; 1",
+                "{\"version\":\"1\"}; check; 1",
+                "{\"version\":1}; check --against absent; 2",
+                "{\"version\":1}; unknown; 2"
+            })
+    void configurationIsCheckedWithoutAProfile(String text, String command, int status) throws IOException {
+        Path file = Files.writeString(directory.resolve("new.json"), text);
+        List<String> arguments = new ArrayList<>(List.of("config"));
+        arguments.addAll(List.of(command.split(" ")));
+        arguments.add(2, file.toString());
+        ExitCode exit =
+                CtlMain.run(arguments.toArray(String[]::new), Map.of(), new PrintStream(out), new PrintStream(err));
+        assertThat(exit.number()).isEqualTo(status);
+        assertThat(received).isEmpty();
+    }
 }
