--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/configuration/ServiceTargets.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/configuration/ServiceTargets.java
@@ -16,18 +16,23 @@
      */
     private static final double EVENT_GAP_RATIO = 1.25;
 
-    private final Range firstEvent = new Range(FIRST_EVENT_RATIO);
-    private final Range eventGap = new Range(EVENT_GAP_RATIO);
+    private final Range firstEvent = new Range(FIRST_EVENT_RATIO, LatencyClass.SENSITIVE, LatencyClass.TOLERANT);
+    private final Range eventGap =
+            new Range(EVENT_GAP_RATIO, LatencyClass.SENSITIVE_TO_PAUSES, LatencyClass.TOLERANT_OF_PAUSES);
 
     /** The tightest and the longest target of one kind, in milliseconds; a target of 0 is none. */
     private static final class Range {
         private final double sensitiveRatio;
+        private final LatencyClass sensitive;
+        private final LatencyClass tolerant;
         private long tightestMs = Long.MAX_VALUE;
         private long longestMs;
         private boolean hasRouteWithoutTarget;
 
-        Range(double sensitiveRatio) {
+        Range(double sensitiveRatio, LatencyClass sensitive, LatencyClass tolerant) {
             this.sensitiveRatio = sensitiveRatio;
+            this.sensitive = sensitive;
+            this.tolerant = tolerant;
         }
 
         void add(long targetMs) {
@@ -43,7 +48,7 @@
             if (longestMs == 0 || !hasRouteWithoutTarget && isSensitive(longestMs)) {
                 return LatencyClass.UNIFORM;
             }
-            return targetMs > 0 && isSensitive(targetMs) ? LatencyClass.SENSITIVE : LatencyClass.TOLERANT;
+            return targetMs > 0 && isSensitive(targetMs) ? sensitive : tolerant;
         }
 
         private boolean isSensitive(long targetMs) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/EngineGroups.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/EngineGroups.java
@@ -33,10 +33,10 @@
             hashes[i] = engines.get(i).engine().groupHash();
         }
         Arrays.sort(hashes, 0, size);
-        long firstTolerant = hashes[LatencyClass.sensitiveCount(size)];
+        long firstTolerant = hashes[latencyClass.sensitiveCount(size)];
         for (int i = 0; i < size; i++) {
             boolean sensitive = engines.get(i).engine().groupHash() < firstTolerant;
-            if (sensitive == (latencyClass == LatencyClass.SENSITIVE)) {
+            if (sensitive == latencyClass.isSensitive()) {
                 group.add(engines.get(i));
             }
         }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/EngineSelector.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/EngineSelector.java
@@ -67,7 +67,7 @@
         }
         UpstreamCandidates region = inRegion.size() == 0 ? candidates : inRegion;
         group.clear();
-        if (prompt.sharedPrefixTokens() >= MIN_FLEET_WIDE_PREFIX_TOKENS && latencyClass != LatencyClass.SENSITIVE) {
+        if (prompt.sharedPrefixTokens() >= MIN_FLEET_WIDE_PREFIX_TOKENS && !latencyClass.isSensitive()) {
             addGroupsOfAllRegions(candidates, latencyClass);
         } else {
             groups.addGroup(region, latencyClass, group);
