Join test comments that the formatter had broken

Ruled out: a change of the formatter's options; it has none for comments.

Change: the comments are filled again, and the slots of PlacementChoiceTest are named in full. Comments only.

Conclusion: no behaviour or check changes.

--- a/cranberrybend-core/src/test/java/org/cranberrybend/core/engine/PlacementChoiceTest.java
+++ b/cranberrybend-core/src/test/java/org/cranberrybend/core/engine/PlacementChoiceTest.java
@@ -97,9 +97,8 @@
     }
 
     // Guards against long prompts at engines whose streams miss their targets, against prompts that keep going to a
-    // slow
-    // engine, and against prefixes that are prefilled again without need. With 14 requests a second and engine of 16
-    // slots, or 20 of 64, all engines have more requests than the bound of the former rule.
+    // slow engine, and against prefixes that are prefilled again without need. With 14 requests a second and engines
+    // of 16 slots, or 20 and 64, all engines have more requests than the bound of the former rule.
     @ParameterizedTest
     @CsvSource({
         "6, 6, 64, 14, 1, true",
--- a/cranberrybend-daemon/src/main/java/org/cranberrybend/daemon/EntryDaemon.java
+++ b/cranberrybend-daemon/src/main/java/org/cranberrybend/daemon/EntryDaemon.java
@@ -16,8 +16,8 @@
 import sun.misc.Signal;
 
 /**
- * Starts an entry instance from its settings file, validates such a file, checks a configuration,
- * or makes the training run of the class archive.
+ * Starts an entry instance from its settings file, validates such a file, checks a configuration, or makes the training
+ * run of the class archive.
  */
 public final class EntryDaemon {
     private static final String SETTINGS_VARIABLE = "CRANBERRYBEND_NODE_FILE";
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/DrainMonitorTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/DrainMonitorTest.java
@@ -100,9 +100,8 @@
         }
     }
 
-    // Guards against a request that is taken late in the stop, so that its stream is cut off at the shutdown limit:
-    // seen
-    // with a chat that was taken 5.7 s after the signal.
+    // Guards against a request that is taken late in the stop, so that its stream is cut off at the shutdown limit.
+    // Seen with a chat that was taken 5.7 s after the signal.
     @Test
     @Timeout(TEST_LIMIT_S)
     void noRequestIsTakenLongAfterTheStopSignal() throws Exception {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/FleetDirectoryTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/FleetDirectoryTest.java
@@ -94,9 +94,8 @@
     }
 
     // Guards against an instance that is missing although it renews its lease: its first write was executed late, over
-    // the
-    // second one and under a lease that had expired, so that the store deleted the entry. And against another
-    // registration if the entry was written again already.
+    // the second one and under a lease that had expired, so that the store deleted the entry. Also guards against
+    // another registration if the entry was written again already.
     @ParameterizedTest
     @CsvSource({"false, 2", "true, 1"})
     void instanceRegistersAgainAfterItsEntryWasDeleted(boolean writtenAgain, int expectedWrites) {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/FaultyUpstreamTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/FaultyUpstreamTest.java
@@ -414,8 +414,7 @@
     }
 
     // Guards against giving up the running requests of an upstream that only missed its heartbeats, and against
-    // starting
-    // them again elsewhere.
+    // starting them again elsewhere.
     @ParameterizedTest
     @ValueSource(strings = {"/once/x", "/safe/x", "/stream/x"})
     void runningRequestGoesOnWhenTheEntryOfItsUpstreamExpires(String path) throws Exception {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/StreamTimingTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/StreamTimingTest.java
@@ -17,8 +17,7 @@
     private final Upstream upstream = Upstreams.listed("engine", "zone-a");
 
     // Guards against an engine that counts as slow because callers received its events slowly, and against pauses of
-    // the
-    // engine that are not seen.
+    // the engine that are not seen.
     @ParameterizedTest
     @CsvSource({"4, 4, false, 4, 5", "4, 900, false, 400, 901", "4, 900, true, 4, 5"})
     void pausesOfTheEngineAreMeasuredAndThoseOfTheCallerAreNot(
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamSelectorTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamSelectorTest.java
@@ -201,8 +201,7 @@
     }
 
     // Guards against a request that misses its targets at a slow engine while the next one in its order would keep
-    // them,
-    // and against instances that prefill a prefix elsewhere although all engines are alike.
+    // them, and against instances that prefill a prefix elsewhere although all engines are alike.
     @Test
     void slowEngineIsPassedOverOnceItsSpeedIsKnown() {
         table.all().forEach(each -> observe(each, 5));
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/WarmUpTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/WarmUpTest.java
@@ -159,8 +159,7 @@
     }
 
     // Guards against a rush to the upstreams of a zone that returns to service, unless they have said that they are
-    // warm
-    // after that, and against limiting those of other zones and services.
+    // warm after that, and against limiting those of other zones and services.
     @ParameterizedTest
     @CsvSource({
         "cold, z1, 5, -1, 2999, WARMING_UP",
