Correct comments of the estimates and name their units

Cause: the comment of ServiceLoad.MEAN_SMOOTHING called a weight of 0.03 a number of reports; the levels of ServiceEngineModel had no unit; the place and the position of an engine in PlacementChoice were not told apart; the multiplier of PrefixMemory and the window of RobustLine had no explanation.

Ruled out: sharing the hash of PrefixMemory with RendezvousHash.combine, as it would change the keys in memory.

Change: comments, and names of private fields, constants and local variables.

--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/balancing/ServiceLoad.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/balancing/ServiceLoad.java
@@ -7,15 +7,17 @@
  */
 public final class ServiceLoad {
     private static final double INITIAL_DURATION_MS = 100;
+    /** Weight of one request in the mean duration. */
     private static final double DURATION_SMOOTHING = 0.05;
-    /** Reports that count for the mean; a change of the load is followed after about as many. */
+    /** Weight of one report in the means, which follow a change after about 33 reports. */
     private static final double MEAN_SMOOTHING = 0.03;
     /** Upper bound of the interval between two reports; upstreams without traffic report rarely, but change little. */
     private static final double MAX_INTERVAL_MS = 3_000;
 
     /**
-     * Reports come with responses, so they count the requests just after one has ended, and a report of another instance
-     * is older than its age says. Without a margin, waits are longer in large fleets with reports 0.1 s old.
+     * Factor on the expected arrivals. Reports come with responses, so they count the requests just after one has ended,
+     * and a report of another instance is older than its age says. Without the factor, waits are longer in large fleets
+     * with reports 0.1 s old.
      */
     private static final double ARRIVALS_MARGIN = 1.4;
 
--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/engine/EngineEstimator.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/engine/EngineEstimator.java
@@ -86,9 +86,9 @@
 
     /** Records the target for the longest pause of a request that is sent; 0 if it has none. */
     public void recordTarget(double pauseTargetMs, long nowMs) {
-        double log = Math.log(pauseTargetMs > 0 ? pauseTargetMs : NO_PAUSE_TARGET_MS);
-        logPauseTarget.add(log, service.logPauseTarget(nowMs), nowMs);
-        service.recordPauseTarget(log, nowMs);
+        double logTarget = Math.log(pauseTargetMs > 0 ? pauseTargetMs : NO_PAUSE_TARGET_MS);
+        logPauseTarget.add(logTarget, service.logPauseTarget(nowMs), nowMs);
+        service.recordPauseTarget(logTarget, nowMs);
     }
 
     /** Returns the expected target for the longest pause of the streams at the engine. */
--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/engine/PlacementChoice.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/engine/PlacementChoice.java
@@ -77,7 +77,11 @@
         return size;
     }
 
-    /** Returns the position in the caller's list of an engine that is compared. */
+    /**
+     * Returns the position in the caller's list of an engine that is compared.
+     *
+     * @param place place of the engine in the order of the prefix, from 0 to {@link #size} - 1
+     */
     public int position(int place) {
         return positions[place];
     }
@@ -85,12 +89,13 @@
     /**
      * Sets what is known of an engine that is compared.
      *
+     * @param place place of the engine in the order of the prefix, from 0 to {@link #size} - 1
      * @param load load of the engine; its requests are the expected ones, whatever the age of the report
      * @param uncachedTokens prompt tokens that the engine has to prefill
      */
     public void rate(int place, EngineEstimator engine, EngineLoad load, int slots, double uncachedTokens) {
         LatencyEstimate estimate = engine.estimate(uncachedTokens, load, slots, nowMs);
-        double inTime = (1 - lateness(estimate.firstEventMs(), firstEventTargetMs))
+        double inTimeProbability = (1 - lateness(estimate.firstEventMs(), firstEventTargetMs))
                 * (1 - lateness(estimate.longestPauseMs(), pauseTargetMs));
         double streamTargetMs = engine.pauseTargetMs(nowMs);
         double pauseAfterMs = Math.max(estimate.longestPauseMs(), estimate.addedPauseMs());
@@ -98,7 +103,8 @@
         double streams = Math.min(load.requests(), slots);
         double prefill =
                 firstEventTargetMs > 0 ? uncachedTokens * engine.prefillMsPerToken(nowMs) / firstEventTargetMs : 0;
-        costs[place] = 1 - inTime + streams * (lateness(pauseAfterMs, streamTargetMs) - lateBefore) + prefill;
+        costs[place] =
+                1 - inTimeProbability + streams * (lateness(pauseAfterMs, streamTargetMs) - lateBefore) + prefill;
     }
 
     /** Returns the probability that a time exceeds its target, from an estimate of it. */
--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/engine/PrefixMemory.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/engine/PrefixMemory.java
@@ -13,7 +13,8 @@
     /** Time after which an engine has probably evicted a prefix that was not used. */
     private static final long RETENTION_MS = 60_000;
 
-    private static final long MIX = 0x9E3779B97F4A7C15L;
+    /** Multiplier that spreads the bits of a prefix hash: 2^64 divided by the golden ratio. */
+    private static final long HASH_MULTIPLIER = 0x9E3779B97F4A7C15L;
 
     private final Map<Long, Long> usedAtMs = new LinkedHashMap<>(64, 0.75f, true) {
         private static final long serialVersionUID = 1;
@@ -41,6 +42,6 @@
     }
 
     private static long key(long prefixHash, long engineHash) {
-        return Long.rotateLeft(prefixHash * MIX, 31) ^ engineHash;
+        return Long.rotateLeft(prefixHash * HASH_MULTIPLIER, 31) ^ engineHash;
     }
 }
--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/engine/RobustLine.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/engine/RobustLine.java
@@ -7,10 +7,12 @@
  * offset the median of the remainders. Up to 29 % of the samples may be arbitrary. Keeps a fixed number of samples.
  */
 final class RobustLine {
+    /** Samples that are kept. */
     private static final int WINDOW = 40;
     /** Samples between two computations, which compare all pairs of the window. */
     private static final int REFIT_INTERVAL = 4;
 
+    /** Samples needed for a line. */
     private static final int MIN_SAMPLES = 6;
     /** Pairs needed for a slope; with fewer, the samples have too similar arguments and the slope in use stays. */
     private static final int MIN_PAIRS = 12;
@@ -28,11 +30,12 @@
     private double offset;
 
     /**
-     * Creates a line that holds until there are samples.
+     * Creates a line without samples, which has the given offset and the largest slope.
      *
+     * @param offset value at an argument of 0 before the first samples
      * @param minDistance smallest difference of the arguments of two samples that are compared
      * @param minSlope lower bound of the slope
-     * @param maxSlope upper bound of the slope, which holds before the first samples
+     * @param maxSlope upper bound of the slope, and its value before the first samples
      */
     RobustLine(double offset, double minDistance, double minSlope, double maxSlope) {
         this.offset = offset;
--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/engine/ServiceEngineModel.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/engine/ServiceEngineModel.java
@@ -24,8 +24,8 @@
     private static final double MIN_REQUEST_DIFFERENCE = 3;
     private static final double INITIAL_DURATION_MS = 2_000;
     private static final double INITIAL_REQUEST_TOKENS = 2_000;
-    /** Logarithm of the pause target of streams before any was sent, in ms: tight, so that long prompts keep away. */
-    private static final double UNKNOWN_LOG_TARGET = Math.log(200);
+    /** Logarithm of the pause target in ms before any stream was sent: tight, so that long prompts keep away. */
+    private static final double INITIAL_LOG_PAUSE_TARGET = Math.log(200);
 
     private static final double SMOOTHING = 0.05;
     /** Time over which the length of the longest prompt is forgotten. */
@@ -39,11 +39,11 @@
             INITIAL_FIRST_EVENT_MS, MIN_PROMPT_DIFFERENCE_TOKENS, MIN_PREFILL_MS_PER_TOKEN, MAX_PREFILL_MS_PER_TOKEN);
     private final RobustLine step = new RobustLine(INITIAL_STEP_MS, MIN_REQUEST_DIFFERENCE, 0, MAX_STEP_MS_PER_REQUEST);
     /** Longest pauses of streams, near their upper end: rises by far more than it falls. */
-    private final SmoothedLevel highPause = new SmoothedLevel(0.4, 0.02, PAUSE_DECAY_MS);
+    private final SmoothedLevel highPauseMs = new SmoothedLevel(0.4, 0.02, PAUSE_DECAY_MS);
     /** Longest pauses of streams, near their middle. */
-    private final SmoothedLevel typicalPause = new SmoothedLevel(SMOOTHING, SMOOTHING, PAUSE_DECAY_MS);
+    private final SmoothedLevel typicalPauseMs = new SmoothedLevel(SMOOTHING, SMOOTHING, PAUSE_DECAY_MS);
 
-    private final SmoothedLevel longestPrompt = new SmoothedLevel(1, 0, LONGEST_PROMPT_DECAY_MS);
+    private final SmoothedLevel longestPromptTokens = new SmoothedLevel(1, 0, LONGEST_PROMPT_DECAY_MS);
     private final SmoothedLevel meanRequests = new SmoothedLevel(SMOOTHING, SMOOTHING, PAUSE_DECAY_MS);
     private final PrefixMemory prefixes = new PrefixMemory();
     private final SmoothedLevel logPauseTarget = new SmoothedLevel(SMOOTHING, SMOOTHING, PAUSE_DECAY_MS);
@@ -67,14 +67,14 @@
     /** Records the time to a first event, at the usual speed of the engine. */
     void recordFirstEvent(double prefillTokens, double firstEventMs, long nowMs) {
         firstEvent.add(prefillTokens, firstEventMs);
-        longestPrompt.add(prefillTokens, 0, nowMs);
+        longestPromptTokens.add(prefillTokens, 0, nowMs);
     }
 
     /** Records the events of a stream, at the usual speed of the engine. */
     void recordEvents(double requests, double eventMs, double longestPauseMs, long nowMs) {
         step.add(requests, eventMs);
-        highPause.add(longestPauseMs, longestPauseMs, nowMs);
-        typicalPause.add(longestPauseMs, longestPauseMs, nowMs);
+        highPauseMs.add(longestPauseMs, longestPauseMs, nowMs);
+        typicalPauseMs.add(longestPauseMs, longestPauseMs, nowMs);
         meanRequests.add(requests, requests, nowMs);
     }
 
@@ -83,12 +83,12 @@
         requestTokens += SMOOTHING * (tokens - requestTokens);
     }
 
-    void recordPauseTarget(double log, long nowMs) {
-        logPauseTarget.add(log, log, nowMs);
+    void recordPauseTarget(double logTarget, long nowMs) {
+        logPauseTarget.add(logTarget, logTarget, nowMs);
     }
 
     double logPauseTarget(long nowMs) {
-        return logPauseTarget.at(UNKNOWN_LOG_TARGET, nowMs);
+        return logPauseTarget.at(INITIAL_LOG_PAUSE_TARGET, nowMs);
     }
 
     void recordFactor(double factor) {
@@ -124,7 +124,7 @@
     }
 
     double typicalPauseMs(long nowMs) {
-        return typicalPause.at(0, nowMs);
+        return typicalPauseMs.at(0, nowMs);
     }
 
     double meanRequests(long nowMs) {
@@ -141,8 +141,8 @@
      */
     double prefillPauseMs(double prefillTokens, long nowMs) {
         double wholeMs = prefillTokens * prefillMsPerToken();
-        boolean lengthSeen = isLearned() && prefillTokens <= SEEN_LENGTH_TOLERANCE * longestPrompt.at(0, nowMs);
-        return lengthSeen ? Math.min(wholeMs, Math.max(highPause.at(wholeMs, nowMs), stepMs(1))) : wholeMs;
+        boolean lengthSeen = isLearned() && prefillTokens <= SEEN_LENGTH_TOLERANCE * longestPromptTokens.at(0, nowMs);
+        return lengthSeen ? Math.min(wholeMs, Math.max(highPauseMs.at(wholeMs, nowMs), stepMs(1))) : wholeMs;
     }
 
     /** Returns the time that the prefill of a token takes at the usual speed. */
--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/slowstart/SlowStart.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/slowstart/SlowStart.java
@@ -20,10 +20,11 @@
     /** Marks slots that have not begun. */
     private static final long NOT_BEGUN = Long.MIN_VALUE;
 
+    /** The slots of one upstream, and the place of this instance in the order of its senders. */
     private static final class Slots {
         private long nextMs = NOT_BEGUN;
         private boolean reserved;
-        private long usedMs;
+        private long lastUsedMs;
         private long rosterVersion = -1;
         private int rank;
         private double position;
@@ -117,7 +118,7 @@
             slots = new Slots();
             byUpstream.put(upstreamId, slots);
         }
-        slots.usedMs = nowMs;
+        slots.lastUsedMs = nowMs;
         if (slots.rosterVersion != roster.version()) {
             slots.rosterVersion = roster.version();
             slots.rank = roster.rank(instance, upstreamId);
@@ -128,7 +129,7 @@
 
     private void forgetUnused(long nowMs) {
         if (byUpstream.size() >= MAX_IDLE_UPSTREAMS) {
-            byUpstream.values().removeIf(each -> !each.reserved && nowMs - each.usedMs >= FORGET_AFTER_MS);
+            byUpstream.values().removeIf(each -> !each.reserved && nowMs - each.lastUsedMs >= FORGET_AFTER_MS);
         }
     }
 }
