Keep the statuses of refused requests in one class

Cause: 503 was written in RequestRefusedException and in HttpServer, 431 and 400 in ServerConnection. The comment of ConnectionMemory did not say what the reserved amount is.

Ruled out: constants of the HTTP library; callers need the reason phrase too.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ConnectionMemory.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ConnectionMemory.java
@@ -2,7 +2,7 @@
 
 /**
  * The memory that one connection of a caller occupies, by use. Each use is reserved in the limit of the server before
- * it is allocated; what it becomes is the capacity that is really allocated, not what a caller declares.
+ * it is allocated, at the capacity that will be allocated rather than the length that a caller declares.
  */
 final class ConnectionMemory {
     /** Uses of memory. */
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/HttpServer.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/HttpServer.java
@@ -28,7 +28,6 @@
 /** An HTTP server on one address, with its connections. Confined to one event loop. */
 public final class HttpServer {
     private static final int BACKLOG = 1024;
-    private static final int MEMORY_EXHAUSTED_STATUS = 503;
     /** Number of consecutive reads from one connection before the event loop serves others. */
     private static final int MAX_READS_PER_EVENT = 16;
 
@@ -187,7 +186,7 @@
     /** Records that the server refused a request by itself, for the handler and the metrics. */
     void recordRefusal(HttpRequest head, RequestRefusedException refusal) {
         refusals++;
-        if (refusal.status() == MEMORY_EXHAUSTED_STATUS) {
+        if (refusal.isMemoryExhausted()) {
             memoryRefusals++;
         }
         handler.onRefused(Optional.ofNullable(head), refusal.status(), refusal.getMessage());
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ServerConnection.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ServerConnection.java
@@ -173,9 +173,9 @@
         } catch (RequestRefusedException e) {
             refuse(e);
         } catch (MessageConstraintException e) {
-            refuse(new RequestRefusedException(431, "Request Header Fields Too Large"));
+            refuse(RequestRefusedException.headTooLarge());
         } catch (HttpException | IOException e) {
-            refuse(new RequestRefusedException(400, "Bad Request"));
+            refuse(RequestRefusedException.malformed());
         } catch (RuntimeException e) {
             failUnexpectedly(e);
         }
