Name pauses, series and warm-ups by what they are

Cause: a predicate named "counts" read as a number; isPausedAfter also considers how long a request has waited, and its first call starts that time; totalMs and longestPauseMs of StreamTiming belong to a series, events to the stream; byServiceAndHash is an order, not a second key; the comments of EngineGroups and of Withholding were hard to parse.

Ruled out: renaming Upstream.reported and ServicePauses.outlast, which tests call.

Change: names of private or package-private scope, and comments. The capacity that AttemptHeaders reserves is five headers, the number it adds at most.

Conclusion: no behaviour changes.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/AttemptHeaders.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/AttemptHeaders.java
@@ -10,8 +10,8 @@
 
 /** The headers that this program adds to requests to upstreams, and the statements in the headers of their responses. */
 final class AttemptHeaders {
-    /** Headers that are added to those of the caller. */
-    private static final int ADDED_HEADERS = 6;
+    /** Room in the list for the headers that are added to those of the caller. */
+    private static final int ADDED_HEADERS = 5;
     /** Position in a load report of the time that work takes on the machine, in percent of normal. */
     private static final int SLOWDOWN_INDEX = 3;
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -141,7 +141,7 @@
         if (sends > 0
                 || probe
                 || services.requests().isRefusing()
-                || placement.isPausedAfter(request.deadlineMs() - MIN_ATTEMPT_TIME_MS, attemptedUpstreams)) {
+                || placement.isWaitTooLong(request.deadlineMs() - MIN_ATTEMPT_TIME_MS, attemptedUpstreams)) {
             return false;
         }
         return services.waiting().tryAdd(placement.queue(), request.enginePriority(), this);
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPlacement.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPlacement.java
@@ -79,8 +79,11 @@
                 !excluded.contains(each.entry().id()) && zoneExclusion(each).isEmpty();
     }
 
-    /** Returns whether the request should not wait until an upstream may receive it, or has waited long enough. */
-    boolean isPausedAfter(long timeMs, Set<String> excluded) {
+    /**
+     * Returns whether the request should be refused rather than wait: no upstream may receive it until the given time, or
+     * it has waited long enough. The wait for upstreams that are warming up begins with the first call.
+     */
+    boolean isWaitTooLong(long timeMs, Set<String> excluded) {
         return pauses.outlast(timeMs, mayServe(excluded));
     }
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/ServicePauses.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/ServicePauses.java
@@ -33,11 +33,11 @@
     /**
      * Returns the time until the first upstream may receive requests; 0 if one may now, or none is left.
      *
-     * @param counts whether an upstream could serve the request apart from pauses and warm-ups
+     * @param mayServe whether an upstream could serve the request apart from pauses and warm-ups
      */
-    long remainingMs(Predicate<Upstream> counts) {
+    long remainingMs(Predicate<Upstream> mayServe) {
         long nowMs = timeSource.monotonicMs();
-        return remainingMs(table.withholding(service, counts, warmUp, nowMs), nowMs);
+        return remainingMs(table.withholding(service, mayServe, warmUp, nowMs), nowMs);
     }
 
     private static long remainingMs(Optional<Withholding> withholding, long nowMs) {
@@ -48,9 +48,9 @@
      * Returns whether a request should not wait, because the first upstream may receive it only after the given time, or
      * it has waited for upstreams that are warming up for long enough. The latter wait begins with the first call.
      */
-    boolean outlast(long timeMs, Predicate<Upstream> counts) {
+    boolean outlast(long timeMs, Predicate<Upstream> mayServe) {
         long nowMs = timeSource.monotonicMs();
-        Optional<Withholding> withholding = table.withholding(service, counts, warmUp, nowMs);
+        Optional<Withholding> withholding = table.withholding(service, mayServe, warmUp, nowMs);
         if (withholding.isPresent() && withholding.get().warmingUp()) {
             warmUpWaitEndMs = Math.min(warmUpWaitEndMs, nowMs + MAX_WARM_UP_WAIT_MS);
         }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/StreamTiming.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/StreamTiming.java
@@ -23,13 +23,18 @@
     private final int uncachedTokens;
     private final boolean prefixKnown;
     private final long pauseTargetMs;
-    private double sentTokens;
+    /** Tokens to be prefilled until the first event: those of this prompt and of earlier ones of this instance. */
+    private double prefillTokens;
+
     private boolean queued;
     private long sentMs;
     private long lastEventMs;
+    /** Longest pause, total time and number of events of the current series. */
     private long longestPauseMs;
-    private long totalMs;
+
+    private long seriesMs;
     private int seriesEvents;
+    /** Number of events of the whole stream. */
     private long events;
     /** Whether the next event ends a time in which the caller could not receive events. */
     private boolean interrupted;
@@ -54,7 +59,7 @@
         sentMs = nowMs;
         if (!prompt.isEmpty()) {
             long earlierTokens = upstream.prefillTokens() - uncachedTokens;
-            sentTokens = estimator().recordSent(uncachedTokens, earlierTokens, nowMs);
+            prefillTokens = estimator().recordSent(uncachedTokens, earlierTokens, nowMs);
             queued = upstream.estimatedRequests(nowMs) > upstream.entry().slots();
             estimator().recordTarget(pauseTargetMs, nowMs);
             upstream.engine().recordPrefix(prefixHash, nowMs);
@@ -68,12 +73,12 @@
         if (events == 0) {
             // A prefix that others have sent may be cached or not: the sample would be of an unknown length.
             if (prefixKnown) {
-                estimator().recordFirstEvent(sentTokens, nowMs - sentMs, queued, nowMs);
+                estimator().recordFirstEvent(prefillTokens, nowMs - sentMs, queued, nowMs);
             }
         } else if (!interrupted) {
             long pauseMs = nowMs - lastEventMs;
             longestPauseMs = Math.max(longestPauseMs, pauseMs);
-            totalMs += pauseMs;
+            seriesMs += pauseMs;
             seriesEvents++;
         }
         interrupted = false;
@@ -100,10 +105,10 @@
     }
 
     private void recordSeries(long nowMs) {
-        double eventMs = (totalMs - longestPauseMs) / (double) (seriesEvents - 1);
+        double eventMs = (seriesMs - longestPauseMs) / (double) (seriesEvents - 1);
         estimator().recordEvents(upstream.estimatedRequests(nowMs), eventMs, longestPauseMs, nowMs);
         longestPauseMs = 0;
-        totalMs = 0;
+        seriesMs = 0;
         seriesEvents = 0;
     }
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/EngineGroups.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/EngineGroups.java
@@ -5,8 +5,8 @@
 import org.cranberrybend.entry.configuration.LatencyClass;
 
 /**
- * Divides the engines of a region into groups for the latency classes. Instances need not agree on the groups with each
- * other, because each derives them from the list of engines by the same hash. Reused for all choices of an event loop.
+ * Divides the engines of a region into groups for the latency classes. All instances with the same list of engines derive
+ * the same groups by a hash, without messages. Reused for all choices of an event loop.
  */
 final class EngineGroups {
     /** Key of the hash that orders the engines; all instances must use the same. */
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Upstream.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Upstream.java
@@ -7,7 +7,7 @@
 import org.cranberrybend.entry.http.ClientConnection;
 
 /**
- * The state of one upstream as known to this process: load, health and connections. Confined to the event loop.
+ * The state of one upstream as known to this process: load, health, warm-up and connections. Confined to the event loop.
  */
 public final class Upstream {
     /** Number of consecutive failures after which an upstream is ejected. */
@@ -35,7 +35,7 @@
     private long pausedUntilMs = Long.MIN_VALUE / 2;
     /** Monotonic time at which the warm-up ends or has ended, as far as known. */
     private long warmUpEndMs = Long.MIN_VALUE / 2;
-    /** The same by the last entry alone, which other instances may know without what is assumed here. */
+    /** The same time by the last entry alone: instances that know the entry do not know what is assumed here. */
     private long statedWarmUpEndMs = Long.MIN_VALUE / 2;
     /** Entries up to this revision of the store do not end the warm-up that is assumed until {@link #warmUpEndMs}. */
     private long warmUpAssumedAtRevision = -1;
@@ -213,7 +213,7 @@
 
     /** Records a load report that came with a response to this process. */
     public void reported(int runningRequests, int waitingRequests, long nowMs) {
-        load.reported(runningRequests, waitingRequests, entry.slots(), nowMs);
+        load.recordReport(runningRequests, waitingRequests, entry.slots(), nowMs);
     }
 
     /** Records a load report that another instance has received, if it is newer than the one known here. */
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamLoad.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamLoad.java
@@ -59,7 +59,7 @@
         return prefillTokens;
     }
 
-    void reported(int runningRequests, int waitingRequests, int slots, long nowMs) {
+    void recordReport(int runningRequests, int waitingRequests, int slots, long nowMs) {
         reportedRunning = runningRequests;
         reportedWaiting = waitingRequests;
         runningAtReport = running;
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
@@ -47,8 +47,9 @@
     private final Map<String, Upstream> byId = new TreeMap<>();
     /** The upstreams in {@link #byId} by service. Lists are replaced, not changed, when upstreams join or leave. */
     private final Map<String, List<Upstream>> byService = new HashMap<>();
-
-    private final Map<String, List<Upstream>> byServiceAndHash = new HashMap<>();
+    /** The same lists in the order of the engines' hashes, for services with too many upstreams to examine all. */
+    private final Map<String, List<Upstream>> byServiceInHashOrder = new HashMap<>();
+    /** Whether an upstream has joined, left or changed its service since the lists by service were made. */
     private boolean byServiceOutdated;
     /** Entries of the upstreams in {@link #byId} as read from the store. */
     private final Map<String, StoreItem> itemsById = new TreeMap<>();
@@ -327,14 +328,14 @@
      * Returns when the first upstream of a service may receive requests again, if each that could serve is paused or
      * warming up without a slot; empty if one may now, or none is left.
      *
-     * @param counts whether an upstream could serve apart from pauses
+     * @param mayServe whether an upstream could serve the request apart from pauses and warm-ups
      */
     public Optional<Withholding> withholding(
-            String service, Predicate<Upstream> counts, WarmUpLimiter warmUp, long nowMs) {
+            String service, Predicate<Upstream> mayServe, WarmUpLimiter warmUp, long nowMs) {
         long endMs = Long.MAX_VALUE;
         boolean warmingUp = false;
         for (Upstream each : byId.values()) {
-            if (!each.entry().service().equals(service) || !each.isListedReady() || !counts.test(each)) {
+            if (!each.entry().service().equals(service) || !each.isListedReady() || !mayServe.test(each)) {
                 continue;
             }
             boolean paused = !each.admitsAfterPause(nowMs);
@@ -463,7 +464,7 @@
         if (byServiceOutdated) {
             groupByService();
         }
-        return byServiceAndHash.getOrDefault(service, List.of());
+        return byServiceInHashOrder.getOrDefault(service, List.of());
     }
 
     private void groupByService() {
@@ -474,12 +475,12 @@
                     .computeIfAbsent(upstream.entry().service(), name -> new ArrayList<>())
                     .add(upstream);
         }
-        byServiceAndHash.clear();
+        byServiceInHashOrder.clear();
         byService.forEach((service, upstreams) -> {
             if (upstreams.size() > UpstreamSelector.MAX_EXAMINED) {
                 List<Upstream> ordered = new ArrayList<>(upstreams);
                 ordered.sort(Comparator.comparingLong(each -> each.engine().hash()));
-                byServiceAndHash.put(service, ordered);
+                byServiceInHashOrder.put(service, ordered);
             }
         });
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Withholding.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Withholding.java
@@ -1,9 +1,9 @@
 package org.cranberrybend.entry.upstream;
 
 /**
- * That no upstream of a service may receive requests from this instance for now.
+ * The time for which no upstream of a service may receive requests from this instance.
  *
- * @param endMs monotonic time from which the first one may, as far as known
+ * @param endMs monotonic time from which the first upstream may receive requests, as far as known
  * @param warmingUp whether an upstream is withheld because it is warming up, rather than because it asked for time
  */
 public record Withholding(long endMs, boolean warmingUp) {}
