Spread the Retry-After of refusals whose end is not known

Cause: a refusal without a known end stated 400 ms to every caller, so that all callers refused in one moment returned in one moment.

Ruled out: spread() with its quarter on top of 400 ms (500 ms at most, and String.hashCode gives identifiers that differ in the last digit times that differ by 1 ms); a random time (a repeated identifier would change its time, and tests would need a seed).

Tests: RefusalRetryTest, 6 cases, failed first with the constant (1 distinct time for 20 requests; one eighth of the range held all 800). Now passed, and with it RegionConstraintTest, ZoneEvacuationTest, LeavingUpstreamTest, RequestPathTest.

Conclusion: identifiers of five common patterns fill each eighth of the range with half to twice the even share.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/ErrorResponse.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/ErrorResponse.java
@@ -10,6 +10,7 @@
 import org.apache.hc.core5.http.message.BasicHeader;
 import org.cranberrybend.core.error.ErrorCode;
 import org.cranberrybend.core.error.RunState;
+import org.cranberrybend.core.routing.RendezvousHash;
 import org.cranberrybend.entry.http.ServerExchange;
 import org.cranberrybend.entry.json.Json;
 
@@ -22,6 +23,11 @@
  * @param retryAfterMs time after which the caller may send the request again, in milliseconds; 0 if not stated
  */
 record ErrorResponse(ErrorCode code, String message, RunState runState, long retryAfterMs) {
+    /** Bounds of the time after which a refused caller may come back if the end of the reason is not known. */
+    private static final long MIN_UNKNOWN_END_MS = 400;
+
+    private static final long MAX_UNKNOWN_END_MS = 800;
+
     static ErrorResponse notRun(ErrorCode code, long retryAfterMs, Object... arguments) {
         return new ErrorResponse(code, code.message(arguments), RunState.NOT_RUN, retryAfterMs);
     }
@@ -35,6 +41,15 @@
         return retryAfterMs + Math.floorMod((long) requestId.hashCode(), 1 + retryAfterMs / 4);
     }
 
+    /**
+     * Returns the time after which a refused caller may come back if the end of the reason is not known. It is spread by
+     * a hash that also separates identifiers that differ in one digit.
+     */
+    static long retryAfterUnknownEndMs(String requestId) {
+        long hash = RendezvousHash.hash("retry after", requestId);
+        return MIN_UNKNOWN_END_MS + Math.floorMod(hash, MAX_UNKNOWN_END_MS - MIN_UNKNOWN_END_MS + 1);
+    }
+
     void send(ServerExchange exchange, String requestId) {
         Map<String, Object> error = new LinkedHashMap<>();
         error.put("code", code.wireCode());
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPlacement.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPlacement.java
@@ -17,9 +17,6 @@
  * admitted; after a change of the configuration the intersection with the constraint in force applies.
  */
 final class RequestPlacement {
-    /** Time after which a refused caller may come back if it is not known when an upstream is free. */
-    private static final long RETRY_AFTER_MS = 400;
-
     private static final long MIN_RETRY_AFTER_MS = 100;
     /** The same time if no zone with an upstream is allowed: only an operator or a new upstream changes that. */
     private static final long NO_ZONE_RETRY_AFTER_MS = 2_000;
@@ -113,7 +110,7 @@
         }
         return zoneExcluded && !zoneLeft
                 ? ErrorResponse.spread(NO_ZONE_RETRY_AFTER_MS, request.attemptId())
-                : RETRY_AFTER_MS;
+                : ErrorResponse.retryAfterUnknownEndMs(request.attemptId());
     }
 
     /** Describes the zones whose upstreams of the service may not receive the request. */
