Move the responsiveness checks out of Exchange

Ruled out: moving the responses to the caller, whose state (headSent) nearly every method reads.

Change: ResponsivenessMonitor has the timer, the intervals and the decision; Exchange keeps the move to another upstream. No change of behavior.

Tests: org.cranberrybend.entry.request.*Test passed before and after.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -27,14 +27,10 @@
  * retry in this sense: it has a limit of its own. The head of a streamed response is sent together with the first
  * event, so that until then the request can still be retried or answered with an error.
  */
-final class Exchange implements UpstreamAttempt.ResultListener {
+final class Exchange implements UpstreamAttempt.ResultListener, ResponsivenessMonitor.Subject {
     /** Failed connection attempts after which no other upstream is tried. */
     private static final int MAX_CONNECT_FAILURES = 3;
 
-    /** Delay of the first check; slightly longer than the time after which an upstream counts as unresponsive. */
-    private static final long FIRST_RESPONSIVENESS_CHECK_MS = 1_050;
-
-    private static final long RESPONSIVENESS_CHECK_MS = 300;
     /** Time before the deadline that a further attempt needs at least. */
     private static final long MIN_ATTEMPT_TIME_MS = 60;
 
@@ -47,11 +43,10 @@
     private final Set<String> attemptedUpstreams = new LinkedHashSet<>();
     private final List<PartFingerprint> parts;
     private final RequestLog requestLog;
-    private final AttemptHealth health;
+    private final ResponsivenessMonitor responsiveness;
     private final RequestPlacement placement;
     private UpstreamAttempt attempt;
     private ScheduledFuture<?> deadlineTimer;
-    private ScheduledFuture<?> responsivenessTimer;
     private int sends;
     private int connectFailures;
     private boolean mayHaveExecuted;
@@ -70,7 +65,7 @@
         this.parts = QuarantineService.partsOf(request.service(), request.prompt());
         this.lastEventId = request.resumeAfterEventId();
         this.requestLog = new RequestLog(request, parts, services);
-        this.health = new AttemptHealth(request.route());
+        this.responsiveness = new ResponsivenessMonitor(this, request, services, requestLog);
         this.placement = new RequestPlacement(request, services);
     }
 
@@ -80,8 +75,7 @@
         caller.onWritable(this::onCallerWritable);
         deadlineTimer = services.loop().schedule(this::onTimeout, request.deadlineMs() - nowMs, TimeUnit.MILLISECONDS);
         if (request.retryRule() != RetryRule.ONCE) {
-            responsivenessTimer = services.loop()
-                    .schedule(this::checkResponsiveness, FIRST_RESPONSIVENESS_CHECK_MS, TimeUnit.MILLISECONDS);
+            responsiveness.start();
         }
         services.requests().add(this);
         services.budget().recordRequest(request.service());
@@ -181,32 +175,19 @@
         attempt.start(lastEventId);
     }
 
-    /** Retries the request elsewhere if it may be executed again and its upstream is unresponsive or has stalled. */
-    private void checkResponsiveness() {
-        long nowMs = services.timeSource().monotonicMs();
-        UpstreamAttempt current = attempt;
-        if (current != null
-                && current.isSent()
-                && current.isReading()
-                && request.retryRule().allowsReexecution(headSent)) {
-            if (health.isUnresponsive(current, nowMs)) {
-                current.upstream().ejectUnresponsive(nowMs);
-                requestLog.recordUnhealthy(current.upstream(), "silent");
-                if (moveFrom(current, "unresponsive upstream")) {
-                    current.upstream().pool().discardIdle();
-                }
-            } else if (health.isStalled(current, nowMs)) {
-                moveFrom(current, "stalled stream");
-            }
-        }
-        if (!finished) {
-            responsivenessTimer =
-                    services.loop().schedule(this::checkResponsiveness, RESPONSIVENESS_CHECK_MS, TimeUnit.MILLISECONDS);
-        }
+    @Override
+    public UpstreamAttempt replaceableAttempt() {
+        return request.retryRule().allowsReexecution(headSent) ? attempt : null;
+    }
+
+    @Override
+    public boolean isFinished() {
+        return finished;
     }
 
     /** Moves the request to another upstream if possible; otherwise the current attempt goes on. */
-    private boolean moveFrom(UpstreamAttempt current, String reason) {
+    @Override
+    public boolean moveFrom(UpstreamAttempt current, String reason) {
         boolean mayHaveExecutedBefore = mayHaveExecuted;
         sends++;
         mayHaveExecuted = true;
@@ -486,9 +467,7 @@
         finished = true;
         services.requests().remove(this);
         deadlineTimer.cancel(false);
-        if (responsivenessTimer != null) {
-            responsivenessTimer.cancel(false);
-        }
+        responsiveness.stop();
         long elapsedMs = services.timeSource().monotonicMs() - request.receivedMs();
         services.metrics().recordOutcome(outcome, elapsedMs);
         requestLog.recordEnd(code, cause, sends, elapsedMs, attemptedUpstreams);
