--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/balancing/ServiceLoad.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/balancing/ServiceLoad.java
@@ -8,6 +8,8 @@
 public final class ServiceLoad {
     private static final double INITIAL_DURATION_MS = 100;
     private static final double DURATION_SMOOTHING = 0.05;
+    /** Complete requests from which their mean duration is used to decide about waiting and refusals. */
+    private static final int MIN_DURATIONS = 20;
     /** Reports that count for the mean; a change of the load is followed after about as many. */
     private static final double MEAN_SMOOTHING = 0.03;
     /** Upper bound of the interval between two reports; upstreams without traffic report rarely, but change little. */
@@ -21,6 +23,7 @@
 
     private double durationMs = INITIAL_DURATION_MS;
     private boolean durationKnown;
+    private int durations;
     private double othersPerSlot;
     private double intervalMs;
     private boolean reported;
@@ -30,6 +33,12 @@
         durationMs = durationKnown ? durationMs + DURATION_SMOOTHING * (requestMs - durationMs) : requestMs;
         durationMs = Math.max(1, durationMs);
         durationKnown = true;
+        durations = Math.min(MIN_DURATIONS, durations + 1);
+    }
+
+    /** Returns the mean time that a request takes; 0 if too few requests were observed. */
+    public double observedDurationMs() {
+        return durations < MIN_DURATIONS ? 0 : durationMs;
     }
 
     /**
