Hold back and refuse requests while all upstreams are full

Cause: an instance sent every request at once. Under overload the queues of the upstreams filled without regard to accounts and targets.

Change: OverloadAdmission holds back first attempts for which every eligible upstream is full, at most an eighth of the target, and sends them in the order of OverloadQueue when there is room. It refuses what cannot be answered before the deadline, or is not next in order when its wait is over, with 503 "overloaded" (not run). Retry-After is the time until the known excess is served, 400 ms to 3 s, and up to twice as long by identifier. OccupancyReader reads how full the upstreams are; UpstreamSelector is not changed. Event REQUEST_OVERLOADED has the inputs of a refusal and the age of the oldest load report. Metrics requests_waiting_for_room, requests_held_for_room, requests_refused_overload, room_wait_time.

CPU time of a whole instance in calm was not measured.

--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/error/ErrorCode.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/error/ErrorCode.java
@@ -37,6 +37,7 @@
     UPSTREAM_FAILED(502, Severity.WARNING, "The upstream failed: %s"),
     UPSTREAM_CUT(502, Severity.WARNING, "The answer was cut after %d tokens."),
     NO_UPSTREAM(503, Severity.WARNING, "No upstream for \"%s\" is available."),
+    OVERLOADED(503, Severity.WARNING, "All upstreams for \"%s\" are full."),
     NO_UPSTREAM_IN_ALLOWED_REGION(
             503, Severity.WARNING, "No upstream for \"%s\" is available in a region where this request may run."),
     PROMPT_QUARANTINED(503, Severity.WARNING, "Requests with parts of this prompt have crashed upstreams."),
--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/event/EventCode.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/event/EventCode.java
@@ -44,6 +44,7 @@
     IDEMPOTENCY_REPLAYED(411, Severity.INFO, "A stored response was replayed."),
     PROMPT_QUARANTINED(412, Severity.WARNING, "Requests with prompt parts that crash upstreams are refused."),
     PROMPT_RELEASED(413, Severity.INFO, "Requests with prompt parts are no longer refused."),
+    REQUEST_OVERLOADED(414, Severity.INFO, "A request is refused because all upstreams are full."),
     UPSTREAM_JOINED(501, Severity.INFO, "An upstream can be used."),
     UPSTREAM_LEAVING(502, Severity.INFO, "An upstream is leaving and receives no new requests."),
     UPSTREAM_UNHEALTHY(503, Severity.WARNING, "An upstream's circuit breaker opened."),
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/ErrorResponse.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/ErrorResponse.java
@@ -23,10 +23,10 @@
  * @param retryAfterMs time after which the caller may send the request again, in milliseconds; 0 if not stated
  */
 record ErrorResponse(ErrorCode code, String message, RunState runState, long retryAfterMs) {
-    /** Bounds of the time after which a refused caller may come back if the end of the reason is not known. */
+    /** Shortest time after which a refused caller may come back if the end of the reason is not known. */
     private static final long MIN_UNKNOWN_END_MS = 400;
-
-    private static final long MAX_UNKNOWN_END_MS = 800;
+    /** Longest time until the end of an excess that is believed: loads and rates change within seconds. */
+    private static final long MAX_EXCESS_MS = 3_000;
 
     static ErrorResponse notRun(ErrorCode code, long retryAfterMs, Object... arguments) {
         return new ErrorResponse(code, code.message(arguments), RunState.NOT_RUN, retryAfterMs);
@@ -46,8 +46,17 @@
      * a hash that also separates identifiers that differ in one digit.
      */
     static long retryAfterUnknownEndMs(String requestId) {
-        long hash = RendezvousHash.hash("retry after", requestId);
-        return MIN_UNKNOWN_END_MS + Math.floorMod(hash, MAX_UNKNOWN_END_MS - MIN_UNKNOWN_END_MS + 1);
+        return retryAfterExcessMs(0, requestId);
+    }
+
+    /**
+     * Returns the time after which a refused caller may come back if more requests have arrived than can be served: the
+     * time until these are served, or up to twice as long. The end of the arrivals is not known, so that it is never
+     * shorter than without knowledge.
+     */
+    static long retryAfterExcessMs(long excessMs, String requestId) {
+        long leastMs = Math.max(MIN_UNKNOWN_END_MS, Math.min(MAX_EXCESS_MS, excessMs));
+        return leastMs + Math.floorMod(RendezvousHash.hash("retry after", requestId), leastMs + 1);
     }
 
     void send(ServerExchange exchange, String requestId) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -45,6 +45,7 @@
     private final RequestLog requestLog;
     private final ResponsivenessMonitor responsiveness;
     private final RequestPlacement placement;
+    private final HeldRequest held;
     private UpstreamAttempt attempt;
     private ScheduledFuture<?> deadlineTimer;
     private int sends;
@@ -67,6 +68,7 @@
         this.requestLog = new RequestLog(request, parts, services);
         this.responsiveness = new ResponsivenessMonitor(this, request, services, requestLog);
         this.placement = new RequestPlacement(request, services);
+        this.held = new HeldRequest(request, placement, requestLog, this::sendHeld, this::refuse);
     }
 
     void start() {
@@ -122,9 +124,23 @@
         if (services.waiting().isAnyWaiting(placement) && tryWait()) {
             return;
         }
+        place(reason, sends == 0 && !probe && attemptedUpstreams.isEmpty());
+    }
+
+    /**
+     * Sends the request, or lets it wait if no upstream may receive it now.
+     *
+     * @param mayBeHeld whether it waits, too, if all upstreams are full
+     */
+    private void place(String reason, boolean mayBeHeld) {
         Optional<Upstream> chosen = placement.choose(attemptedUpstreams);
         if (chosen.isPresent()) {
-            send(chosen.get(), reason);
+            boolean taken = mayBeHeld
+                    && !services.requests().isRefusing()
+                    && services.overload().takes(held, chosen.get());
+            if (!taken) {
+                send(chosen.get(), reason);
+            }
         } else if (pauseRemainingMs() == 0 || !tryWait()) {
             endWithoutResponse("no upstream: " + reason);
         }
@@ -141,6 +157,16 @@
         return services.waiting().tryAdd(placement.queue(), request.enginePriority(), this);
     }
 
+    /** Sends a request that has waited for room, unless its prompt was quarantined meanwhile. */
+    private void sendHeld() {
+        Verdict verdict = services.quarantine().verdict(parts);
+        if (verdict.kind() == Verdict.Kind.ADMIT) {
+            place("after a wait for room", false);
+        } else {
+            endQuarantined(verdict);
+        }
+    }
+
     /** Returns the time until an upstream may receive this request; 0 if one may now, or none is left. */
     long pauseRemainingMs() {
         return placement.pauseRemainingMs(attemptedUpstreams);
@@ -180,11 +206,6 @@
         return request.retryRule().allowsReexecution(headSent) ? attempt : null;
     }
 
-    @Override
-    public boolean isFinished() {
-        return finished;
-    }
-
     /** Moves the request to another upstream if possible; otherwise the current attempt goes on. */
     @Override
     public boolean moveFrom(UpstreamAttempt current, String reason) {
@@ -466,6 +487,7 @@
     private void finish(EventCode code, String outcome, String cause) {
         finished = true;
         services.requests().remove(this);
+        services.overload().remove(held);
         deadlineTimer.cancel(false);
         responsiveness.stop();
         long elapsedMs = services.timeSource().monotonicMs() - request.receivedMs();
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestLog.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestLog.java
@@ -65,6 +65,32 @@
                         placement.describeExcludedZones());
     }
 
+    /** Records what the refusal of a request for which all upstreams are full is based on. */
+    void recordOverload(OverloadBasis basis, long retryAfterMs) {
+        services.log()
+                .record(
+                        EventCode.REQUEST_OVERLOADED,
+                        request.attemptId(),
+                        "decision",
+                        basis.decision(),
+                        "requests_per_slot",
+                        Math.round(basis.requestsPerSlot() * 100) / 100.0,
+                        "oldest_load_age_ms",
+                        basis.reportAgeMs(),
+                        "waiting",
+                        basis.waiting(),
+                        "ahead",
+                        basis.ahead(),
+                        "expected_wait_ms",
+                        basis.waitMs(),
+                        "expected_response_ms",
+                        basis.responseMs(),
+                        "left_ms",
+                        basis.leftMs(),
+                        "retry_after_ms",
+                        retryAfterMs);
+    }
+
     /** Returns the estimate for an engine; zeros for a plain service. */
     private LatencyEstimate expected(Upstream upstream, long nowMs) {
         if (request.prompt().isEmpty()) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestMetrics.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestMetrics.java
@@ -37,6 +37,18 @@
         registry.counter("upstream_pauses").inc();
     }
 
+    void countHeld() {
+        registry.counter("requests_held_for_room").inc();
+    }
+
+    void recordOverloadWait(long waitMs) {
+        registry.timer("room_wait_time").update(waitMs, TimeUnit.MILLISECONDS);
+    }
+
+    void countOverloadRefusal() {
+        registry.counter("requests_refused_overload").inc();
+    }
+
     void countQuarantineRefusal() {
         registry.counter("requests_refused_quarantined").inc();
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
@@ -13,6 +13,7 @@
 import org.cranberrybend.entry.port.HeaderNames;
 import org.cranberrybend.entry.quarantine.QuarantineService;
 import org.cranberrybend.entry.store.ConfigurationHolder;
+import org.cranberrybend.entry.upstream.OccupancyReader;
 import org.cranberrybend.entry.upstream.UpstreamEligibility;
 import org.cranberrybend.entry.upstream.UpstreamSelector;
 import org.cranberrybend.entry.upstream.UpstreamTable;
@@ -64,6 +65,8 @@
         configuration.onChange(upstreams.serviceModels()::apply);
         metrics.gauge("engine_services_learned", () -> upstreams.serviceModels()::learnedCount);
         metrics.gauge("requests_waiting", () -> waiting::count);
+        OverloadAdmission overload = new OverloadAdmission(new OccupancyReader(upstreams, eligibility));
+        metrics.gauge("requests_waiting_for_room", () -> overload::count);
         metrics.gauge("upstreams_paused", () -> upstreams::pausedCount);
         metrics.gauge("zones_evacuated", () -> () -> evacuations.state().zones().size());
         metrics.gauge(
@@ -72,24 +75,25 @@
         evacuations.addListener(zoneListener(upstreams, warmUp));
         metrics.gauge("upstreams_warming_up", () -> () -> upstreams.warmingUpCount(warmUp));
         metrics.gauge("warm_up_sends", () -> warmUp::sentCount);
-        router = new RequestRouter(
+        RequestServices services = new RequestServices(
+                loop,
+                timeSource,
+                names,
                 configuration,
-                new RequestServices(
-                        loop,
-                        timeSource,
-                        names,
-                        configuration,
-                        upstreams,
-                        eligibility,
-                        selector,
-                        quarantine,
-                        budget,
-                        usage,
-                        log,
-                        new RequestMetrics(metrics),
-                        requests,
-                        waiting,
-                        warmUp));
+                upstreams,
+                eligibility,
+                selector,
+                quarantine,
+                budget,
+                usage,
+                log,
+                new RequestMetrics(metrics),
+                requests,
+                waiting,
+                overload,
+                warmUp);
+        overload.connect(services);
+        router = new RequestRouter(configuration, services);
     }
 
     private static ZoneEvacuations.Listener zoneListener(UpstreamTable upstreams, WarmUpLimiter warmUp) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestServices.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestServices.java
@@ -29,6 +29,7 @@
  * @param metrics counters and timers
  * @param requests requests in progress
  * @param waiting requests that wait for upstreams that have asked for time or warm up
+ * @param overload holds back or refuses requests while all upstreams are full
  * @param warmUp limits the requests to upstreams that are warming up
  */
 record RequestServices(
@@ -46,4 +47,5 @@
         RequestMetrics metrics,
         RequestsInProgress requests,
         WaitingRequests waiting,
+        OverloadAdmission overload,
         WarmUpLimiter warmUp) {}
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/ResponsivenessMonitor.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/ResponsivenessMonitor.java
@@ -20,8 +20,6 @@
 
         /** Moves the request to another upstream if possible; returns whether it was moved. */
         boolean moveFrom(UpstreamAttempt current, String reason);
-
-        boolean isFinished();
     }
 
     private final Subject subject;
@@ -29,6 +27,7 @@
     private final RequestLog requestLog;
     private final AttemptHealth health;
     private ScheduledFuture<?> timer;
+    private boolean stopped;
 
     ResponsivenessMonitor(Subject subject, RoutedRequest request, RequestServices services, RequestLog requestLog) {
         this.subject = subject;
@@ -42,6 +41,7 @@
     }
 
     void stop() {
+        stopped = true;
         if (timer != null) {
             timer.cancel(false);
         }
@@ -61,7 +61,7 @@
                 subject.moveFrom(current, "stalled stream");
             }
         }
-        if (!subject.isFinished()) {
+        if (!stopped) {
             timer = services.loop().schedule(this::check, CHECK_MS, TimeUnit.MILLISECONDS);
         }
     }
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
@@ -260,7 +260,17 @@
 
     /** Returns the value of a gauge. */
     public long gauge(String name) throws Exception {
-        return onLoop(() -> ((Number) metrics.getGauges().get(name).getValue()).longValue());
+        return onLoop(() -> gaugeOnLoop(name));
+    }
+
+    /** Returns the value of a gauge; may be called on the event loop only. */
+    public long gaugeOnLoop(String name) {
+        return ((Number) metrics.getGauges().get(name).getValue()).longValue();
+    }
+
+    /** Returns the value of a counter. */
+    public long counter(String name) {
+        return metrics.counter(name).getCount();
     }
 
     /** Writes the entry of an upstream in the zone {@code zone-a}. */
