--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/event/EventCode.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/event/EventCode.java
@@ -47,6 +47,7 @@
     PROMPT_RELEASED(413, Severity.INFO, "Requests with prompt parts are no longer refused."),
     CALLER_MEMORY_EXHAUSTED(
             414, Severity.WARNING, "Callers were refused or disconnected for lack of memory or descriptors."),
+    REQUEST_OVERLOADED(415, Severity.INFO, "A request is refused because all upstreams are full."),
     UPSTREAM_JOINED(501, Severity.INFO, "An upstream can be used."),
     UPSTREAM_LEAVING(502, Severity.INFO, "An upstream is leaving and receives no new requests."),
     UPSTREAM_UNHEALTHY(503, Severity.WARNING, "An upstream's circuit breaker opened."),
