--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -27,14 +27,10 @@
  * retry in this sense: it has a limit of its own. The head of a streamed response is sent together with the first
  * event, so that until then the request can still be retried or answered with an error.
  */
-final class Exchange implements UpstreamAttempt.ResultListener {
+final class Exchange implements UpstreamAttempt.ResultListener, ResponsivenessMonitor.Subject {
     /** Failed connection attempts after which no other upstream is tried. */
     private static final int MAX_CONNECT_FAILURES = 3;
 
-    /** Delay of the first check; slightly longer than the time after which an upstream counts as unresponsive. */
-    private static final long FIRST_RESPONSIVENESS_CHECK_MS = 1_050;
-
-    private static final long RESPONSIVENESS_CHECK_MS = 300;
     /** Time before the deadline that a further attempt needs at least. */
     private static final long MIN_ATTEMPT_TIME_MS = 60;
 
@@ -47,11 +43,11 @@
     private final Set<String> attemptedUpstreams = new LinkedHashSet<>();
     private final List<PartFingerprint> parts;
     private final RequestLog requestLog;
-    private final AttemptHealth health;
+    private final ResponsivenessMonitor responsiveness;
     private final RequestPlacement placement;
+    private final HeldRequest held;
     private UpstreamAttempt attempt;
     private ScheduledFuture<?> deadlineTimer;
-    private ScheduledFuture<?> responsivenessTimer;
     private int sends;
     private int connectFailures;
     private boolean mayHaveExecuted;
@@ -70,8 +66,9 @@
         this.parts = QuarantineService.partsOf(request.service(), request.prompt());
         this.lastEventId = request.resumeAfterEventId();
         this.requestLog = new RequestLog(request, parts, services);
-        this.health = new AttemptHealth(request.route());
+        this.responsiveness = new ResponsivenessMonitor(this, request, services, requestLog);
         this.placement = new RequestPlacement(request, services);
+        this.held = new HeldRequest(request, placement, requestLog, this::sendHeld, this::refuse);
     }
 
     void start() {
@@ -80,8 +77,7 @@
         caller.onWritable(this::onCallerWritable);
         deadlineTimer = services.loop().schedule(this::onTimeout, request.deadlineMs() - nowMs, TimeUnit.MILLISECONDS);
         if (request.retryRule() != RetryRule.ONCE) {
-            responsivenessTimer = services.loop()
-                    .schedule(this::checkResponsiveness, FIRST_RESPONSIVENESS_CHECK_MS, TimeUnit.MILLISECONDS);
+            responsiveness.start();
         }
         services.requests().add(this);
         services.budget().recordRequest(request.service());
@@ -128,9 +124,23 @@
         if (services.waiting().isAnyWaiting(placement) && tryWait()) {
             return;
         }
+        place(reason, sends == 0 && !probe && attemptedUpstreams.isEmpty());
+    }
+
+    /**
+     * Sends the request, or lets it wait if no upstream may receive it now.
+     *
+     * @param mayBeHeld whether it waits, too, if all upstreams are full
+     */
+    private void place(String reason, boolean mayBeHeld) {
         Optional<Upstream> chosen = placement.choose(attemptedUpstreams);
         if (chosen.isPresent()) {
-            send(chosen.get(), reason);
+            boolean taken = mayBeHeld
+                    && !services.requests().isRefusing()
+                    && services.overload().takes(held, chosen.get());
+            if (!taken) {
+                send(chosen.get(), reason);
+            }
         } else if (pauseRemainingMs() == 0 || !tryWait()) {
             endWithoutResponse("no upstream: " + reason);
         }
@@ -147,6 +157,16 @@
         return services.waiting().tryAdd(placement.queue(), request.enginePriority(), this);
     }
 
+    /** Sends a request that has waited for room, unless its prompt was quarantined meanwhile. */
+    private void sendHeld() {
+        Verdict verdict = services.quarantine().verdict(parts);
+        if (verdict.kind() == Verdict.Kind.ADMIT) {
+            place("after a wait for room", false);
+        } else {
+            endQuarantined(verdict);
+        }
+    }
+
     /** Returns the time until an upstream may receive this request; 0 if one may now, or none is left. */
     long pauseRemainingMs() {
         return placement.pauseRemainingMs(attemptedUpstreams);
@@ -180,32 +200,14 @@
         attempt.start(lastEventId);
     }
 
-    /** Retries the request elsewhere if it may be executed again and its upstream is unresponsive or has stalled. */
-    private void checkResponsiveness() {
-        long nowMs = services.timeSource().monotonicMs();
-        UpstreamAttempt current = attempt;
-        if (current != null
-                && current.isSent()
-                && current.isReading()
-                && request.retryRule().allowsReexecution(headSent)) {
-            if (health.isUnresponsive(current, nowMs)) {
-                current.upstream().ejectUnresponsive(nowMs);
-                requestLog.recordUnhealthy(current.upstream(), "silent");
-                if (moveFrom(current, "unresponsive upstream")) {
-                    current.upstream().pool().discardIdle();
-                }
-            } else if (health.isStalled(current, nowMs)) {
-                moveFrom(current, "stalled stream");
-            }
-        }
-        if (!finished) {
-            responsivenessTimer =
-                    services.loop().schedule(this::checkResponsiveness, RESPONSIVENESS_CHECK_MS, TimeUnit.MILLISECONDS);
-        }
+    @Override
+    public UpstreamAttempt replaceableAttempt() {
+        return request.retryRule().allowsReexecution(headSent) ? attempt : null;
     }
 
     /** Moves the request to another upstream if possible; otherwise the current attempt goes on. */
-    private boolean moveFrom(UpstreamAttempt current, String reason) {
+    @Override
+    public boolean moveFrom(UpstreamAttempt current, String reason) {
         boolean mayHaveExecutedBefore = mayHaveExecuted;
         sends++;
         mayHaveExecuted = true;
@@ -487,10 +489,9 @@
     private void finish(EventCode code, String outcome, String cause) {
         finished = true;
         services.requests().remove(this);
+        services.overload().remove(held);
         deadlineTimer.cancel(false);
-        if (responsivenessTimer != null) {
-            responsivenessTimer.cancel(false);
-        }
+        responsiveness.stop();
         long elapsedMs = services.timeSource().monotonicMs() - request.receivedMs();
         services.metrics().recordOutcome(outcome, elapsedMs);
         requestLog.recordEnd(code, cause, sends, elapsedMs, attemptedUpstreams);
