Use neutral keys and plainer verbs in tests and comments of the new parts

EvacuationPropagationTest named keys of the platform outside the adapter, and five comments used verbs of talk.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/check/ConfigurationDifference.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/check/ConfigurationDifference.java
@@ -70,7 +70,7 @@
         }
     }
 
-    /** Adds an entry; later entries with the same name are told apart by their position among them. */
+    /** Adds an entry; later entries with the same name are distinguished by their position among them. */
     private static void put(Map<String, Map<String, Object>> entries, String subject, Map<String, Object> fields) {
         String unique = subject;
         for (int position = 2; entries.containsKey(unique); position++) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/ChangeFeed.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/ChangeFeed.java
@@ -106,7 +106,7 @@
         state.log.append(afterRevision, afterRevision, List.of());
     }
 
-    /** Records that the watch of a prefix at the store failed; the followers that wait are told so at once. */
+    /** Records that the watch of a prefix at the store failed; the followers that wait get an error at once. */
     void onWatchFailed(String prefix) {
         PrefixState state = stateOf(prefix);
         state.watchFailed = true;
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/ServiceModels.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/ServiceModels.java
@@ -14,7 +14,7 @@
     private final Map<String, ServiceLoad> loadByService = new HashMap<>();
     private final Map<String, EngineCapacity> capacities = new HashMap<>();
 
-    /** Applies the capacities of a configuration, and forgets the models of services that it does not contain. */
+    /** Applies the capacities of a configuration, and removes the models of services that it does not contain. */
     public void apply(RoutingConfiguration configuration) {
         capacities.clear();
         for (ServiceDefinition service : configuration.services()) {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/EvacuationPropagationTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/EvacuationPropagationTest.java
@@ -40,7 +40,8 @@
 /** How instances learn that an evacuation starts and ends. */
 class EvacuationPropagationTest {
     private static final ServerLimits LIMITS = new ServerLimits(8_192, 1_000_000, 2_000, 5_000);
-    private static final StoreKeys KEYS = new StoreKeys("op/", "op/config", "op/evacuate/", "upstreams/");
+    private static final StoreKeys KEYS =
+            new StoreKeys("operator/", "operator/routing", "operator/evacuated/", "upstreams/");
     private static final String EVACUATION = KEYS.evacuationPrefix() + "zone-a";
     private static final long WAIT_S = 20;
 
@@ -236,7 +237,8 @@
     @Test
     void otherKeysOfTheOperatorAreIgnored() {
         OperatorState state = new OperatorState(KEYS, new Instance(false).configuration, new ZoneEvacuations(log), log);
-        for (String key : List.of("op/other", "op/configuration", "op/evacuate/", "op/evacuated")) {
+        for (String key :
+                List.of("operator/other", "operator/routing-2", "operator/evacuated/", "operator/evacuated")) {
             assertThat(state.isRelevant(new StoreChange(key, 1, Optional.empty())))
                     .isFalse();
         }
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/RefusalRetryTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/RefusalRetryTest.java
@@ -43,7 +43,7 @@
         assertThat(times.size()).isAtLeast(10);
     }
 
-    // Guards against identifiers that differ little, as those of one client library do, and are told nearly one time.
+    // Guards against identifiers that differ little, as those of one client library do, and get nearly the same time.
     @ParameterizedTest
     @ValueSource(strings = {"%d", "order-%d", "%d-order", "%016x", "a%032d"})
     void timesAreEvenlySpreadByIdentifier(String pattern) {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/WarmUpTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/WarmUpTest.java
@@ -95,7 +95,7 @@
                 .orElse("none");
     }
 
-    // Guards against followers that are not told of an upstream that has become cold, and against forwarding each
+    // Guards against followers that do not learn of an upstream that has become cold, and against forwarding each
     // heartbeat of one that is warming up.
     @ParameterizedTest
     @CsvSource({
