Divide the rate of an upstream that states a limit among instances

No behaviour changes yet. The division that limits upstreams during their warm-up serves stated limits, too, so its package and its class get names that fit both (core.rateshare, RateSlots). A limit that rises shortens the interval at once, because a slot keeps the time of the last request, not of the next.

A sender of a stated limit needs a list of instances, but no recent one: such an upstream may be the only one during an outage of the store, and two different lists stay within the bound.

Ruled out: a share for each instance, since 89 instances with a burst of one request each exceed the bound of a limit of 2 a second (17 in 4 s).

Not a fix by itself.

--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/slowstart/SlowStart.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/rateshare/RateSlots.java
@@ -1,18 +1,18 @@
-package org.cranberrybend.core.slowstart;
+package org.cranberrybend.core.rateshare;
 
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalLong;
 
 /**
- * Decides when one instance may send a request to an upstream that is warming up. All times are monotonic, in
- * milliseconds. Not safe for use by several threads.
+ * Decides when one instance may send a request to an upstream whose rate is divided among instances. All times are
+ * monotonic, in milliseconds. Not safe for use by several threads.
  *
  * <p>A slot is reserved before a connection is acquired and taken when the request is sent, since the interval between
  * requests counts from the moment of sending. At most one slot of an upstream is reserved at a time.
  */
-public final class SlowStart {
-    /** Time without use after which the slots of an upstream are forgotten; longer than any interval. */
+public final class RateSlots {
+    /** Time without use after which the slots of an upstream are forgotten; longer than any interval between requests. */
     private static final long FORGET_AFTER_MS = 60_000;
     /** Number of upstreams from which unused ones are forgotten. */
     private static final int MAX_IDLE_UPSTREAMS = 256;
@@ -22,7 +22,9 @@
 
     /** The slots of one upstream, and the place of this instance in the order of its senders. */
     private static final class Slots {
-        private long nextMs = NOT_BEGUN;
+        /** Time from which the interval to the next slot counts. */
+        private long intervalStartMs = NOT_BEGUN;
+
         private boolean reserved;
         private long lastUsedMs;
         private long rosterVersion = -1;
@@ -32,12 +34,18 @@
 
     private final String instance;
     private final SenderRoster roster;
+    private final SenderRequirement requirement;
     private final Map<String, Slots> byUpstream = new HashMap<>();
 
-    /** Creates the decisions of one instance. */
-    public SlowStart(String instance, SenderRoster roster) {
+    /**
+     * Creates the decisions of one instance.
+     *
+     * @param requirement when the instance may be a sender at all
+     */
+    public RateSlots(String instance, SenderRoster roster, SenderRequirement requirement) {
         this.instance = instance;
         this.roster = roster;
+        this.requirement = requirement;
     }
 
     /** Returns whether a request may be sent now. */
@@ -48,11 +56,13 @@
 
     /** Returns the time of the next slot; empty if this instance has no slice of the upstream's rate. */
     public OptionalLong nextFreeMs(String upstreamId, SliceRate rate, long nowMs) {
-        if (!roster.isSettled(instance, nowMs)) {
+        if (!requirement.isMet(roster, instance, nowMs)) {
             return OptionalLong.empty();
         }
         Slots slots = slots(upstreamId, rate, nowMs);
-        return slots.rank < rate.senders() ? OptionalLong.of(slots.nextMs) : OptionalLong.empty();
+        return slots.rank < rate.senders()
+                ? OptionalLong.of(slots.intervalStartMs + rate.intervalMs())
+                : OptionalLong.empty();
     }
 
     /** Reserves the slot if a request may be sent now; returns whether it is reserved for the caller. */
@@ -76,7 +86,7 @@
         if (!isFree(upstreamId, rate, nowMs)) {
             return false;
         }
-        slots(upstreamId, rate, nowMs).nextMs = nowMs + rate.intervalMs();
+        slots(upstreamId, rate, nowMs).intervalStartMs = nowMs;
         return true;
     }
 
@@ -104,9 +114,9 @@
 
     private Slots slots(String upstreamId, SliceRate rate, long nowMs) {
         Slots slots = slots(upstreamId, nowMs);
-        if (slots.nextMs == NOT_BEGUN && slots.rank < rate.senders()) {
-            // Senders learn of a cold upstream at about the same time, so each begins at a phase of its own.
-            slots.nextMs = nowMs + rate.intervalMs() * slots.rank / rate.senders();
+        if (slots.intervalStartMs == NOT_BEGUN && slots.rank < rate.senders()) {
+            // Senders learn of the upstream's state at about the same time, so each begins at a phase of its own.
+            slots.intervalStartMs = nowMs - rate.intervalMs() + rate.intervalMs() * slots.rank / rate.senders();
         }
         return slots;
     }
--- /dev/null
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/rateshare/SenderRequirement.java
@@ -0,0 +1,33 @@
+package org.cranberrybend.core.rateshare;
+
+/** When an instance may send to upstreams whose rate is divided, apart from its rank. */
+public enum SenderRequirement {
+    /**
+     * The instance has been listed for long, and its list is recent. Any number of different lists then name no more
+     * senders than one. Used for upstreams that other ones replace for a short time.
+     */
+    SETTLED {
+        @Override
+        boolean isMet(SenderRoster roster, String instance, long nowMs) {
+            return roster.isSettled(instance, nowMs);
+        }
+    },
+
+    /**
+     * The instance is listed, also if the store has not confirmed its list since. Two different lists stay within the
+     * bound, and an upstream with a stated limit may be the only one for the whole time of an outage. The short wait
+     * covers the time in which other instances learn of a new one.
+     */
+    LISTED {
+        @Override
+        boolean isMet(SenderRoster roster, String instance, long nowMs) {
+            return roster.isListedFor(instance, LISTED_MS, nowMs);
+        }
+    };
+
+    /** Time in which instances learn of a registration while the store is available. */
+    static final long LISTED_MS = 3_000;
+
+    /** Returns whether an instance may be a sender. */
+    abstract boolean isMet(SenderRoster roster, String instance, long nowMs);
+}
--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/slowstart/SenderRoster.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/rateshare/SenderRoster.java
@@ -1,4 +1,4 @@
-package org.cranberrybend.core.slowstart;
+package org.cranberrybend.core.rateshare;
 
 import java.util.Collection;
 import java.util.HashMap;
@@ -80,6 +80,17 @@
                 && nowMs - listedSinceMs.getOrDefault(instance, nowMs) >= SETTLE_MS;
     }
 
+    /** Returns whether an instance has been listed for a time, by the last list that the store has confirmed. */
+    boolean isListedFor(String instance, long durationMs, long nowMs) {
+        Long sinceMs = listedSinceMs.get(instance);
+        return sinceMs != null && nowMs - sinceMs >= durationMs;
+    }
+
+    /** Returns the number of instances by the last list that the store has confirmed; 0 without a list. */
+    public int size() {
+        return listedSinceMs.size();
+    }
+
     /** Returns whether the store has confirmed the list recently. */
     boolean isRecent(long nowMs) {
         return nowMs - confirmedMs <= MAX_AGE_MS;
--- a/cranberrybend-core/src/test/java/org/cranberrybend/core/slowstart/SlowStartFuzzTest.java
+++ b/cranberrybend-core/src/test/java/org/cranberrybend/core/rateshare/RateSlotsFuzzTest.java
@@ -1,4 +1,4 @@
-package org.cranberrybend.core.slowstart;
+package org.cranberrybend.core.rateshare;
 
 import static com.google.common.truth.Truth.assertWithMessage;
 
@@ -17,7 +17,7 @@
  * A fleet that has requests for one cold upstream at all times, and an oracle that counts what all instances send. Time
  * is in microseconds; each instance has a clock of its own with whole milliseconds.
  */
-class SlowStartFuzzTest {
+class RateSlotsFuzzTest {
     private static final String SEED = "20261206";
     private static final double RATE_PER_S = 9.5;
     private static final double OVERSHOOT = 1.5;
@@ -33,13 +33,13 @@
     private static final class Instance {
         private final long clockOffsetUs;
         private final SenderRoster roster = new SenderRoster();
-        private final SlowStart slowStart;
+        private final RateSlots slots;
         private long nextConfirmationUs;
         private long viewUs = Long.MIN_VALUE;
         private boolean reserved;
 
         Instance(String name, Random random, long nowUs) {
-            slowStart = new SlowStart(name, roster);
+            slots = new RateSlots(name, roster, SenderRequirement.SETTLED);
             clockOffsetUs = 1_000_000_000L + random.nextInt(1_000_000_000);
             nextConfirmationUs = nowUs + random.nextInt(300_000);
         }
@@ -55,12 +55,12 @@
     private void act(Instance instance, Random random, long nowUs) {
         long nowMs = instance.nowMs(nowUs);
         if (!instance.reserved && random.nextBoolean()) {
-            instance.reserved = instance.slowStart.tryReserve("u", RATE, nowMs);
+            instance.reserved = instance.slots.tryReserve("u", RATE, nowMs);
             return;
         }
         if (instance.reserved && random.nextInt(8) == 0) {
-            instance.slowStart.release("u");
-        } else if (instance.slowStart.tryTake("u", RATE, instance.reserved, nowMs)) {
+            instance.slots.release("u");
+        } else if (instance.slots.tryTake("u", RATE, instance.reserved, nowMs)) {
             sentUs.add(nowUs);
         }
         instance.reserved = false;
--- a/cranberrybend-core/src/test/java/org/cranberrybend/core/slowstart/SlowStartTest.java
+++ b/cranberrybend-core/src/test/java/org/cranberrybend/core/rateshare/RateSlotsTest.java
@@ -1,4 +1,4 @@
-package org.cranberrybend.core.slowstart;
+package org.cranberrybend.core.rateshare;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -7,13 +7,13 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-class SlowStartTest {
-    private static final SliceRate RATE = new SliceRate(1, 334);
+class RateSlotsTest {
+    private static final SliceRate RATE = new SliceRate(1, 334, 1_000);
     private static final long START_MS = 1_000_000;
     private static final long STEP_MS = 4_000;
 
     private final SenderRoster roster = new SenderRoster();
-    private final SlowStart slowStart = new SlowStart("own", roster);
+    private final RateSlots slots = new RateSlots("own", roster, SenderRequirement.SETTLED);
 
     /** Confirms a list for a time, as a watch does; returns the time of the last confirmation. */
     private long confirm(Set<String> listed, long fromMs, long durationMs) {
@@ -41,15 +41,15 @@
     })
     void senderNeedsASteadyAndRecentList(long listedForMs, long ageMs, boolean free) {
         long nowMs = confirm(Set.of("own"), START_MS, listedForMs) + ageMs;
-        assertThat(slowStart.isFree("u", RATE, nowMs)).isEqualTo(free);
+        assertThat(slots.isFree("u", RATE, nowMs)).isEqualTo(free);
     }
 
     // Guards against sending without any list, or while this instance itself is not registered.
     @Test
     void unlistedInstanceDoesNotSend() {
-        assertThat(slowStart.isFree("u", RATE, START_MS)).isFalse();
+        assertThat(slots.isFree("u", RATE, START_MS)).isFalse();
         long nowMs = confirm(Set.of("other"), START_MS, 2 * SenderRoster.SETTLE_MS);
-        assertThat(slowStart.isFree("u", RATE, nowMs)).isFalse();
+        assertThat(slots.isFree("u", RATE, nowMs)).isFalse();
     }
 
     // Guards against two senders in turn within a window, because one takes the place of another that has just left.
@@ -63,45 +63,45 @@
         }
         long leftMs = confirm(both, START_MS, SenderRoster.SETTLE_MS) + 1;
         long nowMs = confirm(Set.of("own"), leftMs, SenderRoster.SETTLE_MS - 1);
-        assertThat(slowStart.isFree(upstream, RATE, nowMs)).isFalse();
+        assertThat(slots.isFree(upstream, RATE, nowMs)).isFalse();
         roster.confirm(Set.of("own"), nowMs + 1);
-        assertThat(slowStart.isFree(upstream, RATE, nowMs + 1)).isTrue();
+        assertThat(slots.isFree(upstream, RATE, nowMs + 1)).isTrue();
     }
 
     // Guards against requests closer than the interval: it counts from the sending, not from the reservation.
     @Test
     void intervalCountsFromTheSending() {
         long nowMs = settled();
-        assertThat(slowStart.tryReserve("u", RATE, nowMs)).isTrue();
-        assertThat(slowStart.isFree("u", RATE, nowMs + 1)).isFalse();
-        assertThat(slowStart.tryTake("u", RATE, false, nowMs + 1)).isFalse();
-        assertThat(slowStart.tryTake("u", RATE, true, nowMs + 500)).isTrue();
-        assertThat(slowStart.isFree("u", RATE, nowMs + 833)).isFalse();
-        assertThat(slowStart.tryTake("u", RATE, false, nowMs + 834)).isTrue();
-        assertThat(slowStart.isFree("other", RATE, nowMs + 835)).isTrue();
+        assertThat(slots.tryReserve("u", RATE, nowMs)).isTrue();
+        assertThat(slots.isFree("u", RATE, nowMs + 1)).isFalse();
+        assertThat(slots.tryTake("u", RATE, false, nowMs + 1)).isFalse();
+        assertThat(slots.tryTake("u", RATE, true, nowMs + 500)).isTrue();
+        assertThat(slots.isFree("u", RATE, nowMs + 833)).isFalse();
+        assertThat(slots.tryTake("u", RATE, false, nowMs + 834)).isTrue();
+        assertThat(slots.isFree("other", RATE, nowMs + 835)).isTrue();
     }
 
     // Guards against a slot that is lost because its request was not sent.
     @Test
     void reservedSlotIsGivenBack() {
         long nowMs = settled();
-        assertThat(slowStart.tryReserve("u", RATE, nowMs)).isTrue();
-        slowStart.release("u");
-        assertThat(slowStart.tryTake("u", RATE, false, nowMs)).isTrue();
-        slowStart.release("u");
-        assertThat(slowStart.isFree("u", RATE, nowMs + 1)).isFalse();
+        assertThat(slots.tryReserve("u", RATE, nowMs)).isTrue();
+        slots.release("u");
+        assertThat(slots.tryTake("u", RATE, false, nowMs)).isTrue();
+        slots.release("u");
+        assertThat(slots.isFree("u", RATE, nowMs + 1)).isFalse();
     }
 
     // Guards against a request that is sent with a slot reserved by an instance that is no longer a sender.
     @Test
     void reservationEndsWithTheList() {
         long nowMs = settled();
-        assertThat(slowStart.tryReserve("u", RATE, nowMs)).isTrue();
-        assertThat(slowStart.tryTake("u", RATE, true, nowMs + SenderRoster.MAX_AGE_MS + 1))
+        assertThat(slots.tryReserve("u", RATE, nowMs)).isTrue();
+        assertThat(slots.tryTake("u", RATE, true, nowMs + SenderRoster.MAX_AGE_MS + 1))
                 .isFalse();
         assertThat(confirm(Set.of("own"), nowMs + SenderRoster.MAX_AGE_MS + 2, SenderRoster.SETTLE_MS))
                 .isGreaterThan(nowMs);
-        assertThat(slowStart.isFree("u", RATE, nowMs + SenderRoster.MAX_AGE_MS + 2 + SenderRoster.SETTLE_MS))
+        assertThat(slots.isFree("u", RATE, nowMs + SenderRoster.MAX_AGE_MS + 2 + SenderRoster.SETTLE_MS))
                 .isTrue();
     }
 
@@ -112,12 +112,13 @@
         roster.confirm(fleet, START_MS);
         int admitted = 0;
         for (String name : fleet) {
-            admitted += new SlowStart(name, roster).isAdmittedInRamp("u", 0.5, START_MS) ? 1 : 0;
-            assertThat(new SlowStart(name, roster).isAdmittedInRamp("u", 1, START_MS))
+            admitted +=
+                    new RateSlots(name, roster, SenderRequirement.SETTLED).isAdmittedInRamp("u", 0.5, START_MS) ? 1 : 0;
+            assertThat(new RateSlots(name, roster, SenderRequirement.SETTLED).isAdmittedInRamp("u", 1, START_MS))
                     .isTrue();
         }
         assertThat(admitted).isEqualTo(3);
-        assertThat(new SlowStart("unlisted", roster).isAdmittedInRamp("u", 0.99, START_MS))
+        assertThat(new RateSlots("unlisted", roster, SenderRequirement.SETTLED).isAdmittedInRamp("u", 0.99, START_MS))
                 .isFalse();
     }
 }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/WarmUpLimiter.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/WarmUpLimiter.java
@@ -5,9 +5,10 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.cranberrybend.core.event.EventCode;
-import org.cranberrybend.core.slowstart.SenderRoster;
-import org.cranberrybend.core.slowstart.SliceRate;
-import org.cranberrybend.core.slowstart.SlowStart;
+import org.cranberrybend.core.rateshare.RateSlots;
+import org.cranberrybend.core.rateshare.SenderRequirement;
+import org.cranberrybend.core.rateshare.SenderRoster;
+import org.cranberrybend.core.rateshare.SliceRate;
 import org.cranberrybend.entry.configuration.RoutingConfiguration;
 import org.cranberrybend.entry.configuration.ServiceDefinition;
 import org.cranberrybend.entry.log.DecisionLog;
@@ -23,7 +24,7 @@
     /** The warm-up phase of a service; without a rate, no request may be sent during it. */
     private record Phase(long durationMs, Optional<SliceRate> rate) {}
 
-    private final SlowStart slowStart;
+    private final RateSlots slots;
     private final double overshoot;
     private final double slack;
     private final DecisionLog log;
@@ -37,7 +38,7 @@
      * @param slack requests added to the bound
      */
     public WarmUpLimiter(String instance, SenderRoster roster, double overshoot, double slack, DecisionLog log) {
-        this.slowStart = new SlowStart(instance, roster);
+        this.slots = new RateSlots(instance, roster, SenderRequirement.SETTLED);
         this.overshoot = overshoot;
         this.slack = slack;
         this.log = log;
@@ -79,10 +80,10 @@
         }
         String id = upstream.entry().id();
         if (elapsedMs < 0) {
-            return phase.rate().isPresent() && slowStart.isFree(id, phase.rate().get(), nowMs);
+            return phase.rate().isPresent() && slots.isFree(id, phase.rate().get(), nowMs);
         }
         return upstream.running() < 1 + upstream.entry().slots() * elapsedMs / RAMP_MS
-                && slowStart.isAdmittedInRamp(id, elapsedMs / (double) RAMP_MS, nowMs);
+                && slots.isAdmittedInRamp(id, elapsedMs / (double) RAMP_MS, nowMs);
     }
 
     /**
@@ -96,7 +97,7 @@
         }
         OptionalLong slotMs = phase.rate().isEmpty()
                 ? OptionalLong.empty()
-                : slowStart.nextFreeMs(upstream.entry().id(), phase.rate().get(), nowMs);
+                : slots.nextFreeMs(upstream.entry().id(), phase.rate().get(), nowMs);
         return Math.min(upstream.warmUpEndMs(), Math.max(nowMs, slotMs.orElse(Long.MAX_VALUE)));
     }
 
@@ -134,7 +135,7 @@
     /** Reserves the slot for a request that is about to be sent; returns false if it needs none, or none is free. */
     public boolean tryReserve(Upstream upstream, long nowMs) {
         Optional<SliceRate> rate = rateInForce(upstream, nowMs);
-        return rate.isPresent() && slowStart.tryReserve(upstream.entry().id(), rate.get(), nowMs);
+        return rate.isPresent() && slots.tryReserve(upstream.entry().id(), rate.get(), nowMs);
     }
 
     /**
@@ -144,7 +145,7 @@
      */
     public boolean trySend(Upstream upstream, boolean reserved, long nowMs) {
         Optional<SliceRate> rate = rateInForce(upstream, nowMs);
-        if (rate.isPresent() && slowStart.tryTake(upstream.entry().id(), rate.get(), reserved, nowMs)) {
+        if (rate.isPresent() && slots.tryTake(upstream.entry().id(), rate.get(), reserved, nowMs)) {
             sent++;
             return true;
         }
@@ -156,7 +157,7 @@
 
     /** Gives the slot back that a request has reserved, because nothing was sent. */
     public void release(Upstream upstream) {
-        slowStart.release(upstream.entry().id());
+        slots.release(upstream.entry().id());
     }
 
     private Optional<SliceRate> rateInForce(Upstream upstream, long nowMs) {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/FleetDirectoryTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/FleetDirectoryTest.java
@@ -9,9 +9,10 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.cranberrybend.core.slowstart.SenderRoster;
-import org.cranberrybend.core.slowstart.SliceRate;
-import org.cranberrybend.core.slowstart.SlowStart;
+import org.cranberrybend.core.rateshare.RateSlots;
+import org.cranberrybend.core.rateshare.SenderRequirement;
+import org.cranberrybend.core.rateshare.SenderRoster;
+import org.cranberrybend.core.rateshare.SliceRate;
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.port.StoreChange;
 import org.cranberrybend.entry.port.StoreItem;
@@ -69,9 +70,9 @@
     // left: no or too many instances would send to upstreams that are warming up.
     @Test
     void rosterFollowsTheRegistrations() {
-        SliceRate one = new SliceRate(1, 1_001);
-        SlowStart own = new SlowStart("own", directory.roster());
-        SlowStart other = new SlowStart("other", directory.roster());
+        SliceRate one = new SliceRate(1, 1_001, 1_000);
+        RateSlots own = new RateSlots("own", directory.roster(), SenderRequirement.SETTLED);
+        RateSlots other = new RateSlots("other", directory.roster(), SenderRequirement.SETTLED);
         directory.onSnapshot(new StoreSnapshot(List.of(entry("own", 500), entry("other", 500)), 1), 0);
         respondFor(SenderRoster.SETTLE_MS);
         boolean ownIsSender = own.isFree("u", one, clock.monotonicMs());
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/ServicePausesTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/ServicePausesTest.java
@@ -4,7 +4,7 @@
 
 import java.io.OutputStream;
 import java.util.List;
-import org.cranberrybend.core.slowstart.SenderRoster;
+import org.cranberrybend.core.rateshare.SenderRoster;
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.port.StoreItem;
 import org.cranberrybend.entry.port.StoreSnapshot;
--- a/cranberrybend-experiment/src/main/java/org/cranberrybend/experiment/capacity/SelectorGroup.java
+++ b/cranberrybend-experiment/src/main/java/org/cranberrybend/experiment/capacity/SelectorGroup.java
@@ -9,7 +9,7 @@
 import java.util.Set;
 import org.cranberrybend.core.engine.EngineEstimator;
 import org.cranberrybend.core.routing.Market;
-import org.cranberrybend.core.slowstart.SenderRoster;
+import org.cranberrybend.core.rateshare.SenderRoster;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.configuration.LatencyClass;
 import org.cranberrybend.entry.configuration.RegionConstraint;
