Keep a lost watch of a follower short while the store is away

Cause: a follower whose leader says that it cannot reach the store watches the store itself for the full hold time, and stays away from the leader for 5 s. If the store is silent for all, that watch is swallowed. In the logs the followers of one zone fell back at 17.2 s, the store returned at 18.0, their leader had the new versions from 19.4 on, and they learned that their watches were lost at 21.3 s.

Fix: while the store does not respond to the follower either, its own watch is held for 300 ms, and the leader is asked again after 1 s. A follower to which the store responds watches it as before, so a leader that is cut off alone costs no more calls.

Ruled out: an older state from a peer (all versions were accepted from op/config or from a peer that was ahead); a leader that confirms an old state (it said 503).

Evidence: FollowingStoreTest.watchInPlaceOfTheLeaderIsShortWhileTheStoreIsAway fails without the change (hold time 4,000 ms).

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/ChangeFeed.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/ChangeFeed.java
@@ -99,6 +99,11 @@
         lastStoreResponseMs = timeSource.monotonicMs();
     }
 
+    /** Returns whether the store has responded to this instance recently. */
+    boolean isStoreResponsive() {
+        return timeSource.monotonicMs() - lastStoreResponseMs <= STORE_RESPONSE_MAX_AGE_MS;
+    }
+
     /** Records that this instance watches a prefix at the store and has all changes up to a revision. */
     void onWatchStarted(String prefix, long afterRevision) {
         PrefixState state = stateOf(prefix);
@@ -194,10 +199,9 @@
 
     private void respond(PrefixState state, ServerExchange exchange, long afterRevision) {
         Optional<StoreChanges> changes = state.watched ? state.log.since(afterRevision) : Optional.empty();
-        boolean storeResponsive = timeSource.monotonicMs() - lastStoreResponseMs <= STORE_RESPONSE_MAX_AGE_MS;
         if (changes.isEmpty()) {
             sendError(exchange, STATUS_NOT_COVERED, "Conflict");
-        } else if (changes.get().changes().isEmpty() && (state.watchFailed || !storeResponsive)) {
+        } else if (changes.get().changes().isEmpty() && (state.watchFailed || !isStoreResponsive())) {
             sendError(exchange, STATUS_STORE_UNAVAILABLE, "Service Unavailable");
         } else {
             sendChanges(exchange, changes.get());
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FollowingStore.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FollowingStore.java
@@ -49,6 +49,14 @@
     private static final long RESPONSE_MARGIN_MS = 400;
     /** Time for which an instance watches the store itself after a failed request to its leader. */
     private static final long LEADER_RETRY_MS = 5_000;
+    /** The same time if the store does not respond to this instance either. */
+    private static final long LEADER_RETRY_WITHOUT_STORE_MS = 1_000;
+    /**
+     * Hold time of a watch in place of the leader's changes while the store does not respond. Such a watch may be lost,
+     * and until it fails, this instance misses the changes that its leader receives after the return of the store.
+     */
+    private static final long HOLD_WITHOUT_STORE_MS = 300;
+
     /** Status if the leader's change log does not reach back to the follower's revision. */
     private static final int STATUS_NOT_COVERED = 409;
 
@@ -119,11 +127,15 @@
         feed.onFollowStarted(prefix);
         return follow(leaderAddress.get(), prefix, afterRevision)
                 .handle((changes, failure) -> changes == null
-                        ? watchStore(prefix, afterRevision, waitMs)
+                        ? watchStore(prefix, afterRevision, fallbackHoldMs(waitMs))
                         : CompletableFuture.completedFuture(changes))
                 .thenCompose(next -> next);
     }
 
+    private long fallbackHoldMs(long waitMs) {
+        return feed.isStoreResponsive() ? waitMs : Math.min(waitMs, HOLD_WITHOUT_STORE_MS);
+    }
+
     /** Requests changes from the leader; the result is null if the store must be watched instead. */
     private CompletableFuture<StoreChanges> follow(InetSocketAddress address, String prefix, long afterRevision) {
         boolean withLoads = prefix.equals(loadsPrefix);
@@ -156,8 +168,9 @@
     }
 
     private StoreChanges leaderFailed(InetSocketAddress address, String cause) {
-        log.record(EventCode.MEMBER_SUSPECTED, address.toString(), "cause", cause, "pause_ms", LEADER_RETRY_MS);
-        nextLeaderTryMs = timeSource.monotonicMs() + LEADER_RETRY_MS;
+        long pauseMs = feed.isStoreResponsive() ? LEADER_RETRY_MS : LEADER_RETRY_WITHOUT_STORE_MS;
+        log.record(EventCode.MEMBER_SUSPECTED, address.toString(), "cause", cause, "pause_ms", pauseMs);
+        nextLeaderTryMs = timeSource.monotonicMs() + pauseMs;
         return null;
     }
 
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FollowingStoreTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FollowingStoreTest.java
@@ -35,6 +35,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class FollowingStoreTest {
@@ -58,6 +59,7 @@
     /** A store whose watches are completed by the test. */
     private final class PendingWatchStore extends ForwardingStore {
         private final Deque<CompletableFuture<StoreChanges>> watches = new ArrayDeque<>();
+        private final List<Long> holdTimesMs = new ArrayList<>();
 
         PendingWatchStore() {
             super(new MemoryStore(timeSource));
@@ -66,6 +68,7 @@
         @Override
         public CompletableFuture<StoreChanges> watch(String prefix, long afterRevision, long waitMs) {
             watches.add(new CompletableFuture<>());
+            holdTimesMs.add(waitMs);
             return watches.getLast();
         }
     }
@@ -164,6 +167,23 @@
         awaitDirectWatch();
     }
 
+    // Guards against a follower that misses the changes after an outage of the store for the hold time of a lost watch,
+    // while its leader has them, and against short watches of a store that only the leader cannot reach.
+    @ParameterizedTest
+    @CsvSource({"false, 300", "true, 4000"})
+    void watchInPlaceOfTheLeaderIsShortWhileTheStoreIsAway(boolean responsive, long expectedHoldMs) throws Exception {
+        onLoop(() -> {
+            leaderStore
+                    .watches
+                    .poll()
+                    .completeExceptionally(new StoreException(StoreException.Kind.UNKNOWN, "no response"));
+            return responsive ? followerInstance.get("any") : null;
+        });
+        follow(10);
+        awaitDirectWatch();
+        assertThat(followerStore.holdTimesMs).containsExactly(expectedHoldMs);
+    }
+
     // Guards against a leader that confirms an old state because its other calls succeed, while the connection of its
     // watch is silent: a withdrawn key worked at its followers for as long.
     @Test
