Move the calls of randomly chosen instances out of CrashExchange

No behaviour changes: a second exchange by gossip needs the same choice of instances, connections and count of calls. CrashExchangeTest passes unchanged.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/CrashExchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/CrashExchange.java
@@ -2,22 +2,14 @@
 
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.Collections;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
-import org.apache.hc.core5.http.Header;
-import org.apache.hc.core5.http.HttpHeaders;
-import org.apache.hc.core5.http.message.BasicHeader;
 import org.cranberrybend.core.event.EventCode;
 import org.cranberrybend.core.quarantine.CrashRecord;
 import org.cranberrybend.core.time.TimeSource;
-import org.cranberrybend.entry.http.ApiClient;
 import org.cranberrybend.entry.http.ApiResponse;
 import org.cranberrybend.entry.http.HttpConnector;
 import org.cranberrybend.entry.http.ReceivedRequest;
@@ -47,25 +39,18 @@
     private static final long NEWS_MS = 1_000;
 
     private static final long COMPARE_INTERVAL_MS = 1_000;
-    private static final long CALL_TIMEOUT_MS = 600;
     /** Time between two ticks that shows that the process was paused. */
     private static final long PAUSE_MS = 1_500;
 
-    private static final List<Header> JSON = List.of(new BasicHeader(HttpHeaders.CONTENT_TYPE, "application/json"));
     private static final byte[] EMPTY = {};
 
-    private final EventLoopGroup loop;
-    private final HttpConnector connector;
     private final QuarantineService quarantine;
-    private final Supplier<Set<InetSocketAddress>> peers;
+    private final RandomPeers peers;
     private final BooleanSupplier storeUnavailable;
     private final TimeSource timeSource;
     private final DecisionLog log;
-    private final Random random;
-    private final Map<InetSocketAddress, ApiClient> clients = new HashMap<>();
     private long nextCompareMs = Long.MIN_VALUE;
     private long lastTickMs;
-    private int pendingCalls;
     /** Whether news may have been missed since another instance responded last. */
     private boolean mayHaveMissedNews = true;
 
@@ -83,14 +68,11 @@
             TimeSource timeSource,
             DecisionLog log,
             Random random) {
-        this.loop = loop;
-        this.connector = connector;
         this.quarantine = quarantine;
-        this.peers = peers;
+        this.peers = new RandomPeers(loop, connector, peers, random);
         this.storeUnavailable = storeUnavailable;
         this.timeSource = timeSource;
         this.log = log;
-        this.random = random;
         this.lastTickMs = timeSource.monotonicMs();
     }
 
@@ -108,10 +90,10 @@
         List<CrashRecord> news = newsAt(nowMs);
         if (!news.isEmpty()) {
             byte[] message = CrashFormat.encode(news, nowMs);
-            randomPeers(FAN_OUT).forEach(peer -> send(peer, message));
+            peers.draw(FAN_OUT).forEach(peer -> send(peer, message));
         } else if (nowMs >= nextCompareMs && (mayHaveMissedNews || quarantine.digest() != 0)) {
             nextCompareMs = nowMs + COMPARE_INTERVAL_MS;
-            randomPeers(mayHaveMissedNews ? FAN_OUT : 1).forEach(peer -> send(peer, EMPTY));
+            peers.draw(mayHaveMissedNews ? FAN_OUT : 1).forEach(peer -> send(peer, EMPTY));
         }
     }
 
@@ -121,28 +103,18 @@
                 : quarantine.recordsExtendedSince(nowMs - NEWS_MS);
     }
 
-    private List<InetSocketAddress> randomPeers(int count) {
-        List<InetSocketAddress> shuffled = new ArrayList<>(peers.get());
-        Collections.shuffle(shuffled, random);
-        return shuffled.subList(0, Math.min(count, shuffled.size()));
-    }
-
     private void send(InetSocketAddress peer, byte[] records) {
         String target = PATH + Long.toHexString(quarantine.digest());
-        pendingCalls++;
-        clients.computeIfAbsent(peer, address -> new ApiClient(loop, connector, address))
-                .call("POST", target, JSON, records, CALL_TIMEOUT_MS)
-                .whenComplete((response, failure) -> {
-                    pendingCalls--;
-                    if (failure == null) {
-                        onResponse(peer, response, records.length > 0);
-                    }
-                });
+        peers.post(peer, target, records).whenComplete((response, failure) -> {
+            if (failure == null) {
+                onResponse(peer, response, records.length > 0);
+            }
+        });
     }
 
     /** Returns the number of calls to other instances that have no response yet. */
     int pendingCalls() {
-        return pendingCalls;
+        return peers.pendingCalls();
     }
 
     private void onResponse(InetSocketAddress peer, ApiResponse response, boolean sentRecords) {
@@ -178,6 +150,6 @@
         String digest = request.head().getRequestUri().substring(PATH.length());
         boolean equal = digest.equals(Long.toHexString(quarantine.digest()));
         byte[] records = equal ? EMPTY : CrashFormat.encode(quarantine.records(), timeSource.monotonicMs());
-        exchange.respond(200, "OK", JSON, records);
+        exchange.respond(200, "OK", RandomPeers.JSON, records);
     }
 }
