Keep to the request rate that an upstream states

Cause: a missing control, not a wrong one. No instance read the statement, so upstreams received what placement gave them (hypothesis 1).

Fix: an upstream with a limit has a few senders among the registered instances, each with an interval between its requests; two different lists of instances stay within the bound together. Instances exchange what they know by gossip. Requests without a slot go elsewhere, wait up to 1 s, or are refused as not run. The limit is checked at the choice and once more at the sending, in one place for warm-ups and limits (SendLimits, SendSlots), so first attempts, retries, resumptions and probes draw from the same share. What the table of upstreams computed of withheld upstreams is now in WithheldUpstreams.

Ruled out by calculation: equal shares with saved requests (89 instances send 89 at once), random admission (bounds the mean only).

--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/event/EventCode.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/event/EventCode.java
@@ -63,6 +63,8 @@
     ZONE_EVACUATED(513, Severity.WARNING, "The upstreams of an availability zone receive no new requests."),
     ZONE_RETURNED(514, Severity.INFO, "The upstreams of an availability zone receive requests again."),
     UPSTREAM_WARMING_UP(515, Severity.INFO, "An upstream is warming up."),
+    UPSTREAM_LIMITED(516, Severity.INFO, "An upstream has stated the rate of requests that it takes."),
+    UPSTREAM_LIMIT_ENDED(517, Severity.INFO, "An upstream states no rate limit any more."),
     LEASE_ACQUIRED(601, Severity.INFO, "A lease was acquired."),
     LEASE_LOST(602, Severity.WARNING, "A lease was lost."),
     ORDER_INTENT_RECORDED(603, Severity.INFO, "The intent of an upstream order was recorded."),
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -33,6 +33,7 @@
 import org.cranberrybend.entry.fleet.FleetRelay;
 import org.cranberrybend.entry.fleet.FollowingStore;
 import org.cranberrybend.entry.fleet.LoadExchange;
+import org.cranberrybend.entry.fleet.RateLimitExchange;
 import org.cranberrybend.entry.http.HttpConnector;
 import org.cranberrybend.entry.http.HttpServer;
 import org.cranberrybend.entry.http.MessageMemoryLimit;
@@ -103,6 +104,7 @@
     private final FleetDuties duties;
     private final FleetRelay relay;
     private final CrashExchange crashExchange;
+    private final RateLimitExchange rateLimitExchange;
     private final HttpServer control;
     private final HttpServer metricsServer;
     private final CountDownLatch drained = new CountDownLatch(1);
@@ -159,6 +161,14 @@
                 timeSource,
                 log,
                 new Random(RendezvousHash.hash(settings.instance(), "peers")));
+        rateLimitExchange = new RateLimitExchange(
+                loop,
+                connector,
+                upstreams.rateLimits(),
+                directory::peerAddresses,
+                timeSource,
+                log,
+                new Random(RendezvousHash.hash(settings.instance(), "rate limits")));
         RequestPath path = new RequestPath(
                 settings,
                 loop,
@@ -240,6 +250,8 @@
                 store.feed().handle(request, exchange);
             } else if (CrashExchange.isExchangeRequest(target)) {
                 crashExchange.handle(request, exchange);
+            } else if (RateLimitExchange.isExchangeRequest(target)) {
+                rateLimitExchange.handle(request, exchange);
             } else {
                 relay.handle(request, exchange);
             }
@@ -369,6 +381,7 @@
         runPeriodically("duties", duties::tick);
         runPeriodically("relay", relay::tick);
         runPeriodically("crash exchange", crashExchange::tick);
+        runPeriodically("rate limit exchange", rateLimitExchange::tick);
         log.record(EventCode.PROCESS_STARTED, settings.instance(), "zone", settings.zone());
     }
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntrySettings.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntrySettings.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.cranberrybend.core.rateshare.LimitBound;
 import org.cranberrybend.entry.json.Json;
 import org.cranberrybend.entry.json.JsonFormatException;
 import org.cranberrybend.entry.json.JsonObject;
@@ -36,6 +37,7 @@
  * @param usageDueMs time from the end of a window until its report is due, in milliseconds
  * @param warmUpOvershoot factor by which requests to an upstream that is warming up may exceed its rate in a second
  * @param warmUpSlack requests by which they may exceed that in addition
+ * @param rateLimitBound requests that an upstream with a stated rate limit may receive
  */
 public record EntrySettings(
         String instance,
@@ -60,13 +62,17 @@
         long usageWindowMs,
         long usageDueMs,
         double warmUpOvershoot,
-        double warmUpSlack) {
+        double warmUpSlack,
+        LimitBound rateLimitBound) {
     private static final double DEFAULT_RETRY_RATIO = 0.1;
     private static final long DEFAULT_UPSTREAM_DRAIN_MS = 2_500;
     private static final long DEFAULT_CONTACT_MS = 4_000;
     /** Without a stated bound, the rate of an upstream that is warming up is the bound. */
     private static final double DEFAULT_WARM_UP_OVERSHOOT = 1;
 
+    /** Some requests more than the rate must be possible, or the few of a low rate could not be divided at all. */
+    private static final LimitBound DEFAULT_RATE_LIMIT_BOUND = new LimitBound(4_000, 1.5, 5);
+
     public EntrySettings {
         regionsByZone = Map.copyOf(regionsByZone);
         seeds = List.copyOf(seeds);
@@ -112,6 +118,23 @@
                 slowStart.isEmpty()
                         ? DEFAULT_WARM_UP_OVERSHOOT
                         : slowStart.get().decimal("overshoot", DEFAULT_WARM_UP_OVERSHOOT),
-                slowStart.isEmpty() ? 0 : slowStart.get().decimal("slack", 0));
+                slowStart.isEmpty() ? 0 : slowStart.get().decimal("slack", 0),
+                rateLimitBound(json));
+    }
+
+    private static LimitBound rateLimitBound(JsonObject json) throws JsonFormatException {
+        Optional<JsonObject> rateLimit = json.optionalObject("rate_limit");
+        if (rateLimit.isEmpty()) {
+            return DEFAULT_RATE_LIMIT_BOUND;
+        }
+        LimitBound defaults = DEFAULT_RATE_LIMIT_BOUND;
+        try {
+            return new LimitBound(
+                    rateLimit.get().integer("window_ms", defaults.windowMs()),
+                    rateLimit.get().decimal("overshoot", defaults.overshoot()),
+                    rateLimit.get().decimal("slack", defaults.slack()));
+        } catch (IllegalArgumentException e) {
+            throw new JsonFormatException("rate_limit: " + e.getMessage(), e);
+        }
     }
 }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/port/HeaderNames.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/port/HeaderNames.java
@@ -20,6 +20,7 @@
  * @param promptParts parts of the prompt in order, each with identifier and number of tokens
  * @param load running requests, waiting requests and slots of an upstream
  * @param leaving states, with the value {@link #LEAVING}, that the process of the upstream is about to end
+ * @param rateLimit requests per second that the process of the upstream takes from all instances together
  * @param lastEventId last event of a stream that the caller has received
  * @param reserved headers that only this program may set; removed from requests of callers
  */
@@ -36,6 +37,7 @@
         String promptParts,
         String load,
         String leaving,
+        String rateLimit,
         String lastEventId,
         Set<String> reserved) {
     /** The value of the header {@link #leaving} that makes a statement; another value makes none. */
@@ -49,6 +51,7 @@
     public List<Header> toCaller(List<Header> headers) {
         return headers.stream()
                 .filter(each -> !each.getName().equalsIgnoreCase(leaving))
+                .filter(each -> !each.getName().equalsIgnoreCase(rateLimit))
                 .collect(Collectors.toList());
     }
 }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/AttemptHeaders.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/AttemptHeaders.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalDouble;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.message.BasicHeader;
@@ -57,6 +58,19 @@
         return false;
     }
 
+    /** Returns the rate limit that an upstream states in a response; empty if there is none that can be read. */
+    OptionalDouble rateLimit(HttpResponse response) {
+        return StatedRateLimit.requestsPerS(response, names.rateLimit());
+    }
+
+    /**
+     * Returns whether a response shows that the upstream has no rate limit. A rejection does not: it may be made before
+     * the upstream looks at its limit.
+     */
+    boolean statesNoRateLimit(HttpResponse response) {
+        return response.containsHeader(names.signature()) && !response.containsHeader(names.rateLimit());
+    }
+
     /** Records the load report of a response, if there is one that can be read. */
     void recordLoad(HttpResponse response, Upstream upstream, long nowMs) {
         Header load = response.getFirstHeader(names.load());
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -146,7 +146,7 @@
         }
     }
 
-    /** Waits if all upstreams have asked for time or warm up, the request was not sent yet, and its deadline allows it. */
+    /** Waits if all upstreams are paused or limited, the request was not sent yet, and its deadline allows it. */
     private boolean tryWait() {
         if (sends > 0
                 || probe
@@ -186,9 +186,9 @@
 
     /** Refuses a request that has waited if that would end too late for it; returns whether it waits no longer. */
     boolean endWaitIfTooLong(long waitEndMs) {
-        boolean warmUpWaitOver = placement.isWarmUpWaitOver();
-        if (!finished && (warmUpWaitOver || waitEndMs > request.deadlineMs() - MIN_ATTEMPT_TIME_MS)) {
-            endWithoutResponse(warmUpWaitOver ? "upstreams are warming up" : "upstreams have asked for time");
+        boolean limitedWaitOver = placement.isLimitedWaitOver();
+        if (!finished && (limitedWaitOver || waitEndMs > request.deadlineMs() - MIN_ATTEMPT_TIME_MS)) {
+            endWithoutResponse(limitedWaitOver ? "upstreams limit their requests" : "upstreams have asked for time");
         }
         return finished;
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestLog.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestLog.java
@@ -60,7 +60,7 @@
                         "directory_age_ms",
                         services.table().ageMs(),
                         "passed_over",
-                        services.table().describeWithheld(request.service(), services.warmUp()),
+                        services.withheld().describe(request.service()),
                         "zones_passed_over",
                         placement.describeExcludedZones());
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPath.java
@@ -14,10 +14,13 @@
 import org.cranberrybend.entry.quarantine.QuarantineService;
 import org.cranberrybend.entry.store.ConfigurationHolder;
 import org.cranberrybend.entry.upstream.OccupancyReader;
+import org.cranberrybend.entry.upstream.RateLimiter;
+import org.cranberrybend.entry.upstream.SendLimits;
 import org.cranberrybend.entry.upstream.UpstreamEligibility;
 import org.cranberrybend.entry.upstream.UpstreamSelector;
 import org.cranberrybend.entry.upstream.UpstreamTable;
 import org.cranberrybend.entry.upstream.WarmUpLimiter;
+import org.cranberrybend.entry.upstream.WithheldUpstreams;
 import org.cranberrybend.entry.upstream.ZoneEvacuations;
 import org.cranberrybend.entry.usage.UsageCounter;
 
@@ -31,7 +34,7 @@
      * Creates the components of one process.
      *
      * @param instances largest number of instances known to serve at the same time; 0 if unknown
-     * @param roster registered instances, which share the requests to upstreams that are warming up
+     * @param roster registered instances, which share the requests to upstreams whose rate is limited
      */
     public RequestPath(
             EntrySettings settings,
@@ -51,7 +54,10 @@
                 new WarmUpLimiter(settings.instance(), roster, settings.warmUpOvershoot(), settings.warmUpSlack(), log);
         configuration.current().ifPresent(warmUp::configure);
         configuration.onChange(warmUp::configure);
-        UpstreamEligibility eligibility = new UpstreamEligibility(settings.regionsByZone(), evacuations, warmUp);
+        RateLimiter rateLimiter = new RateLimiter(settings.instance(), roster, settings.rateLimitBound());
+        SendLimits limits = new SendLimits(warmUp, rateLimiter);
+        WithheldUpstreams withheld = new WithheldUpstreams(upstreams, limits, timeSource);
+        UpstreamEligibility eligibility = new UpstreamEligibility(settings.regionsByZone(), evacuations, limits);
         UpstreamSelector selector = new UpstreamSelector(
                 upstreams,
                 eligibility,
@@ -69,14 +75,16 @@
         metrics.gauge("requests_waiting", () -> waiting::count);
         OverloadAdmission overload = new OverloadAdmission(new OccupancyReader(upstreams, eligibility));
         metrics.gauge("requests_waiting_for_room", () -> overload::count);
-        metrics.gauge("upstreams_paused", () -> upstreams::pausedCount);
+        metrics.gauge("upstreams_paused", () -> withheld::pausedCount);
         metrics.gauge("zones_evacuated", () -> () -> evacuations.state().zones().size());
         metrics.gauge(
                 "requests_in_evacuated_zones",
                 () -> () -> upstreams.runningIn(evacuations.state().zones()));
         evacuations.addListener(zoneListener(upstreams, warmUp));
-        metrics.gauge("upstreams_warming_up", () -> () -> upstreams.warmingUpCount(warmUp));
+        metrics.gauge("upstreams_warming_up", () -> () -> withheld.limitedCount(warmUp));
         metrics.gauge("warm_up_sends", () -> warmUp::sentCount);
+        metrics.gauge("upstreams_rate_limited", () -> () -> withheld.limitedCount(rateLimiter));
+        metrics.gauge("rate_limited_sends", () -> rateLimiter::sentCount);
         RequestServices services = new RequestServices(
                 loop,
                 timeSource,
@@ -93,7 +101,9 @@
                 requests,
                 waiting,
                 overload,
-                warmUp);
+                limits,
+                warmUp,
+                withheld);
         overload.connect(services);
         router = new RequestRouter(configuration, services);
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPlacement.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestPlacement.java
@@ -30,7 +30,7 @@
     RequestPlacement(RoutedRequest request, RequestServices services) {
         this.request = request;
         this.services = services;
-        this.pauses = new ServicePauses(request.service(), services.table(), services.warmUp(), services.timeSource());
+        this.pauses = new ServicePauses(request.service(), services.withheld(), services.timeSource());
         this.appliedConfiguration = services.configuration().current();
         this.regions = request.regions();
     }
@@ -78,15 +78,15 @@
 
     /**
      * Returns whether the request should be refused rather than wait: no upstream may receive it until the given time, or
-     * it has waited long enough. The wait for upstreams that are warming up begins with the first call.
+     * it has waited long enough. The wait for upstreams whose requests are limited begins with the first call.
      */
     boolean isWaitTooLong(long timeMs, Set<String> excluded) {
         return pauses.outlast(timeMs, mayServe(excluded));
     }
 
-    /** Returns whether the request has waited for upstreams that are warming up for as long as it may. */
-    boolean isWarmUpWaitOver() {
-        return pauses.isWarmUpWaitOver();
+    /** Returns whether the request has waited for upstreams whose requests are limited for as long as it may. */
+    boolean isLimitedWaitOver() {
+        return pauses.isLimitedWaitOver();
     }
 
     /** Returns the response to a request that was certainly not executed and for which no upstream is left. */
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestServices.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestServices.java
@@ -6,10 +6,12 @@
 import org.cranberrybend.entry.port.HeaderNames;
 import org.cranberrybend.entry.quarantine.QuarantineService;
 import org.cranberrybend.entry.store.ConfigurationHolder;
+import org.cranberrybend.entry.upstream.SendLimits;
 import org.cranberrybend.entry.upstream.UpstreamEligibility;
 import org.cranberrybend.entry.upstream.UpstreamSelector;
 import org.cranberrybend.entry.upstream.UpstreamTable;
 import org.cranberrybend.entry.upstream.WarmUpLimiter;
+import org.cranberrybend.entry.upstream.WithheldUpstreams;
 import org.cranberrybend.entry.usage.UsageCounter;
 
 /**
@@ -28,9 +30,11 @@
  * @param log decision log
  * @param metrics counters and timers
  * @param requests requests in progress
- * @param waiting requests that wait for upstreams that have asked for time or warm up
+ * @param waiting requests that wait for upstreams that are paused or limited
  * @param overload holds back or refuses requests while all upstreams are full
+ * @param limits limits on the requests of this instance to upstreams
  * @param warmUp limits the requests to upstreams that are warming up
+ * @param withheld upstreams that receive no or few requests because of their own statements
  */
 record RequestServices(
         EventLoopGroup loop,
@@ -48,4 +52,6 @@
         RequestsInProgress requests,
         WaitingRequests waiting,
         OverloadAdmission overload,
-        WarmUpLimiter warmUp) {}
+        SendLimits limits,
+        WarmUpLimiter warmUp,
+        WithheldUpstreams withheld) {}
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/ServicePauses.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/ServicePauses.java
@@ -4,40 +4,37 @@
 import java.util.function.Predicate;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.upstream.Upstream;
-import org.cranberrybend.entry.upstream.UpstreamTable;
-import org.cranberrybend.entry.upstream.WarmUpLimiter;
+import org.cranberrybend.entry.upstream.WithheldUpstreams;
 import org.cranberrybend.entry.upstream.Withholding;
 
-/** The pauses and warm-ups of the upstreams of one service, as far as they concern one request. */
+/** The pauses, warm-ups and rate limits of the upstreams of one service, as far as they concern one request. */
 final class ServicePauses {
     /**
-     * Longest wait of a request for upstreams that are warming up. Their rate is far below that of their service, so
-     * that most requests would wait in vain until the end of the phase.
+     * Longest wait of a request for upstreams whose requests are limited. Their rate may be far below that of their
+     * service, so that most requests would wait in vain.
      */
-    private static final long MAX_WARM_UP_WAIT_MS = 1_000;
+    private static final long MAX_LIMITED_WAIT_MS = 1_000;
 
     private final String service;
-    private final UpstreamTable table;
-    private final WarmUpLimiter warmUp;
+    private final WithheldUpstreams withheld;
     private final TimeSource timeSource;
-    /** Monotonic time at which the wait for upstreams that are warming up ends; set when it begins. */
-    private long warmUpWaitEndMs = Long.MAX_VALUE;
+    /** Monotonic time at which the wait for upstreams whose requests are limited ends; set when it begins. */
+    private long limitedWaitEndMs = Long.MAX_VALUE;
 
-    ServicePauses(String service, UpstreamTable table, WarmUpLimiter warmUp, TimeSource timeSource) {
+    ServicePauses(String service, WithheldUpstreams withheld, TimeSource timeSource) {
         this.service = service;
-        this.table = table;
-        this.warmUp = warmUp;
+        this.withheld = withheld;
         this.timeSource = timeSource;
     }
 
     /**
      * Returns the time until the first upstream may receive requests; 0 if one may now, or none is left.
      *
-     * @param mayServe whether an upstream could serve the request apart from pauses and warm-ups
+     * @param mayServe whether an upstream could serve the request apart from pauses and limits
      */
     long remainingMs(Predicate<Upstream> mayServe) {
         long nowMs = timeSource.monotonicMs();
-        return remainingMs(table.withholding(service, mayServe, warmUp, nowMs), nowMs);
+        return remainingMs(withheld.withholding(service, mayServe), nowMs);
     }
 
     private static long remainingMs(Optional<Withholding> withholding, long nowMs) {
@@ -46,19 +43,19 @@
 
     /**
      * Returns whether a request should not wait, because the first upstream may receive it only after the given time, or
-     * it has waited for upstreams that are warming up for long enough. The latter wait begins with the first call.
+     * it has waited for upstreams whose requests are limited for long enough. The latter wait begins with the first call.
      */
     boolean outlast(long timeMs, Predicate<Upstream> mayServe) {
         long nowMs = timeSource.monotonicMs();
-        Optional<Withholding> withholding = table.withholding(service, mayServe, warmUp, nowMs);
-        if (withholding.isPresent() && withholding.get().warmingUp()) {
-            warmUpWaitEndMs = Math.min(warmUpWaitEndMs, nowMs + MAX_WARM_UP_WAIT_MS);
+        Optional<Withholding> withholding = withheld.withholding(service, mayServe);
+        if (withholding.isPresent() && withholding.get().limited()) {
+            limitedWaitEndMs = Math.min(limitedWaitEndMs, nowMs + MAX_LIMITED_WAIT_MS);
         }
-        return nowMs + remainingMs(withholding, nowMs) > timeMs || isWarmUpWaitOver();
+        return nowMs + remainingMs(withholding, nowMs) > timeMs || isLimitedWaitOver();
     }
 
-    /** Returns whether the request has waited for upstreams that are warming up for as long as it may. */
-    boolean isWarmUpWaitOver() {
-        return timeSource.monotonicMs() >= warmUpWaitEndMs;
+    /** Returns whether the request has waited for upstreams whose requests are limited for as long as it may. */
+    boolean isLimitedWaitOver() {
+        return timeSource.monotonicMs() >= limitedWaitEndMs;
     }
 }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
@@ -5,6 +5,7 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpResponse;
@@ -15,6 +16,8 @@
 import org.cranberrybend.entry.port.HeaderNames;
 import org.cranberrybend.entry.quarantine.QuarantineService;
 import org.cranberrybend.entry.upstream.Exclusion;
+import org.cranberrybend.entry.upstream.RateLimits;
+import org.cranberrybend.entry.upstream.SendSlots;
 import org.cranberrybend.entry.upstream.Upstream;
 import org.cranberrybend.entry.upstream.WarmUpLimiter;
 
@@ -53,7 +56,7 @@
         Optional<Exclusion> zoneExclusion(UpstreamAttempt attempt);
 
         /**
-         * The upstream or its zone was excluded, or its warm-up began, before a connection was established, so no byte of
+         * The upstream or its zone was excluded, or a limit of its requests began, before a connection was established, so no byte of
          * the request was sent.
          */
         void onWithheld(UpstreamAttempt attempt, String cause);
@@ -96,6 +99,8 @@
     private final HeaderNames headerNames;
     private final AttemptHeaders headers;
     private final WarmUpLimiter warmUp;
+    private final SendSlots slots;
+    private final RateLimits rateLimits;
     private final TimeSource timeSource;
     private final StreamTiming timing;
     private final QuarantineService quarantine;
@@ -108,9 +113,6 @@
     private ClientConnection connection;
     private HttpResponse head;
     private boolean sent;
-    /** Whether the request holds the slot of an upstream that is warming up, and was not sent yet. */
-    private boolean slotReserved;
-
     /** Whether the connection ended, or its bytes became unreadable, before the response was complete. */
     private boolean connectionLost;
 
@@ -130,6 +132,8 @@
         this.headerNames = services.headerNames();
         this.headers = new AttemptHeaders(headerNames);
         this.warmUp = services.warmUp();
+        this.slots = services.limits().slots(upstream);
+        this.rateLimits = services.table().rateLimits();
         this.timeSource = services.timeSource();
         this.timing = new StreamTiming(
                 upstream, request.prompt(), request.route().eventGapTargetMs(), timeSource.monotonicMs());
@@ -193,7 +197,7 @@
     void start(String resumeAfterEventId) {
         lastEventId = resumeAfterEventId;
         upstream.begin(timing.uncachedTokens());
-        slotReserved = warmUp.tryReserve(upstream, timeSource.monotonicMs());
+        slots.reserve(timeSource.monotonicMs());
         cancelConnect = upstream.pool().acquire(this);
     }
 
@@ -220,10 +224,7 @@
 
     private void markEnded() {
         mode = Mode.ENDED;
-        if (slotReserved) {
-            slotReserved = false;
-            warmUp.release(upstream);
-        }
+        slots.release();
         markPrefillDone();
         upstream.end();
     }
@@ -241,7 +242,7 @@
             upstream.release(established);
             return;
         }
-        // The zone is checked first: a claim uses up a slot of an upstream that is warming up.
+        // The zone is checked first: a claim uses up a slot of an upstream whose requests are limited.
         Optional<String> withheld = listener.zoneExclusion(this).map(Exclusion::text);
         if (withheld.isEmpty()) {
             withheld = tryClaim(timeSource.monotonicMs());
@@ -269,9 +270,7 @@
         if (upstream.isLeavingStated()) {
             return Optional.of("upstream is leaving");
         }
-        boolean admitted = warmUp.trySend(upstream, slotReserved, nowMs);
-        slotReserved = false;
-        return admitted ? Optional.empty() : Optional.of("upstream is warming up");
+        return slots.tryTake(nowMs).map(reason -> "upstream is " + reason.text());
     }
 
     @Override
@@ -303,6 +302,7 @@
         boolean signed = response.containsHeader(headerNames.signature());
         boolean success = response.getCode() / 100 == 2;
         boolean toOtherRequest = echoed != null && !echoed.getValue().equals(request.attemptId());
+        recordRateLimit(response, echoed != null && !toOtherRequest);
         // The own response may follow a late copy of an earlier one, or never come if responses were crossed. Only a
         // request that must not be executed again is worth the wait.
         if (toOtherRequest && isReusedConnection() && request.retryRule() == RetryRule.ONCE) {
@@ -326,6 +326,19 @@
         }
     }
 
+    /** Records what a response states of the rate limit; that of another process at the address states nothing. */
+    private void recordRateLimit(HttpResponse response, boolean ownResponse) {
+        if (response.getCode() == MISDIRECTED_REQUEST) {
+            return;
+        }
+        OptionalDouble stated = headers.rateLimit(response);
+        if (stated.isPresent()) {
+            rateLimits.recordLimit(upstream, stated.getAsDouble());
+        } else if (ownResponse && headers.statesNoRateLimit(response)) {
+            rateLimits.recordNoLimit(upstream, sentMs);
+        }
+    }
+
     private boolean isEventStream(HttpResponse response) {
         Header type = response.getFirstHeader(HttpHeaders.CONTENT_TYPE);
         return request.route().streaming()
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/WaitingRequests.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/WaitingRequests.java
@@ -11,7 +11,7 @@
 import org.cranberrybend.entry.configuration.RegionConstraint;
 
 /**
- * Requests that wait because all upstreams of their service have asked for time or warm up. They are sent by priority,
+ * Requests that wait because all upstreams of their service are paused or limited. They are sent by priority,
  * then in the order of their arrival, as soon as an upstream may receive requests again. Requests with different region
  * constraints wait in queues of their own, because a pause in one region does not concern the others. Confined to the
  * event loop.
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Exclusion.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Exclusion.java
@@ -26,7 +26,10 @@
     ZONE_EVACUATED,
 
     /** The upstream is warming up, and the rate that it bears is used up. */
-    WARMING_UP;
+    WARMING_UP,
+
+    /** The upstream has stated a rate limit, and the share of this instance is used up. */
+    RATE_LIMITED;
 
     /** Returns the reason as text for log lines. */
     public String text() {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/ProcessStatements.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/ProcessStatements.java
@@ -14,14 +14,12 @@
     /** More than an instance meets between two of its restarts; the oldest statements are forgotten first. */
     private static final int MAX_PROCESSES = 10_000;
 
-    private record Process(String id, long startedAtMs) {}
-
     /** Statement of one process; the time is 0 if it asked for none. */
     private record Statement(boolean leaving, long pausedUntilMs) {}
 
     private static final Statement NONE = new Statement(false, 0);
 
-    private final Map<Process, Statement> statements = new LinkedHashMap<>();
+    private final Map<UpstreamProcess, Statement> statements = new LinkedHashMap<>();
 
     /** Records that the process of an entry is leaving; returns whether it had not stated that before. */
     boolean addLeaving(UpstreamRecord entry) {
@@ -47,17 +45,13 @@
     }
 
     private Statement of(UpstreamRecord entry) {
-        return statements.getOrDefault(processOf(entry), NONE);
+        return statements.getOrDefault(UpstreamProcess.of(entry), NONE);
     }
 
     private void put(UpstreamRecord entry, Statement statement) {
-        statements.put(processOf(entry), statement);
+        statements.put(UpstreamProcess.of(entry), statement);
         if (statements.size() > MAX_PROCESSES) {
             statements.remove(statements.keySet().iterator().next());
         }
     }
-
-    private static Process processOf(UpstreamRecord entry) {
-        return new Process(entry.id(), entry.startedAtMs());
-    }
 }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Upstream.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Upstream.java
@@ -28,6 +28,7 @@
 
     private UpstreamRecord entry;
     private final ConnectionPool pool;
+    private final RateLimit rateLimit;
     private boolean removed;
     /** Whether the process of the upstream has stated in a response that it is leaving. */
     private boolean leavingStated;
@@ -47,9 +48,15 @@
     private long nextEjectionMs = FIRST_EJECTION_MS;
     private long ejectedUntilMs = Long.MIN_VALUE / 2;
 
-    Upstream(UpstreamRecord entry, ConnectionPool pool, ServiceEngineModel engines, ServiceLoad service) {
+    Upstream(
+            UpstreamRecord entry,
+            ConnectionPool pool,
+            RateLimit rateLimit,
+            ServiceEngineModel engines,
+            ServiceLoad service) {
         this.entry = entry;
         this.pool = pool;
+        this.rateLimit = rateLimit;
         this.load = new UpstreamLoad(service);
         this.engine = new EngineState(entry.id(), engines, load);
     }
@@ -68,6 +75,11 @@
         return entry;
     }
 
+    /** Returns the rate limit that the process of the upstream has stated. */
+    RateLimit rateLimit() {
+        return rateLimit;
+    }
+
     /** Returns the connections to the upstream. */
     public ConnectionPool pool() {
         return pool;
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamEligibility.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamEligibility.java
@@ -11,19 +11,19 @@
 
     private final Map<String, String> regionsByZone;
     private final ZoneEvacuations evacuations;
-    private final WarmUpLimiter warmUp;
+    private final SendLimits limits;
 
     /**
      * Creates the rules.
      *
      * @param regionsByZone region of each availability zone
      * @param evacuations zones whose upstreams receive nothing
-     * @param warmUp limits the requests to upstreams that are warming up
+     * @param limits limits on the requests of this instance to upstreams
      */
-    public UpstreamEligibility(Map<String, String> regionsByZone, ZoneEvacuations evacuations, WarmUpLimiter warmUp) {
+    public UpstreamEligibility(Map<String, String> regionsByZone, ZoneEvacuations evacuations, SendLimits limits) {
         this.regionsByZone = Map.copyOf(regionsByZone);
         this.evacuations = evacuations;
-        this.warmUp = warmUp;
+        this.limits = limits;
     }
 
     /** Returns the reason why an upstream may not receive a request; empty if it may. */
@@ -38,8 +38,9 @@
         if (!upstream.admitsAfterPause(query.nowMs())) {
             return Optional.of(Exclusion.PAUSED);
         }
-        if (!warmUp.admits(upstream, query.nowMs())) {
-            return Optional.of(Exclusion.WARMING_UP);
+        Optional<Exclusion> ofLimits = limits.exclusion(upstream, query.nowMs());
+        if (ofLimits.isPresent()) {
+            return ofLimits;
         }
         return upstream.accepts(query.nowMs()) ? Optional.empty() : Optional.of(Exclusion.EJECTED);
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.cranberrybend.core.event.EventCode;
 import org.cranberrybend.core.routing.RendezvousHash;
@@ -36,9 +35,6 @@
     /** Part of a pause that may be added to it. */
     private static final long PAUSE_JITTER_DIVISOR = 10;
 
-    /** Upstreams that a log line names at most. */
-    private static final int MAX_DESCRIBED = 8;
-
     private final String prefix;
     private final Decoder<UpstreamRecord> decoder;
     private final HttpConnector connector;
@@ -56,6 +52,7 @@
 
     private final ServiceModels serviceModels = new ServiceModels();
     private final ProcessStatements statements = new ProcessStatements();
+    private final RateLimits rateLimits;
     private final ExpiryGracePeriod gracePeriod = new ExpiryGracePeriod();
 
     private long lastProgressMs = Long.MIN_VALUE / 2;
@@ -75,6 +72,7 @@
         this.connector = connector;
         this.timeSource = timeSource;
         this.log = log;
+        this.rateLimits = new RateLimits(timeSource, log);
     }
 
     /** Returns whether the entries are known, from the store or from a peer. */
@@ -87,6 +85,11 @@
         return serviceModels;
     }
 
+    /** Returns the rate limits that upstreams have stated. */
+    public RateLimits rateLimits() {
+        return rateLimits;
+    }
+
     /** Returns the time since the store last confirmed the table, in milliseconds. */
     public long ageMs() {
         return timeSource.monotonicMs() - lastProgressMs;
@@ -198,6 +201,7 @@
         byServiceOutdated = true;
         if (upstream != null) {
             upstream.markRemoved();
+            rateLimits.onRemoved(upstream.entry());
             log.record(
                     EventCode.UPSTREAM_GONE,
                     id,
@@ -233,6 +237,7 @@
             Upstream joined = new Upstream(
                     record,
                     new ConnectionPool(connector, record.address(), timeSource),
+                    rateLimits.of(record),
                     serviceModels.engines(record.service()),
                     serviceModels.load(record.service()));
             if (statements.isLeaving(record)) {
@@ -324,54 +329,6 @@
                 .sum();
     }
 
-    /**
-     * Returns when the first upstream of a service may receive requests again, if each that could serve is paused or
-     * warming up without a slot; empty if one may now, or none is left.
-     *
-     * @param mayServe whether an upstream could serve the request apart from pauses and warm-ups
-     */
-    public Optional<Withholding> withholding(
-            String service, Predicate<Upstream> mayServe, WarmUpLimiter warmUp, long nowMs) {
-        long endMs = Long.MAX_VALUE;
-        boolean warmingUp = false;
-        for (Upstream each : byId.values()) {
-            if (!each.entry().service().equals(service) || !each.isListedReady() || !mayServe.test(each)) {
-                continue;
-            }
-            boolean paused = !each.admitsAfterPause(nowMs);
-            if (!paused && warmUp.admits(each, nowMs)) {
-                return Optional.empty();
-            }
-            endMs = Math.min(endMs, paused ? each.pausedUntilMs() : warmUp.admissionMs(each, nowMs));
-            warmingUp |= !paused;
-        }
-        return endMs == Long.MAX_VALUE ? Optional.empty() : Optional.of(new Withholding(endMs, warmingUp));
-    }
-
-    /** Describes the upstreams of a service that receive no or few requests because of their own statements. */
-    public String describeWithheld(String service, WarmUpLimiter warmUp) {
-        long nowMs = timeSource.monotonicMs();
-        List<String> withheld = new ArrayList<>();
-        for (Upstream each : byId.values()) {
-            if (each.entry().service().equals(service) && withheld.size() < MAX_DESCRIBED) {
-                if (each.isLeavingStated() || each.isPaused(nowMs)) {
-                    withheld.add(each.entry().id() + (each.isLeavingStated() ? " leaving" : " paused"));
-                } else if (warmUp.isWarmingUp(each, nowMs)) {
-                    withheld.add(each.entry().id() + " warming up");
-                }
-            }
-        }
-        return String.join(", ", withheld);
-    }
-
-    /** Returns the number of upstreams that are warming up. */
-    public long warmingUpCount(WarmUpLimiter warmUp) {
-        long nowMs = timeSource.monotonicMs();
-        return byId.values().stream()
-                .filter(each -> warmUp.isWarmingUp(each, nowMs))
-                .count();
-    }
-
     /**
      * Records that the upstreams of a zone may have become cold, because its evacuation has ended. Each counts as warming
      * up for the whole phase of its service, unless its entry was written after the end and says otherwise.
@@ -389,12 +346,6 @@
         }
     }
 
-    /** Returns the number of upstreams that want no requests from this instance for now. */
-    public long pausedCount() {
-        long nowMs = timeSource.monotonicMs();
-        return byId.values().stream().filter(each -> each.isPaused(nowMs)).count();
-    }
-
     /**
      * Returns whether a change alters the entries in the store. Upstreams also rewrite their entries unchanged as a
      * heartbeat, which keeps the revision of their creation. A remaining warm-up time that falls as time passes is no
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/WarmUpLimiter.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/WarmUpLimiter.java
@@ -17,7 +17,7 @@
  * Limits the requests to upstreams that are warming up, and lets them rise over a ramp afterwards. Upstreams of services
  * without a warm-up phase are not limited, whatever their entries state. Confined to the event loop.
  */
-public final class WarmUpLimiter {
+public final class WarmUpLimiter implements SendLimiter {
     /** Time after the warm-up over which the instances, and the requests of each in progress, rise to their full number. */
     static final long RAMP_MS = 1_000;
 
@@ -62,13 +62,19 @@
         return phase == null ? 0 : phase.durationMs();
     }
 
+    @Override
+    public Exclusion reason() {
+        return Exclusion.WARMING_UP;
+    }
+
     /** Returns whether an upstream is warming up, so that its requests are limited. */
-    public boolean isWarmingUp(Upstream upstream, long nowMs) {
+    @Override
+    public boolean isLimiting(Upstream upstream, long nowMs) {
         return nowMs < upstream.warmUpEndMs()
                 && phases.containsKey(upstream.entry().service());
     }
 
-    /** Returns whether an upstream may receive a request from this instance as far as its warm-up goes. */
+    @Override
     public boolean admits(Upstream upstream, long nowMs) {
         long elapsedMs = nowMs - upstream.warmUpEndMs();
         if (elapsedMs >= RAMP_MS) {
@@ -90,9 +96,10 @@
      * Returns the monotonic time from which an upstream may receive a request that is not admitted now: the next slot of
      * this instance, or the end of the warm-up.
      */
-    long admissionMs(Upstream upstream, long nowMs) {
+    @Override
+    public long admissionMs(Upstream upstream, long nowMs) {
         Phase phase = phases.get(upstream.entry().service());
-        if (phase == null || !isWarmingUp(upstream, nowMs)) {
+        if (phase == null || !isLimiting(upstream, nowMs)) {
             return nowMs;
         }
         OptionalLong slotMs = phase.rate().isEmpty()
@@ -116,7 +123,7 @@
         if (durationMs == 0) {
             return;
         }
-        boolean wasWarmingUp = isWarmingUp(upstream, nowMs);
+        boolean wasWarmingUp = isLimiting(upstream, nowMs);
         upstream.assumeWarmUp(durationMs, revision, nowMs);
         if (!wasWarmingUp) {
             UpstreamRecord entry = upstream.entry();
@@ -132,17 +139,13 @@
         }
     }
 
-    /** Reserves the slot for a request that is about to be sent; returns false if it needs none, or none is free. */
+    @Override
     public boolean tryReserve(Upstream upstream, long nowMs) {
         Optional<SliceRate> rate = rateInForce(upstream, nowMs);
         return rate.isPresent() && slots.tryReserve(upstream.entry().id(), rate.get(), nowMs);
     }
 
-    /**
-     * Takes the slot for a request that is sent now if it needs one; returns false if it must not be sent.
-     *
-     * @param reserved whether the request has reserved the slot; the reservation ends in any case
-     */
+    @Override
     public boolean trySend(Upstream upstream, boolean reserved, long nowMs) {
         Optional<SliceRate> rate = rateInForce(upstream, nowMs);
         if (rate.isPresent() && slots.tryTake(upstream.entry().id(), rate.get(), reserved, nowMs)) {
@@ -152,16 +155,16 @@
         if (reserved) {
             release(upstream);
         }
-        return !isWarmingUp(upstream, nowMs);
+        return !isLimiting(upstream, nowMs);
     }
 
-    /** Gives the slot back that a request has reserved, because nothing was sent. */
+    @Override
     public void release(Upstream upstream) {
         slots.release(upstream.entry().id());
     }
 
     private Optional<SliceRate> rateInForce(Upstream upstream, long nowMs) {
-        return isWarmingUp(upstream, nowMs)
+        return isLimiting(upstream, nowMs)
                 ? phases.get(upstream.entry().service()).rate()
                 : Optional.empty();
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Withholding.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/Withholding.java
@@ -4,6 +4,6 @@
  * The time for which no upstream of a service may receive requests from this instance.
  *
  * @param endMs monotonic time from which the first upstream may receive requests, as far as known
- * @param warmingUp whether an upstream is withheld because it is warming up, rather than because it asked for time
+ * @param limited whether the requests to an upstream are limited, rather than that it asked for time
  */
-public record Withholding(long endMs, boolean warmingUp) {}
+public record Withholding(long endMs, boolean limited) {}
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/ServicePausesTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/ServicePausesTest.java
@@ -11,8 +11,10 @@
 import org.cranberrybend.entry.testing.Connectors;
 import org.cranberrybend.entry.testing.EntryFixture;
 import org.cranberrybend.entry.testing.TestClock;
+import org.cranberrybend.entry.upstream.SendLimits;
 import org.cranberrybend.entry.upstream.UpstreamTable;
 import org.cranberrybend.entry.upstream.WarmUpLimiter;
+import org.cranberrybend.entry.upstream.WithheldUpstreams;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -41,11 +43,12 @@
         }
         WarmUpLimiter warmUp = new WarmUpLimiter("instance", new SenderRoster(), 1.5, 5, log);
         warmUp.configure(EntryFixture.configuration());
-        ServicePauses pauses = new ServicePauses("work", table, warmUp, clock);
+        WithheldUpstreams withheld = new WithheldUpstreams(table, new SendLimits(warmUp), clock);
+        ServicePauses pauses = new ServicePauses("work", withheld, clock);
         long endMs = clock.monotonicMs() + limitMs;
         boolean firstOver = pauses.outlast(endMs, each -> true);
         clock.advance(waitedMs);
-        assertThat(firstOver || pauses.isWarmUpWaitOver()).isEqualTo(over);
+        assertThat(firstOver || pauses.isLimitedWaitOver()).isEqualTo(over);
         assertThat(pauses.outlast(endMs, each -> true)).isEqualTo(over);
     }
 }
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
@@ -68,6 +68,7 @@
             "Prompt",
             "Load",
             "Leaving",
+            "Limit",
             "Last-Event-Id",
             Set.of("authorization", "meant-for", "account", "deadline", "urgency"));
 
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/Upstreams.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/Upstreams.java
@@ -8,6 +8,7 @@
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.port.StoreItem;
 import org.cranberrybend.entry.port.StoreSnapshot;
+import org.cranberrybend.entry.upstream.SendLimits;
 import org.cranberrybend.entry.upstream.Upstream;
 import org.cranberrybend.entry.upstream.UpstreamRecord;
 import org.cranberrybend.entry.upstream.UpstreamTable;
@@ -21,9 +22,9 @@
     private Upstreams() {}
 
     /** Returns a limiter that knows no service with a warm-up phase. */
-    public static WarmUpLimiter unlimited() {
+    public static SendLimits unlimited() {
         DecisionLog log = new DecisionLog("instance", 1, new TestClock(), OutputStream.nullOutputStream());
-        return new WarmUpLimiter("instance", new SenderRoster(), 1, 0, log);
+        return new SendLimits(new WarmUpLimiter("instance", new SenderRoster(), 1, 0, log));
     }
 
     /** Returns an upstream that is listed as ready. */
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/WarmUpTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/WarmUpTest.java
@@ -36,7 +36,9 @@
     private final SenderRoster roster = new SenderRoster();
     private final DecisionLog log = new DecisionLog("own", 1, clock, new ByteArrayOutputStream());
     private final WarmUpLimiter warmUp = new WarmUpLimiter("own", roster, 1.5, 5, log);
+    private final SendLimits limits = new SendLimits(warmUp);
     private final UpstreamTable table = new UpstreamTable(PREFIX, WarmUpTest::decode, Connectors.on(null), clock, log);
+    private final WithheldUpstreams withheld = new WithheldUpstreams(table, limits, clock);
 
     /** Decodes values of the form {@code service:zone:born:remaining}. */
     private static UpstreamRecord decode(String id, byte[] value) {
@@ -89,7 +91,7 @@
                 RegionConstraint.NONE,
                 Set.of(),
                 clock.monotonicMs());
-        return new UpstreamEligibility(Map.of(), new ZoneEvacuations(log), warmUp)
+        return new UpstreamEligibility(Map.of(), new ZoneEvacuations(log), limits)
                 .exclusion(upstream(), query)
                 .map(Enum::name)
                 .orElse("none");
@@ -218,14 +220,13 @@
     void withholdingEndsWithTheWarmUpOrTheNextSlot() {
         list("cold:z1:1:3000");
         long nowMs = clock.monotonicMs();
-        assertThat(table.withholding("cold", each -> true, warmUp, nowMs))
+        assertThat(withheld.withholding("cold", each -> true))
                 .isEqualTo(Optional.of(new Withholding(nowMs + PHASE_MS, true)));
-        assertThat(table.withholding("cold", each -> false, warmUp, nowMs)).isEqualTo(Optional.empty());
+        assertThat(withheld.withholding("cold", each -> false)).isEqualTo(Optional.empty());
         table.recordPause(upstream(), 10_000);
-        assertThat(table.withholding("cold", each -> true, warmUp, nowMs).get().warmingUp())
-                .isFalse();
-        assertThat(table.describeWithheld("cold", warmUp)).isEqualTo("u paused");
+        assertThat(withheld.withholding("cold", each -> true).get().limited()).isFalse();
+        assertThat(withheld.describe("cold")).isEqualTo("u paused");
         clock.advance(PHASE_MS + WarmUpLimiter.RAMP_MS);
-        assertThat(table.warmingUpCount(warmUp)).isEqualTo(0);
+        assertThat(withheld.limitedCount(warmUp)).isEqualTo(0);
     }
 }
--- a/cranberrybend-experiment/src/main/java/org/cranberrybend/experiment/capacity/SelectorGroup.java
+++ b/cranberrybend-experiment/src/main/java/org/cranberrybend/experiment/capacity/SelectorGroup.java
@@ -8,8 +8,8 @@
 import java.util.Map;
 import java.util.Set;
 import org.cranberrybend.core.engine.EngineEstimator;
-import org.cranberrybend.core.routing.Market;
 import org.cranberrybend.core.rateshare.SenderRoster;
+import org.cranberrybend.core.routing.Market;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.configuration.LatencyClass;
 import org.cranberrybend.entry.configuration.RegionConstraint;
@@ -20,6 +20,7 @@
 import org.cranberrybend.entry.port.StoreSnapshot;
 import org.cranberrybend.entry.upstream.LoadReport;
 import org.cranberrybend.entry.upstream.Prompt;
+import org.cranberrybend.entry.upstream.SendLimits;
 import org.cranberrybend.entry.upstream.Upstream;
 import org.cranberrybend.entry.upstream.UpstreamEligibility;
 import org.cranberrybend.entry.upstream.UpstreamQuery;
@@ -64,8 +65,8 @@
     }
 
     private double choiceUs(UpstreamTable table, List<UpstreamQuery> queries) {
-        UpstreamEligibility eligibility = new UpstreamEligibility(
-                regions(), new ZoneEvacuations(log), new WarmUpLimiter("capacity", new SenderRoster(), 1, 0, log));
+        SendLimits limits = new SendLimits(new WarmUpLimiter("capacity", new SenderRoster(), 1, 0, log));
+        UpstreamEligibility eligibility = new UpstreamEligibility(regions(), new ZoneEvacuations(log), limits);
         UpstreamSelector selector = new UpstreamSelector(table, eligibility, zone(0), regions());
         return ResourceMeter.medianCpuUs(() -> {
                     for (int i = 0; i < CHOICES; i++) {
