Have upstreams of the soak state rate limits, and count what they receive

A limit is kept by all instances together, so a test of one instance cannot show it. In each run of 17 s or more, up to three upstreams state limits of 0.5 to 4 requests a second for 6.5 to 9 s, beside processes that are killed, paused, stopped and cut off. The check counts the requests of a 4 s window from processes that have passed on a response with the limit half a second before, as the rule does. The fault is drawn apart, so the other faults of a seed stay as they were.

PromisesTest shows that the check finds one request too many and excuses a disturbed instance.

--- a/cranberrybend-soak/src/test/java/org/cranberrybend/soak/Fault.java
+++ b/cranberrybend-soak/src/test/java/org/cranberrybend/soak/Fault.java
@@ -28,8 +28,9 @@
     UPSTREAM_LEAVES(0),
     CONFIGURATION_CHANGED(0),
     CONFIGURATION_STORM(0),
-    /** Drawn apart from the others, once in a run that is long enough. */
-    ZONE_EVACUATED(8_000);
+    /** Drawn apart from the others, once in a run that is long enough; so is the next one. */
+    ZONE_EVACUATED(8_000),
+    UPSTREAM_LIMITED(9_000);
 
     private final long maxDurationMs;
 
@@ -48,6 +49,7 @@
                 || this == CONFIGURATION_CHANGED
                 || this == CONFIGURATION_STORM
                 || this == ZONE_EVACUATED
-                || this == UPSTREAM_LEAVES;
+                || this == UPSTREAM_LEAVES
+                || this == UPSTREAM_LIMITED;
     }
 }
--- a/cranberrybend-soak/src/test/java/org/cranberrybend/soak/FaultInjector.java
+++ b/cranberrybend-soak/src/test/java/org/cranberrybend/soak/FaultInjector.java
@@ -21,6 +21,9 @@
     /** Time for which an upstream states only in its responses that it is leaving, and its entry stays. */
     private static final long STATEMENT_LEAD_MS = 2_000;
 
+    /** Largest rate limit that an upstream states; a fifth of the requests that it receives otherwise. */
+    private static final int MAX_LIMIT_PER_S = 4;
+
     private static final int STORM_CHANGES = 6;
     private static final long STORM_GAP_MS = 150;
     /** Time after the start of a process in which it need not keep the bounds. */
@@ -121,6 +124,9 @@
             case ZONE_EVACUATED:
                 evacuate(upstreams.zone(entry.target()), entry.durationMs());
                 break;
+            case UPSTREAM_LIMITED:
+                limitUpstreams(entry);
+                break;
             case CONFIGURATION_STORM:
                 for (int i = 0; i < STORM_CHANGES; i++) {
                     schedule(i * STORM_GAP_MS, () -> {
@@ -134,6 +140,22 @@
         }
     }
 
+    /** Has one upstream after the other state a rate limit, each for the same time. */
+    private void limitUpstreams(Schedule.Entry entry) {
+        int count = 1 + entry.target() % 3;
+        for (int i = 0; i < count; i++) {
+            StandInUpstream limited = upstreams.pick(entry.target() + i).upstream();
+            double requestsPerS = (1 + (entry.target() + i) % (2 * MAX_LIMIT_PER_S)) / 2.0;
+            promises.recordRateLimit(limited.id(), requestsPerS);
+            limited.stateRateLimit(requestsPerS);
+            schedule(entry.durationMs(), () -> {
+                promises.recordRateLimitEnd(limited.id());
+                limited.stateNoRateLimit();
+                return null;
+            });
+        }
+    }
+
     private void evacuate(String zone, long durationMs) {
         operator.evacuate(zone);
         promises.recordEvacuation(zone);
--- a/cranberrybend-soak/src/test/java/org/cranberrybend/soak/Promises.java
+++ b/cranberrybend-soak/src/test/java/org/cranberrybend/soak/Promises.java
@@ -71,6 +71,7 @@
     /** Latest pause by instance and upstream. */
     private final Map<String, Pause> pauses = new HashMap<>();
 
+    private final RateLimitCheck rateLimits = new RateLimitCheck();
     private final Map<String, Integer> restarts = new HashMap<>();
 
     private final Map<String, Long> largestFencingNumbers = new HashMap<>();
@@ -142,6 +143,29 @@
         leavingStatedSinceMs.putIfAbsent(id, clockMs.getAsLong());
     }
 
+    /** Records that an upstream states a rate limit in its responses from now on. */
+    synchronized void recordRateLimit(String id, double requestsPerS) {
+        rateLimits.begin(id, requestsPerS, clockMs.getAsLong());
+    }
+
+    /** Records that an upstream is about to state no rate limit any more. */
+    synchronized void recordRateLimitEnd(String id) {
+        rateLimits.end(id);
+    }
+
+    /** Checks that an upstream receives no more than its rate limit from the instances that know it. */
+    private void checkRateLimit(String id, String attemptId, long nowMs) {
+        Sent sent = sentRequests.get(attemptId);
+        if (sent == null) {
+            return;
+        }
+        boolean undisturbed = sent.restarts() == restartsOf(sent.instance())
+                && disruptions.isUndisturbed(sent.instance(), nowMs - SoakBounds.RECOVERY_GRACE_MS, nowMs);
+        if (rateLimits.exceeds(id, attemptId, sent.instance(), sent.restarts(), undisturbed, nowMs)) {
+            recordViolation("no more requests than an upstream states", attemptId + " at " + id);
+        }
+    }
+
     /** Records that a caller sends a request to an instance. */
     synchronized void recordSent(String attemptId, String instance, long sentMs) {
         sentRequests.put(attemptId, new Sent(instance, restartsOf(instance), sentMs));
@@ -199,6 +223,7 @@
         }
         checkStatement(upstream.id(), attemptId, nowMs);
         checkPause(upstream.id(), attemptId, nowMs);
+        checkRateLimit(upstream.id(), attemptId, nowMs);
         checkEvacuation(upstream, attemptId, nowMs);
         Long leavingMs = leavingSinceMs.get(upstream.id());
         if (run
@@ -268,6 +293,7 @@
             return;
         }
         recordStatementPassedOn(attemptId, instance);
+        rateLimits.recordResponse(attemptId, instance, restartsOf(instance), clockMs.getAsLong());
         String signature = StandInHeaders.signature(response.headers());
         if (!signature.endsWith("." + attemptId)) {
             recordViolation("each answer belongs to its request", attemptId + " got signature " + signature);
@@ -279,7 +305,8 @@
         }
     }
 
-    private static String expectedStream(String attemptId) {
+    /** Returns the whole stream for a request. */
+    static String expectedStream(String attemptId) {
         StringBuilder stream = new StringBuilder();
         for (int number = 1; number <= StandInUpstream.events(attemptId); number++) {
             stream.append(StandInUpstream.event(attemptId, number));
--- a/cranberrybend-soak/src/test/java/org/cranberrybend/soak/PromisesTest.java
+++ b/cranberrybend-soak/src/test/java/org/cranberrybend/soak/PromisesTest.java
@@ -60,6 +60,26 @@
         assertViolated("at most once");
     }
 
+    // The process knows the limit of one request a second from the first response on: 11 requests are allowed in 4 s.
+    @ParameterizedTest
+    @CsvSource({"11, false, false", "12, false, true", "12, true, false"})
+    void moreRequestsThanTheLimit(int requests, boolean disrupted, boolean violated) {
+        promises.recordRateLimit("up-0", 1);
+        promises.recordSent("CHAT-0-0", "entry-0", nowMs);
+        promises.recordUpstreamRequest(upstream, "CHAT-0-0", headers, true);
+        recordResponse("CHAT-0-0", 200, "up-0.CHAT-0-0", Promises.expectedStream("CHAT-0-0"));
+        nowMs += 10_000;
+        if (disrupted) {
+            disruptions.add("entry-0", nowMs - 500, nowMs);
+        }
+        for (int i = 1; i <= requests; i++) {
+            nowMs += 300;
+            promises.recordSent("CHAT-0-" + i, "entry-0", nowMs);
+            promises.recordUpstreamRequest(upstream, "CHAT-0-" + i, headers, true);
+        }
+        assertThat(promises.violations()).hasSize(violated ? 1 : 0);
+    }
+
     @Test
     void orderRefusedAfterExecution() {
         promises.recordUpstreamRequest(upstream, ORDER_ID, headers, true);
--- a/cranberrybend-soak/src/test/java/org/cranberrybend/soak/Schedule.java
+++ b/cranberrybend-soak/src/test/java/org/cranberrybend/soak/Schedule.java
@@ -21,12 +21,13 @@
     private static final long MEAN_GAP_MS = 1_100;
     private static final long BURST_GAP_MS = 350;
     private static final int MAX_BURST = 3;
-    /** Faults that overlap at any time: all but the last, {@link Fault#ZONE_EVACUATED}. */
-    private static final int FAULT_KINDS = Fault.values().length - 1;
-    /** Shortest evacuation; longer than the time after which nothing may reach the zone. */
-    private static final long MIN_EVACUATION_MS = 6_500;
+    /** Faults that overlap at any time: all before {@link Fault#ZONE_EVACUATED}. */
+    private static final int FAULT_KINDS = Fault.ZONE_EVACUATED.ordinal();
+    /** Shortest duration of the faults that are drawn apart; longer than the time after which their bounds hold. */
+    private static final long MIN_APART_MS = 6_500;
 
     private static final long EVACUATION_SEED_OFFSET = 1L << 32;
+    private static final long LIMIT_SEED_OFFSET = 1L << 33;
 
     /**
      * One fault.
@@ -62,21 +63,22 @@
             }
             atMs += (long) (MEAN_GAP_MS * (0.3 + 1.4 * random.nextDouble()));
         }
-        drawEvacuation(seed, lengthMs).ifPresent(entries::add);
+        drawApart(Fault.ZONE_EVACUATED, seed + EVACUATION_SEED_OFFSET, lengthMs).ifPresent(entries::add);
+        drawApart(Fault.UPSTREAM_LIMITED, seed + LIMIT_SEED_OFFSET, lengthMs).ifPresent(entries::add);
         entries.sort(Comparator.comparingLong(Entry::atMs));
         return new Schedule(seed, entries);
     }
 
-    /** Draws the evacuation of a zone from random numbers of its own, so that the other faults of a seed stay the same. */
-    private static Optional<Entry> drawEvacuation(long seed, long lengthMs) {
-        Random random = new Random(seed + EVACUATION_SEED_OFFSET);
-        long longestMs = Math.min(Fault.ZONE_EVACUATED.maxDurationMs(), lengthMs - RECOVERY_MS - FIRST_FAULT_MS);
-        if (longestMs < MIN_EVACUATION_MS) {
+    /** Draws a fault once, from random numbers of its own, so that the other faults of a seed stay the same. */
+    private static Optional<Entry> drawApart(Fault fault, long seed, long lengthMs) {
+        Random random = new Random(seed);
+        long longestMs = Math.min(fault.maxDurationMs(), lengthMs - RECOVERY_MS - FIRST_FAULT_MS);
+        if (longestMs < MIN_APART_MS) {
             return Optional.empty();
         }
-        long durationMs = MIN_EVACUATION_MS + (long) (random.nextDouble() * (longestMs - MIN_EVACUATION_MS));
+        long durationMs = MIN_APART_MS + (long) (random.nextDouble() * (longestMs - MIN_APART_MS));
         long latestMs = lengthMs - RECOVERY_MS - durationMs;
         long atMs = FIRST_FAULT_MS + (long) (random.nextDouble() * (latestMs - FIRST_FAULT_MS));
-        return Optional.of(new Entry(atMs, Fault.ZONE_EVACUATED, random.nextInt(16), durationMs));
+        return Optional.of(new Entry(atMs, fault, random.nextInt(16), durationMs));
     }
 }
