--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FleetRelay.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FleetRelay.java
@@ -69,6 +69,7 @@
     private final CountsGatherer gatherer;
     private final TimeSource timeSource;
     private final DecisionLog log;
+    private final long gatheredWriteTimeoutMs;
     private final Map<InetSocketAddress, ApiClient> clients = new HashMap<>();
     private long nextPollMs;
     private long nextLeaderTryMs = Long.MIN_VALUE;
@@ -93,6 +94,37 @@
             Supplier<Optional<InetSocketAddress>> leader,
             TimeSource timeSource,
             DecisionLog log) {
+        this(
+                loop,
+                connector,
+                store,
+                configuration,
+                upstreams,
+                evacuations,
+                peers,
+                leader,
+                timeSource,
+                log,
+                GATHERED_WRITE_TIMEOUT_MS);
+    }
+
+    /**
+     * Creates a relay with another time limit of writes through the leader.
+     *
+     * @param gatheredWriteTimeoutMs time limit, in milliseconds
+     */
+    FleetRelay(
+            EventLoopGroup loop,
+            HttpConnector connector,
+            KeyValueStore store,
+            ConfigurationHolder configuration,
+            UpstreamTable upstreams,
+            ZoneEvacuations evacuations,
+            Supplier<Set<InetSocketAddress>> peers,
+            Supplier<Optional<InetSocketAddress>> leader,
+            TimeSource timeSource,
+            DecisionLog log,
+            long gatheredWriteTimeoutMs) {
         this.loop = loop;
         this.connector = connector;
         this.store = store;
@@ -104,6 +136,7 @@
         this.gatherer = new CountsGatherer(store, loop);
         this.timeSource = timeSource;
         this.log = log;
+        this.gatheredWriteTimeoutMs = gatheredWriteTimeoutMs;
     }
 
     @Override
@@ -195,7 +228,7 @@
         counts.puts().forEach(put -> items.add(new StoreItem(put.key(), put.value(), 0, 0, 0)));
         byte[] body = new FleetState(new byte[0], items, 0, 0).encode();
         return client(peer)
-                .call("POST", COUNTS_PATH, List.of(), body, GATHERED_WRITE_TIMEOUT_MS)
+                .call("POST", COUNTS_PATH, List.of(), body, gatheredWriteTimeoutMs)
                 .thenCompose(response -> response.status() == 200
                         ? CompletableFuture.completedFuture(0L)
                         : CompletableFuture.failedFuture(new StoreException(
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FleetRelayTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FleetRelayTest.java
@@ -87,7 +87,8 @@
                 () -> peers,
                 () -> leader,
                 timeSource,
-                log);
+                log,
+                WAIT_S * 1_000);
 
         void read(long version, long revision, StoreItem... items) {
             configuration.offer("store", Long.toString(version).getBytes());
