--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/rateshare/SenderRequirement.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/rateshare/SenderRequirement.java
@@ -4,7 +4,7 @@
 public enum SenderRequirement {
     /**
      * The instance has been listed for long, and its list is recent. Any number of different lists then name no more
-     * senders than one. Used for upstreams that other ones replace for a short time.
+     * senders than one. For upstreams that receive little for a short phase only, so that a long wait costs little.
      */
     SETTLED {
         @Override
--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/rateshare/SliceRate.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/rateshare/SliceRate.java
@@ -6,9 +6,9 @@
  * The division of the request rate of one upstream among a few senders, each of which keeps an interval between its
  * requests.
  *
- * <p>In a closed window, a sender sends at most {@link #maxPerSender()} requests, and the senders
- * that one list of instances names at most {@link #maxPerList()}. Two lists may name different senders, so the maximum
- * for one list is half the bound.
+ * <p>In a closed window, a sender sends at most {@link #maxPerSender()} requests, and the senders that one list of
+ * instances names at most {@link #maxPerList()}. Two lists may name different senders, so the maximum for one list is
+ * half the bound.
  *
  * @param senders number of instances that may send to the upstream
  * @param intervalMs shortest time between two requests of one sender, in milliseconds
@@ -19,10 +19,10 @@
     private static final long WARM_UP_WINDOW_MS = 1_000;
 
     /**
-     * Largest number of senders. More senders let more instances use the upstream, and the loss of one costs less; but
+     * Largest number of senders during a warm-up. More senders let more instances use the upstream, and the loss of one costs less; but
      * each sends more rarely, so that a request waits longer for the slot of its instance.
      */
-    private static final int MAX_SENDERS = 4;
+    private static final int MAX_WARM_UP_SENDERS = 4;
 
     /** Number of lists of instances that may be in use at the same time. */
     private static final int LISTS = 2;
@@ -45,8 +45,8 @@
     }
 
     /**
-     * Returns the division for an upstream that is warming up and sustains the given rate; empty if two lists of instances cannot stay
-     * within the bound, so that nothing may be sent.
+     * Returns the division for an upstream that is warming up and sustains the given rate; empty if two lists of
+     * instances cannot stay within the bound, so that nothing may be sent.
      *
      * @param ratePerS target rate of all instances together, in requests per second
      * @param overshoot factor by which the bound exceeds the rate
@@ -56,7 +56,7 @@
         int maxPerList = (int) Math.min(Integer.MAX_VALUE, Math.floor((ratePerS * overshoot + slack) / LISTS));
         int senders = 0;
         int bestPerList = 0;
-        for (int candidate = 1; candidate <= MAX_SENDERS; candidate++) {
+        for (int candidate = 1; candidate <= MAX_WARM_UP_SENDERS; candidate++) {
             int perList = maxPerList / candidate * candidate;
             if (perList >= bestPerList && perList > 0) {
                 senders = candidate;
