--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/RateLimitedUpstreamTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/RateLimitedUpstreamTest.java
@@ -1,6 +1,7 @@
 package org.cranberrybend.entry.request;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.cranberrybend.entry.testing.EntryFixture.countRefusals;
 import static org.cranberrybend.entry.testing.EntryFixture.request;
 import static org.cranberrybend.entry.testing.Responses.chunk;
 import static org.cranberrybend.entry.testing.Responses.event;
@@ -61,24 +62,15 @@
             entry.settleRoster();
             assertThat(statusOf(call(entry, path, "first"))).isEqualTo("200");
             long startMs = TIME.monotonicMs();
-            List<RawCaller> callers = new ArrayList<>();
+            List<String> requests = new ArrayList<>();
             for (int i = 0; i < 20; i++) {
-                callers.add(entry.caller().send(text(path, "a" + i)));
-            }
-            int refused = 0;
-            for (RawCaller caller : callers) {
-                String answer = caller.readAll();
-                if (statusOf(answer).equals("503")) {
-                    assertThat(answer).contains("\"run_state\":\"not_run\"");
-                    assertThat(answer).contains("Retry-After: ");
-                    refused++;
-                }
-                caller.close();
+                requests.add(text(path, "a" + i));
             }
+            int refused = countRefusals(entry.callAtOnce(requests));
             long elapsedMs = TIME.monotonicMs() - startMs;
             int sent = limited.received().size() - 1;
             assertThat((long) sent).isAtMost(elapsedMs / INTERVAL_MS + 1);
-            assertThat(refused).isEqualTo(callers.size() - sent);
+            assertThat(refused).isEqualTo(requests.size() - sent);
             assertThat(entry.awaitLog("UPSTREAM_LIMITED")).isTrue();
             assertThat(entry.log()).doesNotContain("UPSTREAM_UNHEALTHY");
         }
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
@@ -1,5 +1,7 @@
 package org.cranberrybend.entry.testing;
 
+import static com.google.common.truth.Truth.assertThat;
+
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -357,6 +359,33 @@
         return new RawCaller(port);
     }
 
+    /** Sends requests at the same time, each on a connection of its own, and returns the responses in their order. */
+    public List<String> callAtOnce(List<String> requestTexts) throws Exception {
+        List<RawCaller> callers = new ArrayList<>();
+        for (String text : requestTexts) {
+            callers.add(caller().send(text));
+        }
+        List<String> responses = new ArrayList<>();
+        for (RawCaller caller : callers) {
+            responses.add(caller.readAll());
+            caller.close();
+        }
+        return responses;
+    }
+
+    /** Returns the number of refusals among responses; each must say that the request has not run, and when to return. */
+    public static int countRefusals(List<String> responses) {
+        int refused = 0;
+        for (String response : responses) {
+            if (Responses.statusOf(response).equals("503")) {
+                assertThat(response).contains("\"run_state\":\"not_run\"");
+                assertThat(response).contains("Retry-After: ");
+                refused++;
+            }
+        }
+        return refused;
+    }
+
     /** Submits a task to the event loop. */
     public <T> Future<T> later(Callable<T> task) {
         return loop.submit(task);
