Count a response without a rate limit from the sending of its request

A response without a limit was taken as knowledge of the moment of its arrival, so a limit that another instance had received between the sending and the arrival was ignored here until the next exchange or response: one request too many of this instance for each upstream. Only the sending is certain to precede the response, so its time counts now, for the end of a limit, too. Responses of upstreams that never had a limit, which are most, create no objects any more.

Evidence: RateLimitsTest.responseCountsFromTheSendingOfItsRequest fails without the change in the case of a limit received 10 ms ago.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
@@ -56,8 +56,8 @@
         Optional<Exclusion> zoneExclusion(UpstreamAttempt attempt);
 
         /**
-         * The upstream or its zone was excluded, or a limit of its requests began, before a connection was established, so no byte of
-         * the request was sent.
+         * The upstream or its zone was excluded, or a limit of its requests began, before a connection was established, so
+         * no byte of the request was sent.
          */
         void onWithheld(UpstreamAttempt attempt, String cause);
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/RateLimits.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/RateLimits.java
@@ -64,13 +64,19 @@
     }
 
     /**
-     * Records that an upstream has stated no limit in the response to a request. The response may be older than the last
-     * statement if the request was sent before that.
+     * Records that an upstream has stated no limit in the response to a request. Only the time of sending is certain to
+     * precede the response, so a limit that some instance has received since then holds.
      */
     public void recordNoLimit(Upstream upstream, long sentMs) {
         RateLimit limit = upstream.rateLimit();
-        if (limit.precedes(sentMs)) {
-            apply(UpstreamProcess.of(upstream.entry()), limit, RateLimit.NONE, "response", 0);
+        if (!limit.precedes(sentMs)) {
+            return;
+        }
+        if (limit.requestsPerS() == RateLimit.NONE) {
+            limit.record(RateLimit.NONE, sentMs);
+        } else {
+            long ageMs = timeSource.monotonicMs() - sentMs;
+            apply(UpstreamProcess.of(upstream.entry()), limit, RateLimit.NONE, "response", ageMs);
         }
     }
 
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/RateLimitsTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/RateLimitsTest.java
@@ -87,6 +87,18 @@
         assertThat(rate()).isEqualTo(expectedPerS);
     }
 
+    // Guards against a limit of another instance that is ignored because a response of before it has arrived here
+    // since.
+    @ParameterizedTest
+    @CsvSource({"10, 3", "30, Infinity"})
+    void responseCountsFromTheSendingOfItsRequest(long reportAgeMs, double expectedPerS) {
+        clock.advance(1_000);
+        long sentMs = clock.monotonicMs() - 20;
+        limits.recordNoLimit(upstream(), sentMs);
+        limits.merge(List.of(new RateLimitReport("u", 1, 3, reportAgeMs)));
+        assertThat(rate()).isEqualTo(expectedPerS);
+    }
+
     // Guards against the limit of a process that is applied to its successor, and against one that is forgotten because
     // the entry of its upstream expired for a while.
     @Test
