Keep the shares of a rate limit after registrations have expired

What callers would see: after an outage in which leases expire, the store lists no instance, so all lose their shares of limited upstreams until 3 s after they have registered again, and refuse requests if all upstreams of a service are limited.

Cause: an instance had to be listed for 3 s, although the others count it for 24 s after its entry was deleted, and leave its share unused. Fix: it may send for as long as it is counted. The bound is the same, because the order of the senders has counted such instances all the time; the number of instances among which the rate is divided counts them, too.

Evidence: RateLimitsTest.shareRemainsForAWhileAfterTheRegistrationExpired fails on the code before for 0 and 23,999 ms. StatedLimitFuzzTest, whose fleets lose and renew registrations, holds.

--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/rateshare/SenderRequirement.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/rateshare/SenderRequirement.java
@@ -14,19 +14,20 @@
     },
 
     /**
-     * The instance is listed, also if the store has not confirmed its list since. Two different lists stay within the
+     * The other instances count the instance, by the last list that the store has confirmed: it is listed, or its entry
+     * was deleted a short time ago, as all are by an outage in which leases expire. Two different lists stay within the
      * bound, and an upstream with a stated limit may be the only one for the whole time of an outage. The short wait
-     * covers the time in which other instances learn of a new one.
+     * covers the time in which the others learn of a new instance.
      */
-    LISTED {
+    COUNTED {
         @Override
         boolean isMet(SenderRoster roster, String instance, long nowMs) {
-            return roster.isListedFor(instance, LISTED_MS, nowMs);
+            return roster.isCountedFor(instance, COUNTED_MS, nowMs);
         }
     };
 
     /** Time in which instances learn of a registration while the store is available. */
-    static final long LISTED_MS = 3_000;
+    static final long COUNTED_MS = 3_000;
 
     /** Returns whether an instance may be a sender. */
     abstract boolean isMet(SenderRoster roster, String instance, long nowMs);
--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/rateshare/SenderRoster.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/rateshare/SenderRoster.java
@@ -38,6 +38,9 @@
     /** Instances that have left, with the time until which they count as possible senders. */
     private final Map<String, Long> countedUntilMs = new HashMap<>();
 
+    /** Time since which an instance is listed or counted without a gap. */
+    private final Map<String, Long> countedSinceMs = new HashMap<>();
+
     private long confirmedMs = NEVER;
     private long steadySinceMs = NEVER;
     private long version;
@@ -63,6 +66,8 @@
                 changed = true;
             }
         }
+        listed.forEach(name -> countedSinceMs.putIfAbsent(name, nowMs));
+        countedSinceMs.keySet().removeIf(name -> !listedSinceMs.containsKey(name) && !countedUntilMs.containsKey(name));
         if (changed) {
             version++;
         }
@@ -80,15 +85,15 @@
                 && nowMs - listedSinceMs.getOrDefault(instance, nowMs) >= SETTLE_MS;
     }
 
-    /** Returns whether an instance has been listed for a time, by the last list that the store has confirmed. */
-    boolean isListedFor(String instance, long durationMs, long nowMs) {
-        Long sinceMs = listedSinceMs.get(instance);
+    /** Returns whether an instance has been counted for a time, by the last list that the store has confirmed. */
+    boolean isCountedFor(String instance, long durationMs, long nowMs) {
+        Long sinceMs = countedSinceMs.get(instance);
         return sinceMs != null && nowMs - sinceMs >= durationMs;
     }
 
-    /** Returns the number of instances by the last list that the store has confirmed; 0 without a list. */
+    /** Returns the number of instances that are listed or have left recently; 0 without a list. */
     public int size() {
-        return listedSinceMs.size();
+        return countedSinceMs.size();
     }
 
     /** Returns whether the store has confirmed the list recently. */
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/RateLimiter.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/RateLimiter.java
@@ -18,7 +18,7 @@
 
     /** Creates a limiter of one instance. */
     public RateLimiter(String instance, SenderRoster roster, LimitBound bound) {
-        this.slots = new RateSlots(instance, roster, SenderRequirement.LISTED);
+        this.slots = new RateSlots(instance, roster, SenderRequirement.COUNTED);
         this.roster = roster;
         this.bound = bound;
     }
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/RateLimitsTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/RateLimitsTest.java
@@ -145,4 +145,19 @@
         clock.advance(50_000);
         assertThat(limiter.admits(upstream(), clock.monotonicMs())).isTrue();
     }
+
+    // Guards against instances that all have no share after an outage in which their registrations have expired.
+    @ParameterizedTest
+    @CsvSource({"0, true", "23999, true", "24000, false"})
+    void shareRemainsForAWhileAfterTheRegistrationExpired(long elapsedMs, boolean admitted) {
+        SenderRoster roster = new SenderRoster();
+        RateLimiter limiter = new RateLimiter("own", roster, new LimitBound(4_000, 1.5, 5));
+        limits.recordLimit(upstream(), 3);
+        roster.confirm(Set.of("own"), clock.monotonicMs());
+        clock.advance(3_000);
+        roster.confirm(Set.of(), clock.monotonicMs());
+        clock.advance(elapsedMs);
+        roster.confirm(Set.of(), clock.monotonicMs());
+        assertThat(limiter.admits(upstream(), clock.monotonicMs())).isEqualTo(admitted);
+    }
 }
