--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/StatedRateLimit.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/StatedRateLimit.java
@@ -9,8 +9,8 @@
 /**
  * The rate limit in a response of an upstream: requests per second, with or without a fraction.
  *
- * <p>A value that is no such number, or none that can be told from no limit, makes no statement: neither that there is a
- * limit, nor that there is none. If there are several headers, the lowest rate counts.
+ * <p>A value that is no such number, or a rate beyond what any upstream receives, makes no statement: neither that there
+ * is a limit, nor that there is none. If there are several headers, the lowest rate counts.
  */
 final class StatedRateLimit {
     /** Rates from this one on are beyond what any upstream receives. */
