--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/rateshare/SenderRoster.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/rateshare/SenderRoster.java
@@ -11,10 +11,11 @@
  * The registered instances as known to one of them, with those that have left recently. Names the senders of each
  * upstream by rendezvous hashing. All times are monotonic, in milliseconds. Not safe for use by several threads.
  *
- * <p>Instances learn of changes at different times, so their lists differ. An instance is therefore a sender only after it
- * has been listed for {@link #SETTLE_MS}, and counts instances that have left for as long. If lists are late by no more
- * than {@link #MAX_LAG_MS}, it then counts every other instance that may send in the same window, so that the number of
- * senders is never exceeded, however many different lists are in use.
+ * <p>Instances learn of changes at different times, so their lists differ. An instance is settled only after it has been
+ * listed for {@link #SETTLE_MS}, and counts instances that have left for as long. If lists are late by no more than {@link
+ * #MAX_LAG_MS}, it then counts every other instance that may send in the same window, so that the number of senders is
+ * never exceeded, however many different lists are in use. An instance that need not be settled ({@link
+ * SenderRequirement#COUNTED}) may exceed it where lists differ, by at most the senders of a second list.
  */
 public final class SenderRoster {
     /** Age of the list from which it names no senders. A watch without changes is confirmed every 4 s. */
