Log how late the event loop is, and where abandoned requests were

Added: the gauge event_loop_delay_ms and event 104 for delays from 300 ms on; the zone of the last attempt and the time since it was sent in the line that ends a request; the time since sending, the expected time to the first event and the age of the load report in the line of a silent upstream. No decision changes.

Ruled out: a line for each check of an attempt, which would be three lines a second for each request.

Evidence: LoopDelayMonitorTest; RequestPathTest passes.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -44,6 +44,7 @@
 import org.cranberrybend.entry.json.JsonFormatException;
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.log.GuardedTask;
+import org.cranberrybend.entry.log.LoopDelayMonitor;
 import org.cranberrybend.entry.port.KeyValueStore;
 import org.cranberrybend.entry.port.StoreKeys;
 import org.cranberrybend.entry.quarantine.QuarantineArchive;
@@ -382,6 +383,10 @@
         runPeriodically("relay", relay::tick);
         runPeriodically("crash exchange", crashExchange::tick);
         runPeriodically("rate limit exchange", rateLimitExchange::tick);
+        LoopDelayMonitor loopDelay =
+                new LoopDelayMonitor(MAINTENANCE_INTERVAL_MS, settings.instance(), timeSource, log);
+        metrics.gauge("event_loop_delay_ms", () -> loopDelay::largestDelayMs);
+        runPeriodically("loop delay", loopDelay);
         log.record(EventCode.PROCESS_STARTED, settings.instance(), "zone", settings.zone());
     }
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -494,6 +494,6 @@
         responsiveness.stop();
         long elapsedMs = services.timeSource().monotonicMs() - request.receivedMs();
         services.metrics().recordOutcome(outcome, elapsedMs);
-        requestLog.recordEnd(code, cause, sends, elapsedMs, attemptedUpstreams);
+        requestLog.recordEnd(code, cause, sends, elapsedMs, attemptedUpstreams, attempt);
     }
 }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestLog.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestLog.java
@@ -108,6 +108,26 @@
         }
     }
 
+    /** Records that an upstream counts as unresponsive, with what the first event was expected to take. */
+    void recordUnresponsive(UpstreamAttempt attempt) {
+        long nowMs = services.timeSource().monotonicMs();
+        Upstream upstream = attempt.upstream();
+        services.log()
+                .record(
+                        EventCode.UPSTREAM_UNHEALTHY,
+                        upstream.entry().id(),
+                        "cause",
+                        "silent",
+                        "zone",
+                        upstream.entry().zone(),
+                        "since_sent_ms",
+                        nowMs - attempt.sentMs(),
+                        "expected_first_event_ms",
+                        Math.round(expected(upstream, nowMs).firstEventMs()),
+                        "load_age_ms",
+                        upstream.loadReportAgeMs(nowMs));
+    }
+
     void recordUnhealthy(Upstream upstream, String cause) {
         services.log().record(EventCode.UPSTREAM_UNHEALTHY, upstream.entry().id(), "cause", cause);
     }
@@ -125,7 +145,18 @@
                         QuarantineService.describe(parts));
     }
 
-    void recordEnd(EventCode code, String cause, int sends, long elapsedMs, Collection<String> upstreams) {
+    /**
+     * Records how the request ended.
+     *
+     * @param last last attempt; null if the request has waited in this process only
+     */
+    void recordEnd(
+            EventCode code,
+            String cause,
+            int sends,
+            long elapsedMs,
+            Collection<String> upstreams,
+            UpstreamAttempt last) {
         if (!sampled && code == EventCode.REQUEST_COMPLETED && sends <= 1) {
             return;
         }
@@ -143,6 +174,12 @@
                         elapsedMs,
                         "upstreams",
                         String.join(",", upstreams),
+                        "last_zone",
+                        last == null ? "" : last.upstream().entry().zone(),
+                        "since_sent_ms",
+                        last == null || !last.isSent()
+                                ? -1
+                                : services.timeSource().monotonicMs() - last.sentMs(),
                         "priority",
                         request.priority(),
                         "parts",
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/ResponsivenessMonitor.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/ResponsivenessMonitor.java
@@ -53,7 +53,7 @@
         if (current != null && current.isSent() && current.isReading()) {
             if (health.isUnresponsive(current, nowMs)) {
                 current.upstream().ejectUnresponsive(nowMs);
-                requestLog.recordUnhealthy(current.upstream(), "silent");
+                requestLog.recordUnresponsive(current);
                 if (subject.moveFrom(current, "unresponsive upstream")) {
                     current.upstream().pool().discardIdle();
                 }
