Name the timeout after which a silent engine counts as unresponsive

No decision changes: FirstEventTimeout holds the limit of one second that applies until the first event of a stream, and receives the times of first events and of attempts whose engine was silent.

Ruled out: a test that waits for the checks of real requests, which would decide by timing.

--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/engine/ServiceEngineModel.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/engine/ServiceEngineModel.java
@@ -46,6 +46,7 @@
     private final SmoothedLevel longestPromptTokens = new SmoothedLevel(1, 0, LONGEST_PROMPT_DECAY_MS);
     private final SmoothedLevel meanRequests = new SmoothedLevel(SMOOTHING, SMOOTHING, PAUSE_DECAY_MS);
     private final PrefixMemory prefixes = new PrefixMemory();
+    private final FirstEventTimeout firstEventTimeout = new FirstEventTimeout();
     private final SmoothedLevel logPauseTarget = new SmoothedLevel(SMOOTHING, SMOOTHING, PAUSE_DECAY_MS);
     private double durationMs = INITIAL_DURATION_MS;
     private double requestTokens = INITIAL_REQUEST_TOKENS;
@@ -64,6 +65,11 @@
         return prefixes;
     }
 
+    /** Returns the timeout of the first events of all engines of the service. */
+    public FirstEventTimeout firstEventTimeout() {
+        return firstEventTimeout;
+    }
+
     /** Records the time to a first event, at the usual speed of the engine. */
     void recordFirstEvent(double prefillTokens, double firstEventMs, long nowMs) {
         firstEvent.add(prefillTokens, firstEventMs);
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/AttemptHealth.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/AttemptHealth.java
@@ -24,7 +24,7 @@
     boolean isUnresponsive(UpstreamAttempt attempt, long nowMs) {
         Upstream upstream = attempt.upstream();
         boolean sendsRegularly = route.streaming() || upstream.running() > 1;
-        long allowedPauseMs = attempt.hasEvents() ? 2 * route.eventGapTargetMs() : 0;
+        long allowedPauseMs = attempt.hasEvents() ? 2 * route.eventGapTargetMs() : attempt.firstEventTimeoutMs();
         return sendsRegularly && upstream.isUnresponsiveSince(attempt.sentMs(), allowedPauseMs, nowMs);
     }
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/ResponsivenessMonitor.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/ResponsivenessMonitor.java
@@ -52,6 +52,7 @@
         UpstreamAttempt current = subject.replaceableAttempt();
         if (current != null && current.isSent() && current.isReading()) {
             if (health.isUnresponsive(current, nowMs)) {
+                current.recordUnresponsive();
                 current.upstream().ejectUnresponsive(nowMs);
                 requestLog.recordUnresponsive(current);
                 if (subject.moveFrom(current, "unresponsive upstream")) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/StreamTiming.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/StreamTiming.java
@@ -38,6 +38,8 @@
     private long events;
     /** Whether the next event ends a time in which the caller could not receive events. */
     private boolean interrupted;
+    /** Whether the engine has counted as unresponsive because of this stream. */
+    private boolean unresponsive;
 
     StreamTiming(Upstream upstream, Prompt prompt, long pauseTargetMs, long nowMs) {
         this.upstream = upstream;
@@ -71,6 +73,7 @@
             return;
         }
         if (events == 0) {
+            estimator().service().firstEventTimeout().record(nowMs - sentMs);
             // A prefix that others have sent may be cached or not: the sample would be of an unknown length.
             if (prefixKnown) {
                 estimator().recordFirstEvent(prefillTokens, nowMs - sentMs, queued, nowMs);
@@ -89,6 +92,14 @@
         }
     }
 
+    /** Records that the engine counts as unresponsive because it has sent nothing. */
+    void onUnresponsive(long nowMs) {
+        if (!prompt.isEmpty() && events == 0 && !unresponsive) {
+            unresponsive = true;
+            estimator().service().firstEventTimeout().record(nowMs - sentMs);
+        }
+    }
+
     void onReadingChanged() {
         interrupted = true;
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
@@ -179,6 +179,18 @@
         return reading && !checking;
     }
 
+    /** Returns the time without a byte that is normal before the first event of a stream; 0 for a plain service. */
+    long firstEventTimeoutMs() {
+        return request.prompt().isEmpty()
+                ? 0
+                : upstream.engine().estimator().service().firstEventTimeout().timeoutMs();
+    }
+
+    /** Records that the upstream counts as unresponsive because of this attempt. */
+    void recordUnresponsive() {
+        timing.onUnresponsive(timeSource.monotonicMs());
+    }
+
     /** Suspends or resumes reading of the response. */
     void setReading(boolean nextReading) {
         if (mode != Mode.ENDED && connection != null && reading != nextReading) {
