--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamSelectorTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamSelectorTest.java
@@ -163,6 +163,18 @@
         assertThat(choose(selector, "prompt", LatencyClass.SENSITIVE)).contains("zone-c");
     }
 
+    // An overload of all regions: guards against requests that cross the link between regions without gain, and fill
+    // it,
+    // so that configurations and aborts of requests are late.
+    @ParameterizedTest
+    @EnumSource(LatencyClass.class)
+    void requestsStayInTheirRegionIfAllRegionsAreOverloaded(LatencyClass latencyClass) {
+        table.all().forEach(each -> load(each.entry().id(), 45));
+        for (int i = 0; i < 50; i++) {
+            assertThat(choose(selector, "prompt-" + i, latencyClass)).doesNotContain("zone-c");
+        }
+    }
+
     // Guards against loading the upstreams of the instance's zone further while those of another zone are idle.
     @Test
     void plainRequestsStayInTheZoneUntilItsUpstreamsAreBusy() {
