State the loads of the overload test by reports

requestsStayInTheirRegionIfAllRegionsAreOverloaded, as committed, passed on the present code: without load reports the first of equal upstreams is chosen, which is of the own region. In production engines report their load, and one is drawn among the least loaded.

With reports the test fails for all five latency classes (zone-c-3, zone-c-1, zone-c-2 chosen).

--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamSelectorTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamSelectorTest.java
@@ -169,7 +169,9 @@
     @ParameterizedTest
     @EnumSource(LatencyClass.class)
     void requestsStayInTheirRegionIfAllRegionsAreOverloaded(LatencyClass latencyClass) {
-        table.all().forEach(each -> load(each.entry().id(), 45));
+        table.all()
+                .forEach(
+                        each -> each.mergeLoadReport(new LoadReport(each.entry().id(), 45, 0), clock.monotonicMs()));
         for (int i = 0; i < 50; i++) {
             assertThat(choose(selector, "prompt-" + i, latencyClass)).doesNotContain("zone-c");
         }
