--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/UsageDutyTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/UsageDutyTest.java
@@ -4,6 +4,7 @@
 
 import java.io.OutputStream;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -19,6 +20,8 @@
 import org.cranberrybend.entry.usage.SteadyWallClock;
 import org.cranberrybend.entry.usage.UsageCounter;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class UsageDutyTest {
     private static final long WINDOW_MS = 5_000;
@@ -182,6 +185,47 @@
         assertThat(store.keys(FleetKeys.countsPrefix(window))).isEmpty();
     }
 
+    private void assertOneReportOfEachWindow() {
+        Map<Long, Map<String, Long>> counts = new HashMap<>();
+        for (Report report : reports) {
+            assertThat(counts.getOrDefault(report.window, report.counts)).isEqualTo(report.counts);
+            counts.put(report.window, report.counts);
+        }
+    }
+
+    private void runUnderLoad(long ms, Incarnation... runs) {
+        for (long passed = 0; passed < ms; passed += TICK_MS) {
+            for (Incarnation each : runs) {
+                each.counter.recordStart("alpha");
+            }
+            run(TICK_MS, runs);
+        }
+    }
+
+    // The store comes back from a copy without a report that was sent: guards against a second one with other counts,
+    // by
+    // the instance that held the lease, or by another one after it has ended.
+    @ParameterizedTest
+    @CsvSource({"true, 1000", "true, 4000", "true, 9000", "false, 1000", "false, 4000", "false, 9000"})
+    void windowIsNotReportedAgainAfterARestoration(boolean holderContinues, long copyAgeMs) {
+        live.add("instance-b");
+        Incarnation a = new Incarnation("instance-a", 1);
+        Incarnation b = new Incarnation("instance-b", 1);
+        runUnderLoad(2 * WINDOW_MS, a, b);
+        runUnderLoad(WINDOW_MS + 3_000, a, b);
+        MemoryStore.Copy copy = store.copy();
+        runUnderLoad(copyAgeMs, a, b);
+        store.restore(copy);
+        if (!holderContinues) {
+            live.remove("instance-a");
+        }
+        Incarnation[] running = holderContinues ? new Incarnation[] {a, b} : new Incarnation[] {b};
+        runUnderLoad(6 * WINDOW_MS, running);
+        assertOneReportOfEachWindow();
+        long last = b.counter.currentWindow() - 3;
+        assertThat(reportedOf(last, "alpha")).isEqualTo(running.length * WINDOW_MS / TICK_MS);
+    }
+
     // Guards against writes of counts that grow with the fleet beyond the rate limit of the store.
     @Test
     void instanceOfLargeFleetWritesOncePerWindow() {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/MemoryStore.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/MemoryStore.java
@@ -29,11 +29,35 @@
     private int writes;
     private boolean delayLostWrites;
 
+    /** The content of the store at one time. */
+    public record Copy(Map<String, StoreItem> items, Map<Long, Long> leaseEnds, long revision, long lastLease) {
+        public Copy {
+            items = Map.copyOf(items);
+            leaseEnds = Map.copyOf(leaseEnds);
+        }
+    }
+
     /** Creates an empty store whose leases expire by the given clock. */
     public MemoryStore(TimeSource timeSource) {
         this.timeSource = timeSource;
     }
 
+    /** Returns a copy of the content. */
+    public Copy copy() {
+        expire();
+        return new Copy(items, leaseEnds, revision, lastLease);
+    }
+
+    /** Replaces the content by an older copy. */
+    public void restore(Copy copy) {
+        items.clear();
+        leaseEnds.clear();
+        items.putAll(copy.items());
+        leaseEnds.putAll(copy.leaseEnds());
+        revision = copy.revision();
+        lastLease = copy.lastLease();
+    }
+
     /** Sets whether every call fails without being executed. */
     public void setDown(boolean isDown) {
         down = isDown;
