--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/DutyLeaseTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/DutyLeaseTest.java
@@ -9,6 +9,8 @@
 import org.cranberrybend.entry.testing.MemoryStore;
 import org.cranberrybend.entry.testing.TestClock;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class DutyLeaseTest {
     private static final long TAKEOVER_DELAY_MS = 3_000;
@@ -130,4 +132,49 @@
         run(first, 3_000);
         assertThat(first.grant()).isPresent();
     }
+
+    // The store comes back from a copy without the lease, and another instance learns of it first: guards against calls
+    // of
+    // both holders, and against a fencing number that was used before.
+    @Test
+    void firstHolderOfARestoredStoreWaitsUntilTheEarlierOneHasStopped() {
+        MemoryStore.Copy copy = store.copy();
+        long lost = acquire(first).fencingNumber();
+        store.restore(copy);
+        assertThat(first.grant()).isEmpty();
+        second.tick(false);
+        for (long waitedMs = 0; waitedMs < TAKEOVER_DELAY_MS; waitedMs += TICK_MS) {
+            second.tick(true);
+            assertThat(second.grant()).isEmpty();
+            clock.advance(TICK_MS);
+        }
+        run(second, 1_500);
+        assertThat(second.grant().get().fencingNumber()).isGreaterThan(lost);
+    }
+
+    // Guards against seconds without a holder, in which usage windows are missed, although the one that held the lease
+    // until the restoration may go on at once: with its own entry in the copy, or without one.
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void holderUntilTheRestorationContinuesAtOnce(boolean listedInCopy) {
+        MemoryStore.Copy empty = store.copy();
+        long lost = acquire(first).fencingNumber();
+        store.restore(listedInCopy ? store.copy() : empty);
+        first.tick(true);
+        assertThat(first.grant().get().fencingNumber()).isGreaterThan(lost);
+        assertThat(first.wasHeldUntilThisEpoch()).isTrue();
+    }
+
+    // Guards against an earlier holder that takes itself for the last one after its successor has lost the lease, too.
+    @Test
+    void earlierHolderDoesNotContinueAfterItsSuccessor() {
+        acquire(first);
+        clock.advance(5_000);
+        run(first, TICK_MS);
+        MemoryStore.Copy copy = store.copy();
+        acquire(second);
+        store.restore(copy);
+        assertThat(first.wasHeldUntilThisEpoch()).isFalse();
+        assertThat(second.wasHeldUntilThisEpoch()).isTrue();
+    }
 }
