Report no usage window twice after the store was restored

Cause: that a window was sealed and reported stands in the store only. A restored store lacks both, and the latest counts, so the next holder seals the window again with the counts that are left.

Fix: in a new epoch, the windows that an earlier holder can have sealed are reported only with sealed totals that the copy has; these are unique, since a window is sealed once in an epoch and the limit never moves back. The instance that held the lease until the new epoch continues instead where it was, with the totals that it has sealed last. The progress states the epoch and the limit, so that later holders keep to it. Counts are written again, those of the last three windows.

What it costs: if the holder has lost its lease before the store returns, two or three windows may not be reported. Nobody else knows whether they were.

Ruled out: announcing each report to all instances through the watched keys, which a restoration loses as well; a copy of the totals at other instances, which would be a replicated store.

Evidence: UsageDutyTest.windowIsNotReportedAgainAfterARestoration failed in 4 of 6 cases before.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -302,6 +302,7 @@
                 settings.instance(),
                 timeSource.wallMs(),
                 () -> directory.liveInstances().size(),
+                store.epoch(),
                 timeSource);
         return new FleetDuties(directory, lease, flusher, tasks);
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/UsageDuty.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/UsageDuty.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.cranberrybend.core.event.EventCode;
 import org.cranberrybend.entry.json.Json;
 import org.cranberrybend.entry.json.JsonFormatException;
@@ -17,6 +18,8 @@
 import org.cranberrybend.entry.port.KeyValueStore;
 import org.cranberrybend.entry.port.StoreException;
 import org.cranberrybend.entry.port.StoreItem;
+import org.cranberrybend.entry.port.StoreRevision;
+import org.cranberrybend.entry.port.StoreSnapshot;
 import org.cranberrybend.entry.port.StoreWrite;
 import org.cranberrybend.entry.port.UsageReports;
 import org.cranberrybend.entry.usage.SteadyWallClock;
@@ -27,6 +30,11 @@
  *
  * <p>The totals of a window are sealed in the store by a write that fails if the key exists. Every report of the window
  * sends the sealed totals, so that no two reports differ, even after a lost response or a takeover of the lease.
+ *
+ * <p>A store that is restored from an older copy may have lost sealed totals whose report was sent. In a new epoch, the
+ * windows that an earlier holder can have sealed are therefore reported only with totals that are still in the store. The
+ * instance that held the lease until then knows more: how far it has come, and the totals that it has sealed last. That
+ * a holder of the present epoch has applied this rule stands with the progress.
  */
 public final class UsageDuty {
     /** Time after the end of a window at which its counts are first read; instances write them in this time. */
@@ -41,6 +49,8 @@
     private static final int MAX_OVERDUE_WINDOWS = 12;
     /** Number of windows whose sealed totals are retained, for a late report by another lease holder. */
     private static final int SEALED_WINDOWS_RETAINED = 12;
+    /** How much earlier the clock of another instance may be, so that it has read the counts of a window earlier. */
+    private static final long MAX_CLOCK_LEAD_MS = 1_000;
 
     private final KeyValueStore store;
     private final UsageReports reports;
@@ -52,7 +62,14 @@
     private final DecisionLog log;
     /** Last window that is reported or has no usage; negative until read from the store. */
     private long lastReportedWindow = -1;
+    /** Last window that is reported only if its sealed totals are in the store; they may have been lost after a report. */
+    private long lastMaybeSealedWindow = -1;
+    /** Last reported window when the lease was lost because the store was restored; negative without that cause. */
+    private long resumedWindow = -1;
 
+    private long progressEpoch;
+    private long lastSealedWindow = -1;
+    private byte[] lastSealedTotals = new byte[0];
     private boolean pending;
     private long nextStepMs;
     private Set<String> countKeys = Set.of();
@@ -85,7 +102,10 @@
     /** Performs the next step if one is due. */
     public void tick() {
         if (!lease.isHeld()) {
-            lastReportedWindow = -1;
+            if (lastReportedWindow >= 0) {
+                resumedWindow = lease.wasHeldUntilThisEpoch() ? lastReportedWindow : -1;
+                lastReportedWindow = -1;
+            }
             return;
         }
         if (pending || clock.nowMs() < nextStepMs) {
@@ -110,14 +130,7 @@
         pending = true;
         store.get(FleetKeys.REPORTED)
                 .thenCombine(store.list(FleetKeys.allCounts()), (item, counts) -> {
-                    long current = Math.floorDiv(clock.nowMs(), windowMs);
-                    long earliest = counts.items().stream()
-                            .mapToLong(each -> FleetKeys.windowOf(each.key()))
-                            .min()
-                            .orElse(current);
-                    long last = item.map(UsageDuty::windowOfProgress).orElse(earliest - 1);
-                    lastReportedWindow = Math.max(last, current - MAX_OVERDUE_WINDOWS);
-                    deleteReportedCounts(counts.items());
+                    begin(item.map(UsageProgress::parse), counts);
                     pending = false;
                     return null;
                 })
@@ -127,34 +140,71 @@
                 });
     }
 
-    private static long windowOfProgress(StoreItem item) {
-        try {
-            return Json.readObject(item.value()).integer("window");
-        } catch (JsonFormatException e) {
-            return -1;
+    private void begin(Optional<UsageProgress> stored, StoreSnapshot counts) {
+        long current = Math.floorDiv(clock.nowMs(), windowMs);
+        long earliest = counts.items().stream()
+                .mapToLong(each -> FleetKeys.windowOf(each.key()))
+                .min()
+                .orElse(current);
+        UsageProgress progress = stored.orElse(new UsageProgress(earliest - 1, 0, -1));
+        long epoch = StoreRevision.epochOf(counts.revision());
+        if (progress.epoch() < epoch) {
+            progress = progressInNewEpoch(progress, epoch);
+            store.write(StoreWrite.put(FleetKeys.REPORTED, progress.encode()));
         }
+        lastReportedWindow = Math.max(progress.window(), current - MAX_OVERDUE_WINDOWS);
+        lastMaybeSealedWindow = progress.lastMaybeSealedWindow();
+        progressEpoch = progress.epoch();
+        deleteAll(counts.items().stream()
+                .map(StoreItem::key)
+                .filter(key -> FleetKeys.windowOf(key) <= lastReportedWindow)
+                .collect(Collectors.toList()));
     }
 
-    /** Deletes counts that were written after the report of their window. */
-    private void deleteReportedCounts(List<StoreItem> counts) {
-        List<String> old = new ArrayList<>();
-        for (StoreItem item : counts) {
-            if (FleetKeys.windowOf(item.key()) <= lastReportedWindow && old.size() < StoreWrite.MAX_ENTRIES) {
-                old.add(item.key());
-            }
-        }
-        if (!old.isEmpty()) {
-            store.write(StoreWrite.delete(old));
+    private UsageProgress progressInNewEpoch(UsageProgress stored, long epoch) {
+        boolean resumed = lease.wasHeldUntilThisEpoch() && resumedWindow >= 0;
+        UsageProgress progress = resumed
+                ? new UsageProgress(resumedWindow, epoch, -1)
+                : new UsageProgress(stored.window(), epoch, lastWindowSealedBefore());
+        log.record(
+                EventCode.STORE_RESTORED,
+                FleetKeys.REPORTED,
+                "last_reported_window",
+                progress.window(),
+                "last_maybe_sealed_window",
+                progress.lastMaybeSealedWindow(),
+                "resumed",
+                resumed);
+        return progress;
+    }
+
+    /** Returns the last window that a holder of an earlier epoch can have sealed; it has stopped by now or does so soon. */
+    private long lastWindowSealedBefore() {
+        long latestReadMs = clock.nowMs() + MAX_CLOCK_LEAD_MS + DutyLease.MAX_HELD_MS - FIRST_READ_MS;
+        return Math.floorDiv(latestReadMs, windowMs) - 1;
+    }
+
+    private void deleteAll(List<String> keys) {
+        for (int from = 0; from < keys.size(); from += StoreWrite.MAX_ENTRIES) {
+            store.write(StoreWrite.delete(keys.subList(from, Math.min(keys.size(), from + StoreWrite.MAX_ENTRIES))));
         }
     }
 
     private void readSealedTotals(long window) {
         pending = true;
+        if (window == lastSealedWindow) {
+            // The store may have been restored since, and lack them.
+            report(window, lastSealedTotals);
+            return;
+        }
         store.get(FleetKeys.sealed(window)).whenComplete((item, failure) -> {
             if (failure != null) {
                 retryLater(READ_RETRY_MS);
             } else if (item.isPresent()) {
                 report(window, item.get().value());
+            } else if (window <= lastMaybeSealedWindow) {
+                log.record(EventCode.USAGE_LATE, Long.toString(window), "cause", "its totals may be lost and reported");
+                completeWindow(window);
             } else {
                 readCounts(window);
             }
@@ -216,6 +266,8 @@
         store.write(StoreWrite.putIf(FleetKeys.sealed(window), 0, sealedTotals, 0))
                 .whenComplete((revision, failure) -> {
                     if (failure == null) {
+                        lastSealedWindow = window;
+                        lastSealedTotals = sealedTotals;
                         log.record(
                                 EventCode.USAGE_WINDOW_SEALED,
                                 Long.toString(window),
@@ -275,7 +327,7 @@
         List<String> deletes = new ArrayList<>(countKeys);
         deletes.add(FleetKeys.sealed(window - SEALED_WINDOWS_RETAINED));
         countKeys = Set.of();
-        byte[] progress = Json.write(Map.of("window", window));
+        byte[] progress = new UsageProgress(window, progressEpoch, lastMaybeSealedWindow).encode();
         List<StoreWrite.Put> puts = List.of(new StoreWrite.Put(FleetKeys.REPORTED, progress, 0));
         int first = Math.min(deletes.size(), StoreWrite.MAX_ENTRIES - 1);
         store.write(new StoreWrite(Map.of(), puts, deletes.subList(0, first)));
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/UsageFlusher.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/UsageFlusher.java
@@ -10,6 +10,7 @@
 import java.util.function.IntSupplier;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.json.Json;
+import org.cranberrybend.entry.port.StoreEpoch;
 import org.cranberrybend.entry.port.StoreException;
 import org.cranberrybend.entry.port.StoreWrite;
 import org.cranberrybend.entry.usage.UsageCounter;
@@ -21,6 +22,8 @@
  * <p>Each write contains all counts of the window, and counts only grow. A write whose outcome is unknown may be
  * executed seconds later and overwrite a newer one; the process then continues under another key, and readers take the
  * larger count of both.
+ *
+ * <p>A store that is restored from an older copy lacks the latest counts, so those of the last windows are written again.
  */
 public final class UsageFlusher {
     /** Time between writes within a window; bounds the counts that a killed instance loses. */
@@ -34,6 +37,8 @@
     private static final long WINDOW_SETTLE_MS = 300;
 
     private static final int RETAINED_WINDOWS = 12;
+    /** Windows before the current one that are written again after a restoration: those that may not be reported yet. */
+    private static final int REWRITTEN_WINDOWS = 3;
     /** Time between a failed write and the next one; failed calls are billed too. */
     private static final long RETRY_BACKOFF_MS = 1_000;
 
@@ -53,6 +58,7 @@
     private long retryAtMs;
     private boolean pending;
     private int generation;
+    private int restorations;
 
     /**
      * Creates a flusher for one incarnation of an instance.
@@ -60,6 +66,7 @@
      * @param writer writes to the store, possibly through another instance
      * @param lastWriter writes to the store without delay, for the counts of a process that stops
      * @param instances number of running instances
+     * @param epoch epoch of the store to which the counts are written
      */
     public UsageFlusher(
             Function<StoreWrite, CompletableFuture<Long>> writer,
@@ -68,6 +75,7 @@
             String instance,
             long incarnation,
             IntSupplier instances,
+            StoreEpoch epoch,
             TimeSource timeSource) {
         this.writer = writer;
         this.lastWriter = lastWriter;
@@ -76,6 +84,17 @@
         this.incarnation = incarnation;
         this.instances = instances;
         this.timeSource = timeSource;
+        epoch.onRestored(this::writeAgain);
+    }
+
+    private void writeAgain() {
+        if (firstWindow >= 0) {
+            long firstRewritten = Math.max(firstWindow, counter.currentWindow() - REWRITTEN_WINDOWS);
+            lastCompleteWindow = Math.min(lastCompleteWindow, firstRewritten - 1);
+            restorations++;
+            writtenRequests.clear();
+            nextFlushMs = 0;
+        }
     }
 
     /** Writes the counts that are due. */
@@ -121,18 +140,19 @@
             return CompletableFuture.completedFuture(null);
         }
         pending = true;
+        int restorationsBefore = restorations;
         CompletableFuture<Long> written = currentWriter.apply(new StoreWrite(Map.of(), puts, List.of()));
         return written.handle((revision, failure) -> {
             pending = false;
             if (failure != null) {
                 retryAtMs = timeSource.monotonicMs() + RETRY_BACKOFF_MS;
             }
-            if (failure == null) {
+            if (failure == null && restorations == restorationsBefore) {
                 writtenRequests.putAll(totals);
                 lastCompleteWindow = Math.max(lastCompleteWindow, lastComplete);
                 writtenRequests.keySet().removeIf(window -> window <= lastCompleteWindow);
                 counter.removeBefore(lastCompleteWindow - RETAINED_WINDOWS);
-            } else if (StoreException.kindOf(failure) == StoreException.Kind.UNKNOWN) {
+            } else if (failure != null && StoreException.kindOf(failure) == StoreException.Kind.UNKNOWN) {
                 generation++;
                 writtenRequests.clear();
             }
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/UsageDutyTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/UsageDutyTest.java
@@ -47,7 +47,7 @@
         Incarnation(String instance, long incarnation) {
             DecisionLog log = new DecisionLog(instance, incarnation, clock, OutputStream.nullOutputStream());
             flusher = new UsageFlusher(
-                    store::write, store::write, counter, instance, incarnation, () -> instances, clock);
+                    store::write, store::write, counter, instance, incarnation, () -> instances, store.epoch(), clock);
             lease = new DutyLease(store, instance, 3_000, clock, log);
             UsageReports platform = this::report;
             duty = new UsageDuty(
