Keep what upstreams have done over a restoration of the store

Requests could reach upstreams that had left or were leaving (DRAIN, ROUTE) once the store came back from an older copy: the copy lists them as ready, until they write their entries again or these expire. An upstream that had joined since was removed although it serves.

Cause: the entry in the store was taken for the newest statement of the process.

Fix: the first entries of a later epoch are taken for a copy. What is missing there is kept for the grace period of an outage; a process that is leaving stays so; one whose entry was removed stays away until its entry is written again after the copy. The same holds for the state of a peer that learned of the restoration first.

Ruled out: comparing heartbeat numbers, which start anew with a process and are not passed on to followers.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/upstream/UpstreamTable.java
@@ -19,6 +19,7 @@
 import org.cranberrybend.entry.port.Decoder;
 import org.cranberrybend.entry.port.StoreChange;
 import org.cranberrybend.entry.port.StoreItem;
+import org.cranberrybend.entry.port.StoreRevision;
 import org.cranberrybend.entry.port.StoreSnapshot;
 import org.cranberrybend.entry.store.PrefixWatch;
 
@@ -28,6 +29,10 @@
  * <p>Entries expire while the store is unavailable, because upstreams cannot renew them, and are written again within
  * about two seconds after its return. During a grace period after an outage, an upstream whose entry is missing is
  * therefore kept ({@link ExpiryGracePeriod}).
+ *
+ * <p>A store that is restored from an older copy lacks the entries that were written since, lists processes again that
+ * have left since, and calls others ready that are leaving. What is missing there is kept as after an outage, what has
+ * left stays away until its entry is written again, and a process that is leaving stays so.
  */
 public final class UpstreamTable implements PrefixWatch.Listener {
     /** Upper bound of the time added to a pause. */
@@ -54,6 +59,7 @@
     private final ProcessStatements statements = new ProcessStatements();
     private final RateLimits rateLimits;
     private final ExpiryGracePeriod gracePeriod = new ExpiryGracePeriod();
+    private final DepartedProcesses departed = new DepartedProcesses();
 
     private long lastProgressMs = Long.MIN_VALUE / 2;
     private long revision = -1;
@@ -119,9 +125,14 @@
             return;
         }
         long nowMs = timeSource.monotonicMs();
+        if (isOfLaterEpoch(peerRevision)) {
+            enterEpoch(peerRevision, nowMs);
+        }
         Set<String> listed = items.stream().map(StoreItem::key).collect(Collectors.toSet());
         for (String id : new ArrayList<>(byId.keySet())) {
-            if (!listed.contains(prefix + id) && !gracePeriod.tryKeepWithoutStore(id, ageMs(), nowMs)) {
+            if (!listed.contains(prefix + id)
+                    && !gracePeriod.tryKeep(id, nowMs)
+                    && !gracePeriod.tryKeepWithoutStore(id, ageMs(), nowMs)) {
                 remove(id, "not listed by a peer");
             }
         }
@@ -138,7 +149,9 @@
     @Override
     public void onSnapshot(StoreSnapshot snapshot, long outageMs) {
         long nowMs = timeSource.monotonicMs();
-        if (outageMs > 0 && gracePeriod.onStoreReturn(outageMs, nowMs)) {
+        if (isOfLaterEpoch(snapshot.revision())) {
+            enterEpoch(snapshot.revision(), nowMs);
+        } else if (outageMs > 0 && gracePeriod.onStoreReturn(outageMs, nowMs)) {
             Object length = outageMs == PrefixWatch.UNKNOWN_OUTAGE_MS ? "unknown" : outageMs;
             log.record(EventCode.STORE_AVAILABLE, prefix, "outage_ms", length);
         }
@@ -152,6 +165,23 @@
         loaded = true;
     }
 
+    private boolean isOfLaterEpoch(long nextRevision) {
+        return revision >= 0 && StoreRevision.epochOf(nextRevision) > StoreRevision.epochOf(revision);
+    }
+
+    /** Prepares for the first entries of a restored store, some of which may be older than those known. */
+    private void enterEpoch(long firstRevision, long nowMs) {
+        log.record(EventCode.STORE_RESTORED, prefix, "revision", firstRevision, "known_revision", revision);
+        gracePeriod.onStoreReturn(PrefixWatch.UNKNOWN_OUTAGE_MS, nowMs);
+        departed.onStoreRestored(firstRevision);
+        for (Upstream each : byId.values()) {
+            if (each.isLeaving()) {
+                statements.addLeaving(each.entry());
+                each.markLeavingStated();
+            }
+        }
+    }
+
     @Override
     public void onChange(StoreChange change) {
         if (change.item().isPresent()) {
@@ -200,6 +230,7 @@
         gracePeriod.remove(id);
         byServiceOutdated = true;
         if (upstream != null) {
+            departed.add(upstream.entry());
             upstream.markRemoved();
             rateLimits.onRemoved(upstream.entry());
             log.record(
@@ -223,6 +254,9 @@
             remove(id, "entry cannot be decoded");
             return;
         }
+        if (departed.isOutdated(record, item.revision())) {
+            return;
+        }
         itemsById.put(id, item);
         Upstream known = byId.get(id);
         boolean sameProcess = known != null
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamTableTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamTableTest.java
@@ -22,6 +22,7 @@
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.port.StoreChange;
 import org.cranberrybend.entry.port.StoreItem;
+import org.cranberrybend.entry.port.StoreRevision;
 import org.cranberrybend.entry.port.StoreSnapshot;
 import org.cranberrybend.entry.testing.Connectors;
 import org.cranberrybend.entry.testing.TestClock;
@@ -248,4 +249,60 @@
         clock.advance(1_000);
         assertThat(usable()).containsExactly("a", "b");
     }
+
+    private static long restored(long revision) {
+        return StoreRevision.of(1, revision);
+    }
+
+    // The store comes back from an older copy: guards against requests to upstreams that have left or are leaving since
+    // the
+    // copy was made, and against the loss of one that has joined since.
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void copyOfTheStoreDoesNotTakeBackWhatUpstreamsHaveDone(boolean fromPeer) {
+        table.onSnapshot(
+                snapshot(3, item("left", "1:ready", 1), item("leaving", "1:ready", 2), item("stays", "1:ready", 3)), 0);
+        table.onProgress(3);
+        table.onChange(new StoreChange(PREFIX + "left", 4, Optional.empty()));
+        table.onChange(new StoreChange(PREFIX + "leaving", 5, Optional.of(item("leaving", "1:leaving", 5))));
+        table.onChange(new StoreChange(PREFIX + "joined", 6, Optional.of(item("joined", "1:ready", 6))));
+        table.onProgress(6);
+        List<StoreItem> copy = List.of(
+                item("left", "1:ready", restored(1)),
+                item("leaving", "1:ready", restored(2)),
+                item("stays", "1:ready", restored(3)));
+        if (fromPeer) {
+            table.mergePeerState(copy, restored(4));
+        } else {
+            table.onSnapshot(new StoreSnapshot(copy, restored(4)), 0);
+            table.onProgress(restored(4));
+        }
+        assertThat(usable()).containsExactly("joined", "stays");
+    }
+
+    // Guards against an upstream that stays away although it has written its entry again: it had not left, its entry
+    // had
+    // expired.
+    @Test
+    void departedUpstreamReturnsWhenItWritesItsEntryAgain() {
+        table.onSnapshot(snapshot(2, item("a", "1:ready", 1), item("b", "1:ready", 2)), 0);
+        table.onChange(new StoreChange(PREFIX + "a", 3, Optional.empty()));
+        table.onProgress(3);
+        table.onSnapshot(
+                snapshot(restored(2), item("a", "1:ready", restored(1)), item("b", "1:ready", restored(2))), 0);
+        table.onProgress(restored(2));
+        assertThat(usable()).containsExactly("b");
+        table.onChange(new StoreChange(PREFIX + "a", restored(3), Optional.of(item("a", "1:ready", restored(3)))));
+        assertThat(usable()).containsExactly("a", "b");
+    }
+
+    // Guards against an instance that takes the state of an earlier epoch from a peer that has not learned of the
+    // restoration, although its revision is higher.
+    @Test
+    void stateOfAnEarlierEpochIsNotTakenFromAPeer() {
+        table.onSnapshot(snapshot(restored(2), item("a", "1:ready", restored(1))), 0);
+        table.onProgress(restored(2));
+        table.mergePeerState(List.of(item("old", "1:ready", 90)), 100);
+        assertThat(usable()).containsExactly("a");
+    }
 }
