Keep evacuations in force over a restoration of the store

A zone that the operator evacuates would get requests again as soon as an instance reads a restored store whose copy is older than the evacuation, until the operator writes it again.

Ruled out: keeping the known state alone, since an instance that was away may know less than the copy.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -194,7 +194,7 @@
     }
 
     private PrefixWatch createOperatorWatch(FollowingStore store, StoreKeys keys) {
-        OperatorState state = new OperatorState(keys, configuration, evacuations, log);
+        OperatorState state = new OperatorState(keys, configuration, evacuations, timeSource, log);
         store.setRelayFilter(keys.operatorPrefix(), state::isRelevant);
         return boundedWatch(store, keys.operatorPrefix(), 0, state);
     }
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/EvacuationPropagationTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/EvacuationPropagationTest.java
@@ -88,7 +88,7 @@
         }
 
         Instance start() throws Exception {
-            OperatorState state = new OperatorState(KEYS, configuration, evacuations, log);
+            OperatorState state = new OperatorState(KEYS, configuration, evacuations, timeSource, log);
             onLoop(() -> {
                 following.setRelayFilter(KEYS.operatorPrefix(), state::isRelevant);
                 new PrefixWatch(following, KEYS.operatorPrefix(), PrefixWatch.MAX_HOLD_MS, 0, loop, timeSource, state)
@@ -236,7 +236,8 @@
     // Guards against wake-ups of all followers for keys of the operator that concern nothing here.
     @Test
     void otherKeysOfTheOperatorAreIgnored() {
-        OperatorState state = new OperatorState(KEYS, new Instance(false).configuration, new ZoneEvacuations(log), log);
+        OperatorState state =
+                new OperatorState(KEYS, new Instance(false).configuration, new ZoneEvacuations(log), timeSource, log);
         for (String key :
                 List.of("operator/other", "operator/routing-2", "operator/evacuated/", "operator/evacuated")) {
             assertThat(state.isRelevant(new StoreChange(key, 1, Optional.empty())))
