Register again after a restoration of the store

After the store came back from an older copy, an instance whose registration it lacks registered again only with its next renewal, and counted as stopped for the others meanwhile: usage windows are sealed without its counts, and limits are divided among too few instances.

Cause: the registrations of the copy were taken for the running instances, and the lease of the lost time for a valid one.

Fix: each instance drops its lease at once and registers after a delay of 5 ms for each instance at most, so that the writes stay below the limit of the store. Those that were registered count as running for the length of a lease.

Ruled out: registering without a delay, 1,200 grants and writes at the same moment at the design size.

Evidence: FleetDirectoryTest.registeredInstancesCountAsRunningUntilTheyCanHaveRegisteredAgain fails with the old directory (own, other missing).

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetDirectory.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetDirectory.java
@@ -23,6 +23,7 @@
 import org.cranberrybend.entry.port.StoreChange;
 import org.cranberrybend.entry.port.StoreException;
 import org.cranberrybend.entry.port.StoreItem;
+import org.cranberrybend.entry.port.StoreRevision;
 import org.cranberrybend.entry.port.StoreSnapshot;
 import org.cranberrybend.entry.port.StoreWrite;
 import org.cranberrybend.entry.store.PrefixWatch;
@@ -33,6 +34,9 @@
  *
  * <p>Addresses of instances whose entries have expired are retained: all entries expire while the store is unavailable,
  * and the instances must still find each other.
+ *
+ * <p>A store that is restored from an older copy lacks registrations, and the leases of all. Each instance registers
+ * again, and those that were registered count as running for as long as their leases would have lasted.
  */
 public final class FleetDirectory implements PrefixWatch.Listener {
     private static final long TTL_MS = 6_000;
@@ -40,6 +44,9 @@
     /** The same for a zone leader, which may confirm its state to followers only shortly after a store response. */
     private static final long LEADER_RENEW_INTERVAL_MS = 600;
 
+    /** Time between the registrations of two instances that all have to register again. */
+    private static final long REGISTRATION_SPACING_MS = 5;
+
     private static final int MAX_ADDRESSES = 2_000;
     /** Key of the hash that chooses the zone leader; all instances must use the same text. */
     private static final String LEADER_HASH_KEY = "watcher of the zone";
@@ -63,6 +70,10 @@
     private boolean pending;
     private long nextCallMs;
     private boolean released;
+    /** Instances that a restored store does not list, with the time until which they count as running. */
+    private final Map<String, Long> keptUntilMs = new TreeMap<>();
+
+    private long snapshotRevision = -1;
     /** Whether the entry of this instance was deleted, as far as the last change of it shows. */
     private boolean ownEntryDeleted;
 
@@ -83,9 +94,17 @@
         this.memoryMb = memoryMb;
         this.timeSource = timeSource;
         this.log = log;
+        store.epoch().onRestored(this::registerAgain);
         seeds.stream().filter(seed -> !seed.equals(address)).forEach(seed -> addresses.put(seed.toString(), seed));
     }
 
+    /** Drops the lease of an earlier epoch, and registers after a delay that differs among instances. */
+    private void registerAgain() {
+        leaseId = 0;
+        long spreadMs = 1 + live.size() * REGISTRATION_SPACING_MS;
+        nextCallMs = timeSource.monotonicMs() + Math.floorMod(instance.hashCode(), spreadMs);
+    }
+
     /** Returns the registered instances. */
     public Set<String> liveInstances() {
         return new HashSet<>(live);
@@ -137,6 +156,7 @@
     /** Registers this instance, and renews the lease of its entry when that is due. */
     public void tick() {
         long nowMs = timeSource.monotonicMs();
+        removeUnlisted(nowMs);
         if (pending || released || nowMs < nextCallMs) {
             return;
         }
@@ -177,7 +197,7 @@
                 List.of());
         store.write(write).whenComplete((revision, failure) -> {
             pending = false;
-            if (failure == null) {
+            if (failure == null && StoreRevision.isSameEpoch(revision, lease)) {
                 leaseId = lease;
             }
         });
@@ -193,6 +213,10 @@
 
     @Override
     public void onSnapshot(StoreSnapshot snapshot, long outageMs) {
+        Set<String> before = new TreeSet<>(live);
+        boolean restored = snapshotRevision >= 0
+                && StoreRevision.epochOf(snapshot.revision()) > StoreRevision.epochOf(snapshotRevision);
+        snapshotRevision = snapshot.revision();
         live.clear();
         leaseHeld = false;
         snapshot.items().forEach(this::updateEntry);
@@ -200,6 +224,23 @@
             leaseId = 0;
             nextCallMs = 0;
         }
+        if (restored) {
+            long untilMs = timeSource.monotonicMs() + TTL_MS;
+            before.removeAll(live);
+            before.forEach(name -> keptUntilMs.put(name, untilMs));
+        }
+        live.addAll(keptUntilMs.keySet());
+    }
+
+    /** Removes the instances that have not registered again in time. */
+    private void removeUnlisted(long nowMs) {
+        for (String name : List.copyOf(keptUntilMs.keySet())) {
+            if (keptUntilMs.get(name) <= nowMs) {
+                keptUntilMs.remove(name);
+                live.remove(name);
+                log.record(EventCode.MEMBER_DEAD, name, "cause", "not registered again");
+            }
+        }
     }
 
     @Override
@@ -240,6 +281,7 @@
             }
             zonesByInstance.put(name, value.string("zone"));
             memoryMbByInstance.put(name, value.integer("memory_mb", 0));
+            keptUntilMs.remove(name);
             boolean joined = live.add(name);
             maxFleetSize = Math.max(maxFleetSize, live.size());
             if (joined) {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/FleetDirectoryTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/FleetDirectoryTest.java
@@ -16,6 +16,7 @@
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.port.StoreChange;
 import org.cranberrybend.entry.port.StoreItem;
+import org.cranberrybend.entry.port.StoreRevision;
 import org.cranberrybend.entry.port.StoreSnapshot;
 import org.cranberrybend.entry.testing.ForwardingStore;
 import org.cranberrybend.entry.testing.MemoryStore;
@@ -110,4 +111,27 @@
         directory.tick();
         assertThat(store.writes()).isEqualTo(expectedWrites);
     }
+
+    // The store comes back from a copy without some registrations: guards against an instance that does not register
+    // again, and against others that count as stopped at once, so that their counts and shares are left out.
+    @Test
+    void registeredInstancesCountAsRunningUntilTheyCanHaveRegisteredAgain() {
+        store.epoch().observe(0);
+        directory.tick();
+        directory.onSnapshot(new StoreSnapshot(List.of(entry("own", 500), entry("other", 500)), 1), 0);
+        MemoryStore.Copy empty = new MemoryStore(clock).copy();
+        store.restore(empty);
+        directory.onSnapshot(new StoreSnapshot(List.of(), StoreRevision.of(1, 1)), 0);
+        assertThat(directory.liveInstances()).containsExactly("own", "other");
+        for (long elapsedMs = 0; elapsedMs < 5_000; elapsedMs += TICK_MS) {
+            clock.advance(TICK_MS);
+            directory.tick();
+        }
+        assertThat(store.text(FleetKeys.INSTANCES + "own")).isPresent();
+        directory.onChange(
+                new StoreChange(FleetKeys.INSTANCES + "own", StoreRevision.of(1, 2), Optional.of(entry("own", 500))));
+        clock.advance(1_500);
+        directory.tick();
+        assertThat(directory.liveInstances()).containsExactly("own");
+    }
 }
