Write quarantines and their probes again after a restoration

After the store came back from an older copy, it could lack the crash records that justify the quarantines, so that a fleet whose instances all end at once would lose engines to the same prompts again, and a claim to probe, so that two requests probe the same part at once.

Cause: both are written once and taken for stored from then on.

Fix: the lease holder writes the records again if there are quarantines, and no instance claims a probe for the length of a claim after it learned of the restoration.

Ruled out: a probe under the instance's own memory alone, which does not exclude other instances.

Evidence: QuarantineArchiveTest.recordsAreWrittenAgainAfterARestoration and ProbeClaimsTest.nobodyProbesUntilALostClaimHasEnded fail with the old classes. Found by reading.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/quarantine/ProbeClaims.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/quarantine/ProbeClaims.java
@@ -15,7 +15,8 @@
 /**
  * Lets only one request of the whole fleet probe a quarantine at a time, so that a prompt part which still crashes
  * upstreams costs one of them. The claim is a key that is created in the store under a lease and expires with it. While
- * the store is unavailable, there are no probes. Confined to the event loop.
+ * the store is unavailable, there are no probes, nor for the length of a claim after the store was restored from an older
+ * copy, which may lack a claim. Confined to the event loop.
  */
 final class ProbeClaims {
     /** Time for which a claim excludes other probes; longer than most requests take. */
@@ -25,11 +26,13 @@
     private final String instance;
     private final TimeSource timeSource;
     private final Map<String, Long> nextClaimMs = new HashMap<>();
+    private long noClaimUntilMs = Long.MIN_VALUE;
 
     ProbeClaims(KeyValueStore store, String instance, TimeSource timeSource) {
         this.store = store;
         this.instance = instance;
         this.timeSource = timeSource;
+        store.epoch().onRestored(() -> noClaimUntilMs = timeSource.monotonicMs() + PROBE_INTERVAL_MS);
     }
 
     /** Claims the next probe of a quarantine; the result is false if another request has it or the store fails. */
@@ -38,7 +41,7 @@
         PartFingerprint first = Collections.min(quarantine.parts());
         String key = FleetKeys.PROBES + first;
         nextClaimMs.values().removeIf(timeMs -> timeMs <= nowMs);
-        if (nextClaimMs.putIfAbsent(key, nowMs + PROBE_INTERVAL_MS) != null) {
+        if (nowMs < noClaimUntilMs || nextClaimMs.putIfAbsent(key, nowMs + PROBE_INTERVAL_MS) != null) {
             return CompletableFuture.completedFuture(false);
         }
         byte[] value = instance.getBytes(StandardCharsets.UTF_8);
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/quarantine/QuarantineArchive.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/quarantine/QuarantineArchive.java
@@ -29,6 +29,8 @@
     private boolean pending;
     private long nextReadMs = Long.MIN_VALUE;
     private long writtenChangeMs;
+    /** Whether the store may have lost the records, because it was restored from an older copy. */
+    private boolean restored;
 
     /**
      * Creates the archive.
@@ -47,6 +49,7 @@
         this.timeSource = timeSource;
         this.log = log;
         this.writtenChangeMs = quarantine.quarantinesChangedMs();
+        store.epoch().onRestored(() -> restored = true);
     }
 
     /** Reads the records after the start, and writes them if the quarantines have changed. */
@@ -59,11 +62,15 @@
             nextReadMs = nowMs + READ_RETRY_MS;
             pending = true;
             store.get(FleetKeys.CRASHES).whenComplete(this::onRead);
-        } else if (read && writtenChangeMs != quarantine.quarantinesChangedMs() && mayWrite.getAsBoolean()) {
+        } else if (read && isWriteDue() && mayWrite.getAsBoolean()) {
             write();
         }
     }
 
+    private boolean isWriteDue() {
+        return writtenChangeMs != quarantine.quarantinesChangedMs() || restored && quarantine.quarantineCount() > 0;
+    }
+
     private void onRead(Optional<StoreItem> item, Throwable failure) {
         pending = false;
         if (failure != null) {
@@ -84,6 +91,7 @@
 
     private void write() {
         pending = true;
+        restored = false;
         writtenChangeMs = quarantine.quarantinesChangedMs();
         byte[] value = CrashFormat.encodeStored(quarantine.records(), timeSource.monotonicMs(), timeSource.wallMs());
         store.write(StoreWrite.put(FleetKeys.CRASHES, value)).whenComplete((revision, failure) -> pending = false);
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/quarantine/ProbeClaimsTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/quarantine/ProbeClaimsTest.java
@@ -67,4 +67,16 @@
         store.loseReplies(1, false);
         assertThat(claims("part")).isEqualTo(0);
     }
+
+    // The store comes back from a copy without a claim: guards against a second probe at the same time.
+    @Test
+    void nobodyProbesUntilALostClaimHasEnded() {
+        MemoryStore.Copy copy = store.copy();
+        assertThat(instances.get(0).claim(quarantine("part")).join()).isTrue();
+        clock.advance(1_000);
+        store.restore(copy);
+        assertThat(claims("part")).isEqualTo(0);
+        clock.advance(ProbeClaims.PROBE_INTERVAL_MS);
+        assertThat(claims("part")).isEqualTo(1);
+    }
 }
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/quarantine/QuarantineArchiveTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/quarantine/QuarantineArchiveTest.java
@@ -123,4 +123,19 @@
         writeRecords();
         assertThat(store.text(FleetKeys.CRASHES).get()).contains("engine0");
     }
+
+    // The store comes back from a copy without the records: guards against losing them for the next start of the fleet.
+    @Test
+    void recordsAreWrittenAgainAfterARestoration() {
+        MemoryStore.Copy copy = store.copy();
+        Instance holder = new Instance(true);
+        holder.archive.tick();
+        holder.learnCrashes();
+        holder.archive.tick();
+        store.restore(copy);
+        holder.archive.tick();
+        Instance started = new Instance(false);
+        started.archive.tick();
+        assertThat(started.verdict()).isEqualTo(Verdict.Kind.REFUSE);
+    }
 }
