--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/MemoryStore.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/MemoryStore.java
@@ -83,6 +83,11 @@
         down = isDown;
     }
 
+    /** Returns whether every call fails without being executed. */
+    public boolean isDown() {
+        return down;
+    }
+
     /** Loses the responses of the next writes, which are executed at once or by {@link #runDelayedWrites}. */
     public void loseReplies(int count, boolean delayed) {
         repliesToLose = count;
