Drop a request whose caller leaves during the startup

A request that reaches an instance before its first configuration or its first list of upstreams waits up to 300 ms and was then sent although its caller had left: an upstream works for nobody (GONE).

Cause: the listener for the end of the connection is added when the request is handled, and a connection that has ended before calls it no more.

Fix: a request that has waited is handled only if its caller is still there.

Ruled out as the cause of the report: it concerns the first tenths of a second of a process.

Evidence: RequestPathTest.requestIsNotForwardedIfTheCallerDisconnectedDuringTheStartup fails without the check.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestRouter.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestRouter.java
@@ -108,7 +108,7 @@
     /** Holds a request that arrives during startup until it can be routed; refuses it after a short wait. */
     private void awaitStartup(ReceivedRequest received, ServerExchange caller, String attemptId) {
         if (services.timeSource().monotonicMs() - received.receivedMs() < MAX_STARTUP_WAIT_MS && caller.isOpen()) {
-            services.loop().schedule(() -> handle(received, caller), STARTUP_POLL_MS, TimeUnit.MILLISECONDS);
+            services.loop().schedule(() -> handleIfOpen(received, caller), STARTUP_POLL_MS, TimeUnit.MILLISECONDS);
         } else {
             refuse(
                     caller,
@@ -118,6 +118,13 @@
         }
     }
 
+    /** Handles a request that has waited, unless its caller has left: nothing else would end it then. */
+    private void handleIfOpen(ReceivedRequest received, ServerExchange caller) {
+        if (caller.isOpen()) {
+            handle(received, caller);
+        }
+    }
+
     private RoutedRequest toRoutedRequest(
             ReceivedRequest received,
             String attemptId,
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/RequestPathTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/RequestPathTest.java
@@ -218,6 +218,25 @@
         }
     }
 
+    // Guards against forwarding a request whose caller disconnected while it waited for the startup of the instance.
+    @Test
+    void requestIsNotForwardedIfTheCallerDisconnectedDuringTheStartup() throws Exception {
+        try (ScriptedUpstream upstream = new ScriptedUpstream(RESPONDS);
+                EntryFixture entry = EntryFixture.starting(upstream)) {
+            RawCaller disconnecting = entry.caller();
+            disconnecting.send(request("GET", "/safe/x", "a1", ""));
+            while (entry.onLoop(() -> entry.server().activeConnectionCount()) == 0) {
+                Thread.onSpinWait();
+            }
+            disconnecting.close();
+            while (entry.onLoop(() -> entry.server().connectionCount()) > 0) {
+                Thread.onSpinWait();
+            }
+            entry.listUpstreams();
+            assertThat(upstream.received()).isEmpty();
+        }
+    }
+
     // Guards against refusing a malformed request without a log entry that states the cause.
     @Test
     void malformedRequestIsLogged() throws Exception {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/EntryFixture.java
@@ -82,6 +82,9 @@
     public static final long RESPONSE_MEMORY_BYTES = 4 * 1024 * 1024;
 
     private static final long LOG_WAIT_S = 5;
+    /** Longer than a request waits for the first list of upstreams. */
+    private static final long STARTUP_WAIT_MS = 400;
+
     /** More than any test lasts. */
     private static final long LONG_TEST_MS = 600_000;
     /** Time for which the request path has run when a test begins: a process may use its retry allowance only later. */
@@ -101,6 +104,7 @@
             return TimeSource.system().monotonicMs() + clockOffsetMs;
         }
     };
+    private final List<StoreItem> items = new ArrayList<>();
     private final UpstreamTable table;
     private final ZoneEvacuations evacuations;
     private final MetricRegistry metrics = new MetricRegistry();
@@ -118,6 +122,15 @@
 
     /** Starts the request path; the given upstreams are listed for the service {@code work} in their order. */
     public EntryFixture(ScriptedUpstream... upstreams) throws Exception {
+        this(true, upstreams);
+    }
+
+    /** Starts the request path of an instance that knows no upstreams until {@link #listUpstreams}. */
+    public static EntryFixture starting(ScriptedUpstream... upstreams) throws Exception {
+        return new EntryFixture(false, upstreams);
+    }
+
+    private EntryFixture(boolean listed, ScriptedUpstream... upstreams) throws Exception {
         DecisionLog log = new DecisionLog("instance", 1, timeSource, logOutput);
         log.start();
         configuration = new ConfigurationHolder((name, value) -> offered, log);
@@ -125,13 +138,14 @@
         HttpConnector connector = new HttpConnector(loop, responseMemory);
         table = new UpstreamTable(PREFIX, EntryFixture::record, connector, timeSource, log);
         evacuations = new ZoneEvacuations(log);
-        List<StoreItem> items = new ArrayList<>();
         for (ScriptedUpstream upstream : upstreams) {
             String id = "u" + items.size();
             items.add(new StoreItem(
                     PREFIX + id, Integer.toString(upstream.port()).getBytes(StandardCharsets.UTF_8), 1, 1, 0));
         }
-        table.onSnapshot(new StoreSnapshot(items, 1), 0);
+        if (listed) {
+            table.onSnapshot(new StoreSnapshot(items, 1), 0);
+        }
         quarantine = new QuarantineService(loop, new MemoryStore(timeSource), "instance", connector, timeSource, log);
         clockOffsetMs = -UPTIME_MS;
         RequestPath path = new RequestPath(
@@ -243,6 +257,15 @@
                 fields.length < 3 ? 0 : Long.parseLong(fields[2]));
     }
 
+    /** Lists the upstreams, and waits for longer than a request waits during a startup. */
+    public void listUpstreams() throws Exception {
+        onLoop(() -> {
+            table.onSnapshot(new StoreSnapshot(items, 1), 0);
+            return null;
+        });
+        loop.schedule(() -> {}, STARTUP_WAIT_MS, TimeUnit.MILLISECONDS).get();
+    }
+
     /** Puts a configuration into force; may be called on the event loop only. */
     public void offer(RoutingConfiguration next) {
         offered = next;
