Keep instances of earlier versions from confirming a later epoch

During an upgrade, an instance of this version whose zone leader still runs an earlier one would keep its configuration and its upstreams for as long as that takes: the leader's revisions have no epoch, so that it knows nothing newer than a revision with one, and confirms that nothing has changed. An instance of an earlier version would take the revisions of this one for later than all that follows.

Cause: the messages between instances carry revisions, and the meaning of a revision has changed.

Fix: their requests have new paths. An instance that does not know the path is no leader and no peer, and the store is watched instead.

Ruled out: a version field, which earlier versions do not read.

Evidence: FollowingStoreTest.leaderWhoseRevisionsHaveNoEpochIsNotFollowed fails with the old path.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/ChangeFeed.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/ChangeFeed.java
@@ -39,7 +39,8 @@
  * later epoch of the store than the log of a prefix has to read a snapshot, or to wait until this instance has read one.
  */
 final class ChangeFeed implements RequestHandler {
-    static final String PATH = "/fleet/changes";
+    /** Differs from the path of versions whose revisions have no epoch: these would confirm any state of a later one. */
+    static final String PATH = "/fleet/epoch-changes";
     /** Largest time since the last response of the store at which an empty response is sent. */
     private static final long STORE_RESPONSE_MAX_AGE_MS = 1_500;
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FleetRelay.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FleetRelay.java
@@ -42,7 +42,9 @@
  */
 public final class FleetRelay implements RequestHandler {
     private static final String COUNTS_PATH = "/fleet/counts";
-    private static final String STATE_PATH = "/fleet/state?version=";
+    /** Differs from the path of versions whose revisions have no epoch, which would take every other revision for old. */
+    private static final String STATE_PATH = "/fleet/epoch-state?version=";
+
     private static final long POLL_INTERVAL_MS = 400;
     /** Interval while the polled instances have no recent state either: the store is probably unavailable to all. */
     private static final long BACKOFF_INTERVAL_MS = 1_000;
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FollowingStoreTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FollowingStoreTest.java
@@ -8,6 +8,7 @@
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -21,12 +22,14 @@
 import org.cranberrybend.entry.http.HttpConnector;
 import org.cranberrybend.entry.http.HttpServer;
 import org.cranberrybend.entry.http.MessageMemoryLimit;
+import org.cranberrybend.entry.http.RequestHandler;
 import org.cranberrybend.entry.http.ServerLimits;
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.port.StoreChange;
 import org.cranberrybend.entry.port.StoreChanges;
 import org.cranberrybend.entry.port.StoreException;
 import org.cranberrybend.entry.port.StoreItem;
+import org.cranberrybend.entry.port.StoreRevision;
 import org.cranberrybend.entry.testing.Connectors;
 import org.cranberrybend.entry.testing.ForwardingStore;
 import org.cranberrybend.entry.testing.MemoryStore;
@@ -77,14 +80,17 @@
     void startLeader() throws Exception {
         control = new HttpServer(
                 loop, timeSource, leaderInstance.feed(), () -> LIMITS, new MessageMemoryLimit(1_000_000), log);
-        leaderAddress = Optional.of(
-                (InetSocketAddress) control.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
-                        .sync()
-                        .channel()
-                        .localAddress());
+        leaderAddress = Optional.of(listen(control));
         onLoop(() -> leaderInstance.watch(PREFIX, 10, 1_000));
     }
 
+    private static InetSocketAddress listen(HttpServer server) throws InterruptedException {
+        return (InetSocketAddress) server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                .sync()
+                .channel()
+                .localAddress();
+    }
+
     @AfterEach
     void stopLoop() {
         loop.shutdownGracefully(0, 10, TimeUnit.MILLISECONDS);
@@ -279,4 +285,23 @@
         }
         assertThat(onLoop(() -> followerStore.watches.size())).isEqualTo(1);
     }
+
+    // An upgrade in which the leader still runs an earlier version: guards against taking its confirmation for that of
+    // the
+    // present epoch. Its revisions have none, so that it knows no change after any of this version.
+    @Test
+    void leaderWhoseRevisionsHaveNoEpochIsNotFollowed() throws Exception {
+        RequestHandler earlierVersion = (request, exchange) -> {
+            boolean known = request.head().getRequestUri().startsWith("/fleet/changes");
+            byte[] nothingChanged = "{\"revision\":10,\"changes\":[],\"loads\":{}}".getBytes(StandardCharsets.UTF_8);
+            exchange.respond(known ? 200 : 404, "", List.of(), known ? nothingChanged : new byte[0]);
+        };
+        leaderAddress = Optional.of(listen(new HttpServer(
+                loop, timeSource, earlierVersion, () -> LIMITS, new MessageMemoryLimit(1_000_000), log)));
+        CompletableFuture<StoreChanges> next = follow(StoreRevision.of(1, 7));
+        while (onLoop(followerStore.watches::isEmpty) && !next.isDone()) {
+            Thread.onSpinWait();
+        }
+        assertThat(next.isDone()).isFalse();
+    }
 }
