--- a/review/standin-2/LongPrompts.java
+++ b/review/standin-2/LongPrompts.java
@@ -13,7 +13,7 @@
     private static final long FIRST_EVENT_MS = 6_000;
     private static final int REQUESTS = 500;
     private static final long GAP_MS = 12;
-    /** Parts of 16 tokens: the first bytes of the block size that the sheet states for the engines' memory. */
+    /** Parts of 16 tokens, the block size of the engines' memory in the site file. */
     private static final int PARTS = 1_950;
     private static final int FEW_PARTS = 3;
     private static final int MAX_HEADER_BYTES = 16_384;
