Build the stand-ins of the second review with a stated encoding

Cause: one source has letters beyond ASCII; the encoding that javac takes by itself depends on the locale.

Change: review/build-2.sh states UTF-8.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-javac -nowarn -d target/review-2 review/standin-2/*.java
+javac -nowarn -encoding UTF-8 -d target/review-2 review/standin-2/*.java
