--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/ChangeFeed.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/ChangeFeed.java
@@ -156,9 +156,11 @@
     private void respondToAll(PrefixState state) {
         List<Follower> waiting = new ArrayList<>(state.followers);
         state.followers.clear();
+        // Followers at the same revision get the same bytes: a copy of a large value for each would not fit the heap.
+        Map<Long, byte[]> encodedByRevision = new HashMap<>();
         for (Follower follower : waiting) {
             follower.timer.cancel(false);
-            respond(state, follower.exchange, follower.afterRevision);
+            respond(state, follower.exchange, follower.afterRevision, encodedByRevision);
         }
     }
 
@@ -181,7 +183,7 @@
         if (changes.isEmpty()) {
             sendError(exchange, STATUS_NOT_COVERED, "Conflict");
         } else if (!changes.get().changes().isEmpty()) {
-            sendChanges(exchange, changes.get());
+            send(exchange, encode(changes.get()));
         } else {
             holdRequest(state, exchange, afterRevision, waitMs);
         }
@@ -202,20 +204,21 @@
         follower.timer = loop.schedule(
                 () -> {
                     state.followers.remove(follower);
-                    respond(state, exchange, afterRevision);
+                    respond(state, exchange, afterRevision, new HashMap<>());
                 },
                 waitMs,
                 TimeUnit.MILLISECONDS);
     }
 
-    private void respond(PrefixState state, ServerExchange exchange, long afterRevision) {
+    private void respond(
+            PrefixState state, ServerExchange exchange, long afterRevision, Map<Long, byte[]> encodedByRevision) {
         Optional<StoreChanges> changes = changesSince(state, afterRevision);
         if (changes.isEmpty()) {
             sendError(exchange, STATUS_NOT_COVERED, "Conflict");
         } else if (changes.get().changes().isEmpty() && (state.watchFailed || !isStoreResponsive())) {
             sendError(exchange, STATUS_STORE_UNAVAILABLE, "Service Unavailable");
         } else {
-            sendChanges(exchange, changes.get());
+            send(exchange, encodedByRevision.computeIfAbsent(afterRevision, revision -> encode(changes.get())));
         }
     }
 
@@ -234,12 +237,12 @@
         }
     }
 
-    private void sendChanges(ServerExchange exchange, StoreChanges changes) {
-        exchange.respond(
-                200,
-                "OK",
-                List.of(new BasicHeader(HttpHeaders.CONTENT_TYPE, "application/json")),
-                ChangeFormat.encode(changes, loadExchange.recentLoads(LOAD_REPORT_MAX_AGE_MS, false)));
+    private byte[] encode(StoreChanges changes) {
+        return ChangeFormat.encode(changes, loadExchange.recentLoads(LOAD_REPORT_MAX_AGE_MS, false));
+    }
+
+    private static void send(ServerExchange exchange, byte[] changes) {
+        exchange.respond(200, "OK", List.of(new BasicHeader(HttpHeaders.CONTENT_TYPE, "application/json")), changes);
     }
 
     private static void sendError(ServerExchange exchange, int status, String reason) {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/ChangeFeedTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/ChangeFeedTest.java
@@ -3,15 +3,24 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.io.OutputStream;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.cranberrybend.entry.http.ReceivedRequest;
 import org.cranberrybend.entry.log.DecisionLog;
+import org.cranberrybend.entry.port.StoreChange;
+import org.cranberrybend.entry.port.StoreChanges;
 import org.cranberrybend.entry.port.StoreEpoch;
+import org.cranberrybend.entry.port.StoreItem;
 import org.cranberrybend.entry.port.StoreRevision;
 import org.cranberrybend.entry.testing.ManualScheduler;
 import org.cranberrybend.entry.testing.ResponseRecorder;
 import org.cranberrybend.entry.testing.TestClock;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -25,8 +34,7 @@
     private final ManualScheduler loop = new ManualScheduler();
 
     private final StoreEpoch epoch = new StoreEpoch();
-    private final ChangeFeed feed =
-            new ChangeFeed(loop, epoch, clock, new DecisionLog("instance", 1, clock, OutputStream.nullOutputStream()));
+    private final ChangeFeed feed = newFeed(loop);
     private final ResponseRecorder exchange = new ResponseRecorder();
 
     @AfterEach
@@ -48,10 +56,18 @@
         assertThat(exchange.status()).isEqualTo(expectedStatus);
     }
 
+    private ChangeFeed newFeed(ScheduledExecutorService timers) {
+        return new ChangeFeed(
+                timers, epoch, clock, new DecisionLog("instance", 1, clock, OutputStream.nullOutputStream()));
+    }
+
+    private ReceivedRequest request(long afterRevision, long waitMs) {
+        String target = ChangeFeed.PATH + "?prefix=upstreams%2F&after=" + afterRevision + "&wait_ms=" + waitMs;
+        return new ReceivedRequest(new BasicHttpRequest("POST", target), new byte[0], clock.monotonicMs());
+    }
+
     private void poll(long afterRevision) {
-        String target = ChangeFeed.PATH + "?prefix=upstreams%2F&after=" + afterRevision + "&wait_ms=" + HOLD_MS;
-        feed.handle(
-                new ReceivedRequest(new BasicHttpRequest("POST", target), new byte[0], clock.monotonicMs()), exchange);
+        feed.handle(request(afterRevision, HOLD_MS), exchange);
     }
 
     // The store comes back from an older copy: guards against a leader that confirms the state of the lost time to a
@@ -65,4 +81,24 @@
         poll(StoreRevision.of(epochOfFollower, 7));
         assertThat(exchange.status()).isEqualTo(STATUS_NOT_COVERED);
     }
+
+    // Guards against a copy of a large value for each follower that waits: 86 copies of a configuration of 1 MB in
+    // base64 text do not fit the heap of the instance that leads them.
+    @Test
+    void followersAtTheSameRevisionShareOneResponse() {
+        ScheduledExecutorService holdTimers = Executors.newSingleThreadScheduledExecutor();
+        ChangeFeed holding = newFeed(holdTimers);
+        ResponseRecorder other = new ResponseRecorder();
+        holding.onWatchStarted(PREFIX, 10);
+        holding.onStoreResponse();
+        for (ResponseRecorder each : List.of(exchange, other)) {
+            holding.handle(request(10, TimeUnit.HOURS.toMillis(1)), each);
+        }
+        StoreItem item = new StoreItem("upstreams/a", new byte[1_000], 12, 12, 0);
+        holding.append(
+                PREFIX, 10, new StoreChanges(List.of(new StoreChange("upstreams/a", 12, Optional.of(item))), 12));
+        holdTimers.shutdownNow();
+        assertThat(List.of(exchange.status(), other.status())).containsExactly(200, 200);
+        assertThat(exchange.sharesBodyWith(other)).isTrue();
+    }
 }
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/ResponseRecorder.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/ResponseRecorder.java
@@ -9,6 +9,7 @@
 public final class ResponseRecorder implements ServerExchange {
     private int status;
     private byte[] body = new byte[0];
+    private byte[] sent = body;
 
     /** Returns the status of the response; 0 if there is none. */
     public int status() {
@@ -20,6 +21,11 @@
         return body.clone();
     }
 
+    /** Returns whether the responses of two exchanges were sent from the same array. */
+    public boolean sharesBodyWith(ResponseRecorder other) {
+        return sent == other.sent;
+    }
+
     @Override
     public void onCallerDisconnected(Runnable listener) {
         // The caller stays connected.
@@ -29,6 +35,7 @@
     public void respond(int responseStatus, String reason, List<Header> headers, byte[] content) {
         status = responseStatus;
         body = content.clone();
+        sent = content;
     }
 
     @Override
