Bound the waiting lines of the event log by their bytes

Subjects were truncated, fields were not, and the cause of an unreadable configuration lists a fault of each of its routes. This was not seen on a running instance.

Change: texts in fields are truncated to 1,024 characters, and a line is dropped and counted if 2 MB of lines wait, those that are being written included.

Works because each line is bounded and the sum is checked before a line is added; the count of dropped lines shows that it happened.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/log/DecisionLog.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/log/DecisionLog.java
@@ -21,8 +21,10 @@
  * Event log of the process: writes one JSON line for each event to an output stream.
  *
  * <p>Recording never blocks: lines wait in a bounded queue that one thread drains. Lines beyond the capacity of the
- * queue or the rate limit are dropped and counted. Successful requests are sampled by a hash of their identifier, the
- * same on every instance, to keep room under load for the lines of failed and refused requests.
+ * queue or the rate limit are dropped and counted. Subjects and fields may be text of a caller, of an upstream or of the
+ * operator, so the text of a line is truncated, and the queue is bounded by its bytes as well. Successful requests are
+ * sampled by a hash of their identifier, the same on every instance, to keep room under load for the lines of failed and
+ * refused requests.
  */
 public final class DecisionLog {
     private static final int QUEUE_CAPACITY = 4096;
@@ -31,14 +33,18 @@
     private static final int SAMPLE_DIVISOR = 16;
 
     private static final long FLUSH_INTERVAL_MS = 250;
-    /** A subject may be an identifier that a caller has chosen; a full queue of long ones would not fit the heap. */
     private static final int MAX_SUBJECT_LENGTH = 256;
+    /** Room for the first causes of an unreadable configuration, whose message lists a fault of each route. */
+    private static final int MAX_FIELD_LENGTH = 1024;
+    /** Heap of the lines that wait while the output is blocked. */
+    private static final long MAX_QUEUED_BYTES = 2 * 1024 * 1024;
 
     private final String instance;
     private final long incarnation;
     private final TimeSource timeSource;
     private final OutputStream output;
     private final BlockingQueue<byte[]> queue = new ArrayBlockingQueue<>(QUEUE_CAPACITY);
+    private final AtomicLong queuedBytes = new AtomicLong();
     private final AtomicLong dropped = new AtomicLong();
     private long sequence;
     private long secondStartMs;
@@ -74,13 +80,26 @@
         }
         int limit = code.severity() == Severity.INFO ? MAX_LINES_PER_SECOND / 2 : MAX_LINES_PER_SECOND;
         sequence++;
-        if (linesInSecond < limit && queue.offer(line(code, subject, fields))) {
+        if (linesInSecond < limit && offer(line(code, subject, fields))) {
             linesInSecond++;
         } else {
             dropped.incrementAndGet();
         }
     }
 
+    private boolean offer(byte[] line) {
+        if (queuedBytes.get() + line.length > MAX_QUEUED_BYTES) {
+            return false;
+        }
+        // Added first: the writing thread may take the line before offer() returns.
+        queuedBytes.addAndGet(line.length);
+        boolean queued = queue.offer(line);
+        if (!queued) {
+            queuedBytes.addAndGet(-line.length);
+        }
+        return queued;
+    }
+
     private byte[] line(EventCode code, String subject, Object... fields) {
         Map<String, Object> line = new LinkedHashMap<>();
         line.put("event", code.number());
@@ -90,19 +109,19 @@
         line.put("instance", instance);
         line.put("incarnation", incarnation);
         line.put("sequence", sequence);
-        line.put("subject", truncated(subject));
+        line.put("subject", truncated(subject, MAX_SUBJECT_LENGTH));
         Map<String, Object> details = new LinkedHashMap<>();
         for (int i = 0; i + 1 < fields.length; i += 2) {
-            details.put((String) fields[i], fields[i + 1]);
+            Object value = fields[i + 1];
+            details.put(
+                    (String) fields[i], value instanceof String ? truncated((String) value, MAX_FIELD_LENGTH) : value);
         }
         line.put("fields", details);
         return Json.write(line);
     }
 
-    private static String truncated(String subject) {
-        return subject == null || subject.length() <= MAX_SUBJECT_LENGTH
-                ? subject
-                : subject.substring(0, MAX_SUBJECT_LENGTH);
+    private static String truncated(String text, int maxLength) {
+        return text == null || text.length() <= maxLength ? text : text.substring(0, maxLength);
     }
 
     /** Returns the number of lines that were dropped. */
@@ -119,12 +138,15 @@
                 // Lines are written in batches: each wake-up and each system call costs CPU time, which is billed.
                 TimeUnit.MILLISECONDS.sleep(FLUSH_INTERVAL_MS);
                 queue.drainTo(lines);
+                // Until they are written, the lines taken from the queue still occupy the heap.
+                long takenBytes = lines.stream().mapToLong(line -> line.length).sum();
                 long drops = dropped.get();
                 if (drops > reportedDrops) {
                     lines.add(("{\"dropped_lines\":" + drops + "}").getBytes(StandardCharsets.UTF_8));
                     reportedDrops = drops;
                 }
                 write(lines);
+                queuedBytes.addAndGet(-takenBytes);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/log/DecisionLogTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/log/DecisionLogTest.java
@@ -10,10 +10,14 @@
 import org.cranberrybend.core.event.EventCode;
 import org.cranberrybend.entry.testing.TestClock;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class DecisionLogTest {
     private static final int LINES_PER_SECOND = 400;
     private static final long WAIT_S = 10;
+    /** 2 MB of lines, their line ends, and the line that counts the dropped ones. */
+    private static final int MAX_WAITING_BYTES = 2 * 1024 * 1024 + 16 * 1024;
 
     private final TestClock clock = new TestClock();
 
@@ -67,10 +71,7 @@
             log.record(EventCode.REQUEST_FAILED, "failed-" + i);
         }
         log.start();
-        long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_S);
-        while (!text(output).contains("dropped_lines") && System.nanoTime() < endNs) {
-            Thread.onSpinWait();
-        }
+        awaitDroppedLines(output);
         String text = text(output);
         assertThat(text.lines().filter(line -> line.contains("failed-")).count())
                 .isEqualTo(100);
@@ -78,6 +79,30 @@
         assertThat(text).contains("{\"dropped_lines\":" + log.droppedLines() + "}");
     }
 
+    // Guards against a queue that is bounded by the number of its lines: with a blocked output, 4,096 causes of an
+    // unreadable configuration of some hundred KB each do not fit the heap.
+    @ParameterizedTest
+    @CsvSource({"x, 300", "x, 1000", "x, 20000", "\u0171, 20000"})
+    void waitingLinesAreBoundedBySize(String letter, int length) {
+        ByteArrayOutputStream output = new ByteArrayOutputStream();
+        DecisionLog log = new DecisionLog("instance", 1, clock, output);
+        for (int i = 0; i < 10_000; i++) {
+            log.record(EventCode.CONFIGURATION_UNREADABLE, "op/config", "cause", letter.repeat(length));
+            clock.advance(10);
+        }
+        log.start();
+        awaitDroppedLines(output);
+        assertThat(output.size()).isAtMost(MAX_WAITING_BYTES);
+        assertThat(text(output).lines().count()).isAtLeast(500);
+    }
+
+    private static void awaitDroppedLines(ByteArrayOutputStream output) {
+        long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_S);
+        while (!text(output).contains("dropped_lines") && System.nanoTime() < endNs) {
+            Thread.onSpinWait();
+        }
+    }
+
     private static String text(ByteArrayOutputStream output) {
         return output.toString(StandardCharsets.UTF_8);
     }
