Bound a gathered write of usage counts by its bytes

The counts of 13,000 accounts are some 260 KB for each instance (20 bytes an account, estimated), so that one write had up to 8 MB beside its encoded forms, in a heap of 112 MB. Not seen on a running instance.

Evidence: CountsGathererTest.writeIsBoundedBySize with the former class: 4 of 6 cases failed, 32 entries of 260,000 bytes went out in one write.

Change: a batch is also written when its values would exceed 1 MB. A single contribution that is larger goes out by itself, as before.

Works because the batch is closed before the contribution that would exceed the bound is added. Fleets of today's size keep one write: their counts have a few hundred bytes.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/CountsGatherer.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/CountsGatherer.java
@@ -17,14 +17,18 @@
 final class CountsGatherer {
     static final long GATHER_MS = 400;
 
+    /** Values of one write, unless a single contribution is larger; the counts of all accounts at an instance fit. */
+    static final long MAX_WRITE_BYTES = 1024 * 1024;
+
     private record Contribution(List<StoreWrite.Put> puts, CompletableFuture<Long> written) {}
 
     private final KeyValueStore store;
     private final ScheduledExecutorService loop;
-    /** Contributions not written yet; together they have at most as many entries as one write may have. */
+    /** Contributions not written yet; together they fit into one write. */
     private List<Contribution> gathered = new ArrayList<>();
 
     private int entries;
+    private long bytes;
 
     CountsGatherer(KeyValueStore store, ScheduledExecutorService loop) {
         this.store = store;
@@ -37,7 +41,8 @@
      * @return completes with the revision of the write, or with its failure
      */
     CompletableFuture<Long> add(List<StoreWrite.Put> puts) {
-        if (entries + puts.size() > StoreWrite.MAX_ENTRIES) {
+        long addedBytes = puts.stream().mapToLong(put -> put.value().length).sum();
+        if (entries + puts.size() > StoreWrite.MAX_ENTRIES || bytes + addedBytes > MAX_WRITE_BYTES) {
             write(gathered);
         }
         if (gathered.isEmpty()) {
@@ -47,6 +52,7 @@
         Contribution contribution = new Contribution(puts, new CompletableFuture<>());
         gathered.add(contribution);
         entries += puts.size();
+        bytes += addedBytes;
         return contribution.written;
     }
 
@@ -57,6 +63,7 @@
         }
         gathered = new ArrayList<>();
         entries = 0;
+        bytes = 0;
         List<StoreWrite.Put> puts = new ArrayList<>();
         batch.forEach(each -> puts.addAll(each.puts));
         store.write(new StoreWrite(Map.of(), puts, List.of())).whenComplete((revision, failure) -> {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/CountsGathererTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/CountsGathererTest.java
@@ -37,11 +37,15 @@
     }
 
     private List<CompletableFuture<Long>> addAll(int instances, int keysEach) {
+        return addAll(instances, keysEach, 1);
+    }
+
+    private List<CompletableFuture<Long>> addAll(int instances, int keysEach, int valueBytes) {
         List<CompletableFuture<Long>> results = new ArrayList<>();
         for (int i = 0; i < instances; i++) {
             List<StoreWrite.Put> puts = new ArrayList<>();
             for (int k = 0; k < keysEach; k++) {
-                puts.add(new StoreWrite.Put("counts/" + i + "/" + k, new byte[] {1}, 0));
+                puts.add(new StoreWrite.Put("counts/" + i + "/" + k, new byte[valueBytes], 0));
             }
             results.add(gatherer.add(puts));
         }
@@ -59,6 +63,18 @@
         results.forEach(each -> assertThat(each.isDone()).isTrue());
     }
 
+    // Guards against a write that is bounded by the number of its entries: with the counts of 13,000 accounts, 32 of
+    // them
+    // are 8 MB, more than a message of the fleet or of the store may have.
+    @ParameterizedTest
+    @CsvSource({"3, 260000, 1", "4, 260000, 1", "5, 260000, 2", "32, 260000, 8", "3, 1048576, 3", "2, 2000000, 2"})
+    void writeIsBoundedBySize(int instances, int valueBytes, int expectedWrites) {
+        List<CompletableFuture<Long>> results = addAll(instances, 1, valueBytes);
+        assertThat(writes).hasSize(expectedWrites);
+        assertThat(store.keys("counts/")).hasSize(instances);
+        results.forEach(each -> assertThat(each.isDone()).isTrue());
+    }
+
     // Guards against an instance that takes its counts for written after the shared write failed.
     @ParameterizedTest
     @ValueSource(ints = {1, 40})
