--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ApiClient.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ApiClient.java
@@ -15,6 +15,7 @@
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.message.BasicHeader;
+import org.cranberrybend.entry.http.ApiCallException.Progress;
 
 /**
  * Calls an API of the platform over persistent connections.
@@ -149,7 +150,7 @@
 
         @Override
         public void onFailure(String cause) {
-            fail(new ApiCallException("cannot connect to " + address + ": " + cause, false));
+            fail(new ApiCallException("cannot connect to " + address + ": " + cause, Progress.NOT_SENT));
         }
 
         @Override
@@ -163,7 +164,8 @@
             if (received.size() > MAX_RESPONSE_BYTES) {
                 connection.reset();
                 fail(new ApiCallException(
-                        method + " " + address + ": response exceeds " + MAX_RESPONSE_BYTES + " bytes", true));
+                        method + " " + address + ": response exceeds " + MAX_RESPONSE_BYTES + " bytes",
+                        Progress.RESPONSE_BEGUN));
             }
         }
 
@@ -183,18 +185,26 @@
 
         @Override
         public void onFailure(String cause, boolean responseStarted) {
-            fail(new ApiCallException(method + " " + address + ": " + cause, true));
+            Progress progress = responseStarted ? Progress.RESPONSE_BEGUN : Progress.SENT;
+            fail(new ApiCallException(method + " " + address + ": " + cause, progress));
         }
 
         private void onTimeout() {
-            boolean sent = connection != null;
-            if (sent) {
+            Progress progress = progress();
+            if (progress != Progress.NOT_SENT) {
                 connection.reset();
                 connector.discardIdle(address);
             } else if (cancelConnect != null) {
                 cancelConnect.run();
             }
-            fail(new ApiCallException(method + " " + address + ": no response within the time limit", sent));
+            fail(new ApiCallException(method + " " + address + ": no response within the time limit", progress));
+        }
+
+        private Progress progress() {
+            if (connection == null) {
+                return Progress.NOT_SENT;
+            }
+            return head == null ? Progress.SENT : Progress.RESPONSE_BEGUN;
         }
 
         private void fail(ApiCallException failure) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/port/StoreException.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/port/StoreException.java
@@ -14,7 +14,7 @@
         CONDITION_FAILED,
         /** The key or the lease does not exist. */
         NOT_FOUND,
-        /** Changes since the given revision are no longer available. */
+        /** Changes since the given revision are no longer available, or too many to be read. */
         HISTORY_LOST
     }
 
