Do not pass on a status that promises what the response does not state

What callers saw: an order that an upstream had executed was answered with 503, which promises that it was not (REFUSED). Callers sent it again and it ran twice.

Cause: a rejection was recognized by the header that states it, or by 421; every other response was taken for an answer and passed on unchanged, also with a status that promises callers that nothing was executed.

Change: RefusalStatus lists the statuses that promise. Such a response without the statement counts as a lost one: a retry where the route allows it, else 502 with an unknown outcome, without the signature of the upstream. ErrorResponse refuses an unknown outcome with a status that promises. 421 remains a statement by itself, as the protocol has it.

Ruled out: the retry of the router itself, which does not send a request again that runs once (unprovenRefusalOfARequestThatRunsOnceIsNotRetried passes on the number of sends before, too).

Works because no response of an upstream with such a status is passed on at all: its statement leads to an own refusal, the lack of it to an own failure.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/ErrorResponse.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/ErrorResponse.java
@@ -28,6 +28,12 @@
     /** Longest time until the end of an excess that is believed: loads and rates change within seconds. */
     private static final long MAX_EXCESS_MS = 3_000;
 
+    ErrorResponse {
+        if (runState != RunState.NOT_RUN && RefusalStatus.includes(code.httpStatus())) {
+            throw new IllegalArgumentException(code + " promises that the request was not executed");
+        }
+    }
+
     static ErrorResponse notRun(ErrorCode code, long retryAfterMs, Object... arguments) {
         return new ErrorResponse(code, code.message(arguments), RunState.NOT_RUN, retryAfterMs);
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -34,7 +34,6 @@
     /** Time before the deadline that a further attempt needs at least. */
     private static final long MIN_ATTEMPT_TIME_MS = 60;
 
-    private static final int MIN_SERVER_ERROR_STATUS = 500;
     private static final int SUCCESS_STATUS_CLASS = 2;
 
     private final RoutedRequest request;
@@ -285,7 +284,7 @@
     public void onRejected(UpstreamAttempt ended, int status) {
         sends++;
         services.metrics().countRejection();
-        if (status == UpstreamAttempt.MISDIRECTED_REQUEST) {
+        if (RefusalStatus.MISDIRECTED_REQUEST.is(status)) {
             requestLog.recordUnhealthy(ended.upstream(), "another process at its address");
             ended.upstream().ejectReplaced(services.timeSource().monotonicMs());
         }
@@ -307,21 +306,20 @@
     @Override
     public void onResponse(UpstreamAttempt ended, HttpResponse head, byte[] body) {
         sends++;
-        boolean serverError = head.getCode() >= MIN_SERVER_ERROR_STATUS;
-        if (serverError) {
-            // A request for time is no failure of the upstream.
-            if (RetryAfter.pauseMs(head).isEmpty()) {
-                requestLog.recordFailure(ended.upstream(), "status " + head.getCode());
-            }
-            if (request.retryRule().allowsReexecution(headSent) && retry("status " + head.getCode(), null)) {
-                return;
-            }
-        } else {
-            ended.upstream().recordSuccess();
+        String status = "status " + head.getCode();
+        ResponseKind kind = ResponseKind.of(head.getCode());
+        requestLog.recordResponse(ended.upstream(), head);
+        if (kind != ResponseKind.ANSWER && request.retryRule().allowsReexecution(headSent) && retry(status, null)) {
+            return;
         }
         recordAnswer(head);
         if (headSent) {
-            abortStream("status " + head.getCode() + " instead of the rest of the stream");
+            abortStream(status + " instead of the rest of the stream");
+            return;
+        }
+        if (kind == ResponseKind.UNPROVEN_REFUSAL) {
+            String cause = status + " without a statement that the request was not executed";
+            fail(ErrorResponse.outcomeUnknown(ErrorCode.UPSTREAM_FAILED, cause), cause);
             return;
         }
         caller.respond(
@@ -329,7 +327,7 @@
                 head.getReasonPhrase(),
                 services.headerNames().toCaller(HeaderRules.endToEnd(head)),
                 body);
-        finish(EventCode.REQUEST_COMPLETED, "completed", "status " + head.getCode());
+        finish(EventCode.REQUEST_COMPLETED, "completed", status);
     }
 
     @Override
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestLog.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestLog.java
@@ -2,6 +2,8 @@
 
 import java.util.Collection;
 import java.util.List;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.HttpStatus;
 import org.cranberrybend.core.engine.LatencyEstimate;
 import org.cranberrybend.core.event.EventCode;
 import org.cranberrybend.core.quarantine.PartFingerprint;
@@ -101,6 +103,16 @@
         return engine.estimate(tokens, upstream.entry().slots(), nowMs);
     }
 
+    /** Records what a complete response shows of its upstream. A request for time is no failure of the upstream. */
+    void recordResponse(Upstream upstream, HttpResponse head) {
+        if (ResponseKind.of(head.getCode()) == ResponseKind.ANSWER) {
+            upstream.recordSuccess();
+        } else if (head.getCode() >= HttpStatus.SC_SERVER_ERROR
+                && RetryAfter.pauseMs(head).isEmpty()) {
+            recordFailure(upstream, "status " + head.getCode());
+        }
+    }
+
     /** Records a failure of an upstream with this request. */
     void recordFailure(Upstream upstream, String cause) {
         if (upstream.recordFailure(services.timeSource().monotonicMs())) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RetryAfter.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RetryAfter.java
@@ -18,14 +18,13 @@
 final class RetryAfter {
     static final long MAX_PAUSE_MS = 3_600_000;
 
-    private static final int SERVICE_UNAVAILABLE = 503;
     private static final Pattern SECONDS = Pattern.compile("\\d+(\\.\\d+)?");
 
     private RetryAfter() {}
 
     /** Returns the time in milliseconds that a response asks for; empty if it asks for none. */
     static OptionalLong pauseMs(HttpResponse response) {
-        if (response.getCode() != SERVICE_UNAVAILABLE) {
+        if (!RefusalStatus.SERVICE_UNAVAILABLE.is(response.getCode())) {
             return OptionalLong.empty();
         }
         long pauseMs = 0;
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
@@ -37,9 +37,6 @@
  */
 final class UpstreamAttempt implements HttpConnector.Listener, ClientConnection.ResponseListener {
     private static final String EVENT_STREAM = "text/event-stream";
-    /** Status of a response of another process than the one that the request is addressed to. */
-    static final int MISDIRECTED_REQUEST = 421;
-
     /**
      * Size up to which a response without streaming is buffered; an incomplete one can still be replaced by a retry.
      */
@@ -326,7 +323,7 @@
             failAndReset("response to another request");
         } else if (echoed == null && isReusedConnection()) {
             failAndReset("response without attempt identifier on a reused connection");
-        } else if (response.containsHeader(headerNames.notExecuted()) || response.getCode() == MISDIRECTED_REQUEST) {
+        } else if (statesNotExecuted(response)) {
             mode = Mode.DISCARDING;
         } else if (success && (!signed || echoed == null)) {
             failAndReset("response without signature or attempt identifier");
@@ -338,9 +335,21 @@
         }
     }
 
+    /**
+     * Returns whether a response states that its sender did not execute the request: by the header, or as another process
+     * than the one to which the request is addressed. No other status states it.
+     */
+    private boolean statesNotExecuted(HttpResponse response) {
+        return response.containsHeader(headerNames.notExecuted()) || isMisdirected(response);
+    }
+
+    private static boolean isMisdirected(HttpResponse response) {
+        return RefusalStatus.MISDIRECTED_REQUEST.is(response.getCode());
+    }
+
     /** Records what a response states of the rate limit; that of another process at the address states nothing. */
     private void recordRateLimit(HttpResponse response, boolean ownResponse) {
-        if (response.getCode() == MISDIRECTED_REQUEST) {
+        if (isMisdirected(response)) {
             return;
         }
         OptionalDouble stated = headers.rateLimit(response);
