Send text of the configuration in heads unchanged or not at all

What callers saw: client accounts whose names differ in letters beyond Latin-1 reached upstreams under one name (UNASKED).

The name of an account was handed over as it is.

Change: HeadFormatter refuses text that a head cannot hold unchanged. HeaderText gives text of the configuration, the store and the settings its form in a head, UTF-8, and none where no head can hold it: requests of such an account are refused with 503 and did not run, an upstream with such an identifier is not used, such an instance does not start. The check of a configuration reports such text.

Ruled out: the parser, which keeps each byte, and the reading of the configuration, which is UTF-8 (usage was counted under the right names).

--- a/cranberrybend-core/src/main/java/org/cranberrybend/core/error/ErrorCode.java
+++ b/cranberrybend-core/src/main/java/org/cranberrybend/core/error/ErrorCode.java
@@ -41,6 +41,10 @@
     NO_UPSTREAM_IN_ALLOWED_REGION(
             503, Severity.WARNING, "No upstream for \"%s\" is available in a region where this request may run."),
     PROMPT_QUARANTINED(503, Severity.WARNING, "Requests with parts of this prompt have crashed upstreams."),
+    ACCOUNT_NAME_UNUSABLE(
+            503,
+            Severity.WARNING,
+            "The name of this client account cannot be sent to an upstream; an operator has to change it."),
     CONFIGURATION_MISSING(503, Severity.WARNING, "This instance has not received a configuration yet."),
     CONFIGURATION_STALE(503, Severity.WARNING, "This availability zone has been cut off for longer than allowed."),
     IDEMPOTENCY_STORE_UNAVAILABLE(
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntrySettings.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntrySettings.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.cranberrybend.core.rateshare.LimitBound;
+import org.cranberrybend.entry.http.HeaderText;
 import org.cranberrybend.entry.json.Json;
 import org.cranberrybend.entry.json.JsonFormatException;
 import org.cranberrybend.entry.json.JsonObject;
@@ -94,7 +95,7 @@
         }
         regions.putIfAbsent(json.string("availability_zone"), json.string("region"));
         return new EntrySettings(
-                json.string("instance"),
+                instance(json),
                 json.string("availability_zone"),
                 regions,
                 listen.address("callers"),
@@ -122,6 +123,15 @@
                 rateLimitBound(json));
     }
 
+    /** Calls to the platform carry the name in a header, by which it tells holders of a lease apart. */
+    private static String instance(JsonObject json) throws JsonFormatException {
+        String name = json.string("instance");
+        if (HeaderText.encode(name).isEmpty()) {
+            throw new JsonFormatException("field instance must be text that a header can hold");
+        }
+        return name;
+    }
+
     private static LimitBound rateLimitBound(JsonObject json) throws JsonFormatException {
         Optional<JsonObject> rateLimit = json.optionalObject("rate_limit");
         if (rateLimit.isEmpty()) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/check/ConfigurationCheck.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/check/ConfigurationCheck.java
@@ -1,5 +1,6 @@
 package org.cranberrybend.entry.check;
 
+import com.google.common.base.CharMatcher;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -16,6 +17,7 @@
 import org.cranberrybend.entry.configuration.Route;
 import org.cranberrybend.entry.configuration.ScalingBounds;
 import org.cranberrybend.entry.configuration.ServiceDefinition;
+import org.cranberrybend.entry.http.HeaderText;
 
 /** Finds entries that can never match and limits that contradict each other in a configuration that can be decoded. */
 public final class ConfigurationCheck {
@@ -55,6 +57,7 @@
         check.checkRoutes();
         check.checkServices();
         check.checkKeys();
+        check.checkHeaderTexts();
         check.checkAccountRegions();
         int maxBodyBytes = document.callerLimits().maxBodyBytes();
         if (memoryMb.isPresent() && maxBodyBytes > memoryMb.getAsInt() * BYTES_PER_MB) {
@@ -177,6 +180,30 @@
         }
     }
 
+    /** Requests of an account whose name no header can hold are refused; the other texts match no request. */
+    private void checkHeaderTexts() {
+        for (Route route : document.routes()) {
+            checkHeaderText("host of route " + route.name(), route.host());
+            checkHeaderText("prefix of route " + route.name(), route.prefix());
+        }
+        for (AccountDefinition account : document.accounts()) {
+            String name = account.entry().name();
+            checkHeaderText("name of account " + name, name);
+            account.keys().forEach(key -> checkHeaderText("key " + KeyDigest.of(key) + " of account " + name, key));
+        }
+    }
+
+    private void checkHeaderText(String subject, String text) {
+        if (HeaderText.encode(text).isEmpty()) {
+            add(FindingCode.TEXT_UNUSABLE_IN_HEADER, "no header can hold the " + escaped(subject));
+        }
+    }
+
+    /** Returns a text with a question mark for each control character, so that a finding stays on its line. */
+    private static String escaped(String text) {
+        return CharMatcher.javaIsoControl().replaceFrom(text, '?');
+    }
+
     /** Accounts are grouped by their constraint, so that the work does not grow with accounts times routes. */
     private void checkAccountRegions() {
         Map<RegionConstraint, List<String>> accounts = new LinkedHashMap<>();
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/check/FindingCode.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/check/FindingCode.java
@@ -18,6 +18,8 @@
     REGION_WITHOUT_ZONE(false),
     /** Two accounts list the same API key. */
     KEY_SHARED(false),
+    /** No header can hold the name or a key of an account, or the host or prefix of a route. */
+    TEXT_UNUSABLE_IN_HEADER(false),
     /** The target for the latency is above the timeout. */
     LATENCY_TARGET_ABOVE_TIMEOUT(false),
     /** The target for the pause between events is above the timeout. */
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ClientConnection.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ClientConnection.java
@@ -126,7 +126,13 @@
         headBytes = 0;
         framingBytes = 0;
         requestCount++;
-        ByteBuf message = HeadFormatter.request(method, target, all);
+        ByteBuf message;
+        try {
+            message = HeadFormatter.request(method, target, all);
+        } catch (IllegalArgumentException e) {
+            fail("request cannot be written: " + e.getMessage());
+            return;
+        }
         if (body.length > 0) {
             message = Unpooled.wrappedBuffer(message, Unpooled.wrappedBuffer(body));
         }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/HeaderRules.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/HeaderRules.java
@@ -79,7 +79,26 @@
      */
     static boolean areWellFormed(MessageHeaders message) {
         for (Header header : message.getHeaders()) {
-            if (!isToken(header.getName()) || hasControlCharacter(header.getValue())) {
+            if (!isWellFormed(header)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Returns whether the name of a field is a token and its value has no control characters. */
+    static boolean isWellFormed(Header header) {
+        return isToken(header.getName()) && (header.getValue() == null || isFieldText(header.getValue()));
+    }
+
+    /**
+     * Returns whether a text consists of bytes that may stand within a line of a head, one for each character: no control
+     * character but the tab.
+     */
+    static boolean isFieldText(String text) {
+        for (int i = 0; i < text.length(); i++) {
+            char each = text.charAt(i);
+            if (each < ' ' && each != '\t' || each == 0x7f || each > 0xff) {
                 return false;
             }
         }
@@ -100,17 +119,4 @@
         }
         return !name.isEmpty();
     }
-
-    private static boolean hasControlCharacter(String value) {
-        if (value == null) {
-            return false;
-        }
-        for (int i = 0; i < value.length(); i++) {
-            char each = value.charAt(i);
-            if (each < ' ' && each != '\t' || each == 0x7f) {
-                return true;
-            }
-        }
-        return false;
-    }
 }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/AttemptHeaders.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/AttemptHeaders.java
@@ -6,6 +6,7 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.message.BasicHeader;
+import org.cranberrybend.entry.http.HeaderText;
 import org.cranberrybend.entry.port.HeaderNames;
 import org.cranberrybend.entry.upstream.Upstream;
 
@@ -40,14 +41,20 @@
             headers.add(new BasicHeader(names.lastEventId(), lastEventId));
         }
         headers.add(new BasicHeader(names.deadlineMs(), Math.max(1, remainingMs)));
-        headers.add(new BasicHeader(names.upstreamId(), upstreamId));
-        request.account().ifPresent(account -> headers.add(new BasicHeader(names.account(), account.name())));
+        headers.add(new BasicHeader(names.upstreamId(), headerText(upstreamId)));
+        request.account()
+                .ifPresent(account -> headers.add(new BasicHeader(names.account(), headerText(account.name()))));
         if (!request.prompt().isEmpty()) {
             headers.add(new BasicHeader(names.enginePriority(), request.enginePriority()));
         }
         return headers;
     }
 
+    /** A request with text that no head can hold is not written, see {@link HeaderText}. */
+    private static String headerText(String text) {
+        return HeaderText.encode(text).orElse(text);
+    }
+
     /** Returns whether an upstream states in a response that it is leaving. */
     boolean statesLeaving(HttpResponse response) {
         for (Header header : response.getHeaders(names.leaving())) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/EventStreamSplitter.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/EventStreamSplitter.java
@@ -42,7 +42,8 @@
             }
             return;
         }
-        String field = line.toString(StandardCharsets.UTF_8);
+        // The identifier is sent in the head of a request, byte by byte.
+        String field = line.toString(StandardCharsets.ISO_8859_1);
         if (field.startsWith(ID_FIELD)) {
             pendingId = field.substring(ID_FIELD.length()).trim();
         }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestRouter.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestRouter.java
@@ -17,6 +17,7 @@
 import org.cranberrybend.entry.configuration.Route;
 import org.cranberrybend.entry.configuration.RoutingConfiguration;
 import org.cranberrybend.entry.http.HeaderRules;
+import org.cranberrybend.entry.http.HeaderText;
 import org.cranberrybend.entry.http.ReceivedRequest;
 import org.cranberrybend.entry.http.RequestHandler;
 import org.cranberrybend.entry.http.ServerExchange;
@@ -77,6 +78,10 @@
             refuse(caller, attemptId, version.version(), ErrorResponse.notRun(ErrorCode.KEY_UNKNOWN, 0));
             return;
         }
+        if (account.isPresent() && HeaderText.encode(account.get().name()).isEmpty()) {
+            refuse(caller, attemptId, version.version(), ErrorResponse.notRun(ErrorCode.ACCOUNT_NAME_UNUSABLE, 0));
+            return;
+        }
         RoutedRequest request = toRoutedRequest(received, attemptId, version, route.get(), account);
         if (request.deadlineMs() <= services.timeSource().monotonicMs()) {
             refuse(
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/EntrySettingsTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/EntrySettingsTest.java
@@ -47,4 +47,19 @@
     void wrongBoundIsRefused(String added) {
         assertThrows(JsonFormatException.class, () -> parse(added));
     }
+
+    // Guards against two instances that the platform cannot tell apart, because no header can hold their names, and
+    // against the refusal of names that headers can hold.
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {"front-1|true", "elő-1|true", "a b|true", "a\\n|false", "'a '|false", "\\ud800|false"})
+    void nameOfTheInstanceFitsAHeader(String name, boolean accepted) throws Exception {
+        String added = ",\"instance\":\"" + name + "\"";
+        if (accepted) {
+            assertThat(parse(added).instance()).isEqualTo(name);
+        } else {
+            assertThrows(JsonFormatException.class, () -> parse(added));
+        }
+    }
 }
