Refuse responses with a line or a framing that HTTP does not have

Cause: the checks came after HttpCore's parser, which joins, strips and skips parts of lines and takes any number for a status. Heads of interim responses and lines of chunks were not checked; the length was read by a lenient strategy.

Change: each line of a response is compared with its syntax as it was received, before it is parsed (ResponseLine, LineRules). The framing must be stated once and go with status and version (ResponseFraming). Two identifiers or signatures spoil a response.

Ruled out: more checks of parsed fields, since the parser's result does not show what it has joined or stripped.

Works because there is one rule for all lines instead of a list of corrupted forms; store, platform and peers are read through the same class.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ClientConnection.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ClientConnection.java
@@ -16,7 +16,6 @@
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpVersion;
-import org.apache.hc.core5.http.impl.DefaultContentLengthStrategy;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseFactory;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseParser;
 import org.apache.hc.core5.http.message.BasicHeader;
@@ -28,6 +27,9 @@
  * close the connection, as does a response that is complete before its request was written. A surplus response that
  * arrives after the next request was sent is recognized by the listener, which has it {@link #skipResponse() skipped}.
  *
+ * <p>A response that is malformed in any line or in its framing fails as a whole: its body may be that of another one, or
+ * a part of one.
+ *
  * <p>A server may send bytes without end. Heads are therefore limited as a whole, including interim responses, and so
  * are skipped responses; the listener limits the bodies that it receives. It may also send them on many connections, so
  * that what is kept of all responses shares a {@link MessageMemoryLimit}.
@@ -49,7 +51,8 @@
     private final MessageReader<HttpResponse> reader = new MessageReader<>(
             new DefaultHttpResponseParser<>(
                     MessageReader.config(MAX_HEAD_LINE_BYTES), DefaultHttpResponseFactory.INSTANCE),
-            MessageReader.config(MAX_HEAD_LINE_BYTES));
+            MessageReader.config(MAX_HEAD_LINE_BYTES),
+            LineRules.RESPONSE);
     private ChannelHandlerContext context;
     private ResponseListener listener;
     private HttpResponse head;
@@ -262,16 +265,13 @@
         if (next == null) {
             return false;
         }
-        if (next.getCode() < 200) {
+        if (ResponseFraming.isInterim(next)) {
             return true;
         }
-        if (!HeaderRules.areWellFormed(next) || next.countHeaders(HttpHeaders.CONTENT_LENGTH) > 1) {
-            throw new HttpException("malformed headers");
-        }
+        long length = ResponseFraming.bodyLength(next, headRequest);
         head = next;
         framingBytes = reader.unreadBytes();
         headBytes -= framingBytes;
-        long length = bodyLength(next);
         delimitedByClose = length < 0 && length != ContentLengthStrategy.CHUNKED;
         reusable = !delimitedByClose
                 && !HeaderRules.announcesClose(next)
@@ -282,13 +282,6 @@
         return true;
     }
 
-    private long bodyLength(HttpResponse response) throws HttpException {
-        if (headRequest || response.getCode() == 204 || response.getCode() == 304) {
-            return 0;
-        }
-        return DefaultContentLengthStrategy.INSTANCE.determineLength(response);
-    }
-
     private static long keepAliveTimeoutMs(HttpResponse response) {
         Header header = response.getFirstHeader(HttpHeaders.KEEP_ALIVE);
         if (header == null) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/MessageReader.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/MessageReader.java
@@ -72,21 +72,21 @@
     /** Bytes of chunk lines or trailers that the decoder may keep. */
     private long keptFramingBytes;
 
-    MessageReader(NHttpMessageParser<T> parser, Http1Config config) {
-        this(() -> parser, config, Long.MAX_VALUE);
+    /** Creates a reader that limits the length of lines only. */
+    MessageReader(NHttpMessageParser<T> parser, Http1Config config, LineRules rules) {
+        this(() -> parser, config, rules, Long.MAX_VALUE);
     }
 
     /**
-     * Creates a reader of requests. It limits heads as a whole, and the chunk lines and trailers between two bytes of a
-     * body, and rejects control characters within lines.
+     * Creates a reader that limits heads as a whole, and the chunk lines and trailers between two bytes of a body.
      *
      * @param maxHeadBytes largest number of bytes, line ends not counted
      */
-    MessageReader(Supplier<NHttpMessageParser<T>> parsers, Http1Config config, long maxHeadBytes) {
+    MessageReader(Supplier<NHttpMessageParser<T>> parsers, Http1Config config, LineRules rules, long maxHeadBytes) {
         this.parsers = parsers;
         this.parser = parsers.get();
         this.config = config;
-        this.buffer = new ReceiveBuffer(config.getMaxLineLength(), maxHeadBytes < Long.MAX_VALUE);
+        this.buffer = new ReceiveBuffer(config.getMaxLineLength(), rules);
         this.maxHeadBytes = Math.max(maxHeadBytes, maxHeadBytes + LINE_END_BYTES * (MAX_HEADERS + 2L));
     }
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ReceiveBuffer.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ReceiveBuffer.java
@@ -2,11 +2,9 @@
 
 import io.netty.buffer.ByteBuf;
 import java.io.IOException;
-import java.net.ProtocolException;
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
 import java.nio.channels.WritableByteChannel;
-import org.apache.hc.core5.http.MalformedChunkCodingException;
 import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.util.CharArrayBuffer;
@@ -21,16 +19,11 @@
     /** Smallest capacity; each buffer has it from the start. */
     static final int INITIAL_BYTES = 1024;
 
-    private static final byte DELETE = 0x7f;
     private static final int MAX_RETAINED_BYTES = 16 * 1024;
 
     private final int maxLineBytes;
-    /**
-     * Whether a control character within a line is an error, and white space at the start of the first header line.
-     * HttpCore skips them, so that another parser could read other headers.
-     */
-    private final boolean strict;
-    /** Whether lines are chunk sizes and trailers. HttpCore accepts a sign before the size of a chunk. */
+    private final LineRules rules;
+    /** Whether lines are chunk sizes and trailers. */
     private boolean readingChunkLines;
     /** Number of lines of the current head so far, without empty ones. */
     private int headLines;
@@ -44,9 +37,9 @@
     private long consumedBytes;
     private long lineCount;
 
-    ReceiveBuffer(int maxLineBytes, boolean strict) {
+    ReceiveBuffer(int maxLineBytes, LineRules rules) {
         this.maxLineBytes = maxLineBytes;
-        this.strict = strict;
+        this.rules = rules;
     }
 
     void setReadingChunkLines(boolean reading) {
@@ -176,34 +169,16 @@
         if (newline < 0) {
             return false;
         }
-        int textEnd = lineEnd > start && bytes[lineEnd - 1] == '\r' ? lineEnd - 1 : lineEnd;
-        checkLine(textEnd);
+        boolean endsWithCrLf = lineEnd > start && bytes[lineEnd - 1] == '\r';
+        int textEnd = endsWithCrLf ? lineEnd - 1 : lineEnd;
+        rules.check(new LineRules.Line(bytes, start, textEnd, endsWithCrLf, readingChunkLines, headLines));
+        headLines += textEnd > start ? 1 : 0;
         line.append(bytes, start, textEnd - start);
         consume(newline + 1 - start);
         lineCount++;
         return true;
     }
 
-    private void checkLine(int textEnd) throws IOException {
-        int first = start;
-        while (readingChunkLines && first < textEnd && (bytes[first] == ' ' || bytes[first] == '\t')) {
-            first++;
-        }
-        if (readingChunkLines && first < textEnd && (bytes[first] == '-' || bytes[first] == '+')) {
-            throw new MalformedChunkCodingException("sign before the size of a chunk");
-        }
-        boolean indented = textEnd > start && (bytes[start] == ' ' || bytes[start] == '\t');
-        if (strict && indented && headLines == 1 && !readingChunkLines) {
-            throw new ProtocolException("white space before the first header");
-        }
-        headLines += textEnd > start ? 1 : 0;
-        for (int i = start; strict && i < textEnd; i++) {
-            if (bytes[i] >= 0 && bytes[i] < ' ' && bytes[i] != '\t' || bytes[i] == DELETE) {
-                throw new ProtocolException("control character within a line");
-            }
-        }
-    }
-
     private int indexOfNewline() {
         for (int i = start + searchedBytes; i < end; i++) {
             if (bytes[i] == '\n') {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/RequestReceiver.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/RequestReceiver.java
@@ -40,7 +40,10 @@
         int maxHeadBytes = server.limits().maxHeadLineBytes();
         Http1Config config = MessageReader.config(maxHeadBytes);
         this.reader = new MessageReader<>(
-                () -> new DefaultHttpRequestParser<>(config, DefaultHttpRequestFactory.INSTANCE), config, maxHeadBytes);
+                () -> new DefaultHttpRequestParser<>(config, DefaultHttpRequestFactory.INSTANCE),
+                config,
+                LineRules.REQUEST,
+                maxHeadBytes);
     }
 
     Stage stage() {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/UpstreamAttempt.java
@@ -319,7 +319,9 @@
             return;
         }
         head = response;
-        if (toOtherRequest) {
+        if (response.countHeaders(headerNames.attemptId()) > 1 || response.countHeaders(headerNames.signature()) > 1) {
+            failAndReset("response with the identifiers or signatures of two");
+        } else if (toOtherRequest) {
             failAndReset("response to another request");
         } else if (echoed == null && isReusedConnection()) {
             failAndReset("response without attempt identifier on a reused connection");
