Do not take the end of a connection for a response's while the request is written

Cause: a response without a length ends with its connection, and the end was accepted also while the request was still being written. A write that fails takes the error of the reset, and the next read shows a regular end.

Evidence: ResponseFramingFuzzTest.endBeforeTheRequestIsWrittenIsNoEndOfTheResponse failed without this change in its case without a length.

Change: such a response is lost. One that states its length is complete as soon as it was received, as before.

Works because a server that has ended its response regularly but has not read the request cannot be told from one that was reset, and a lost response promises nothing.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ClientConnection.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ClientConnection.java
@@ -10,6 +10,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -313,6 +314,10 @@
             listener.onBody(piece);
         }
         if (listener != null && reader.isBodyComplete()) {
+            if (delimitedByClose && !requestWritten) {
+                // A server that still reads keeps its connection; one that was reset may look like one that has ended.
+                throw new ConnectionClosedException("closed before the request was written");
+            }
             complete();
             return false;
         }
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/http/ResponseFramingFuzzTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/http/ResponseFramingFuzzTest.java
@@ -4,6 +4,9 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
@@ -15,6 +18,7 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpResponse;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -99,6 +103,14 @@
         }
     }
 
+    /** Keeps the requests from being written. */
+    private static final class HoldWrites extends ChannelOutboundHandlerAdapter {
+        @Override
+        public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+            ((io.netty.buffer.ByteBuf) message).release();
+        }
+    }
+
     private Recorder receive(byte[] input, Random random) {
         Recorder recorder = new Recorder();
         ClientConnection connection = new ClientConnection(memory, () -> {});
@@ -173,4 +185,21 @@
         }
         assertThat(complete).isAtLeast(CASES / 4);
     }
+
+    // Guards against a part of a body that is taken for the whole one, because a response without a length ends while
+    // the
+    // request is still being written: after a write that fails, the reset of a connection looks like its regular end.
+    @ParameterizedTest
+    @CsvSource({"'', false", "'Content-Length: 4\r\n', true", "'Content-Length: 5\r\n', false"})
+    void endBeforeTheRequestIsWrittenIsNoEndOfTheResponse(String framing, boolean expectedComplete) {
+        Recorder recorder = new Recorder();
+        ClientConnection connection = new ClientConnection(memory, () -> {});
+        EmbeddedChannel channel = new EmbeddedChannel(new HoldWrites(), connection);
+        connection.send("POST", "/", List.of(), new byte[100_000], recorder);
+        byte[] answer = ("HTTP/1.1 200 OK\r\n" + framing + "\r\npart").getBytes(StandardCharsets.ISO_8859_1);
+        channel.writeInbound(Unpooled.wrappedBuffer(answer));
+        channel.finishAndReleaseAll();
+        assertThat(recorder.complete).isEqualTo(expectedComplete);
+        assertThat(recorder.failed).isEqualTo(!expectedComplete);
+    }
 }
