Check the responses that the blocking clients read by the same rule

Same cause as the corrupted responses of upstreams, found by looking at the other places where responses are read: the blocking client of controller, router and command line, and the router's connections to upstreams, use the library's parser and its strategy for the length. Not seen on a running process; the program of the deploy file uses neither.

ApiClientTest.corruptedResponseFailsTheCall covers calls of store, platform and peers of the entry instance; it passes since the lines are checked there.

Change: CheckedConnections creates such connections with a parser that compares each line with ResponseLine, and with ResponseFraming for the length, which moves to the module that both kinds of clients share. The lines of chunks are left to the library on these connections.

Works because the library's parser gets only heads that HTTP has.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ClientConnection.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ClientConnection.java
@@ -20,6 +20,7 @@
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseFactory;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseParser;
 import org.apache.hc.core5.http.message.BasicHeader;
+import org.cranberrybend.runtime.http.ResponseFraming;
 
 /**
  * One connection to a server, with one request at a time.
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/http/ApiClientTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/http/ApiClientTest.java
@@ -18,9 +18,12 @@
 import java.util.concurrent.TimeUnit;
 import org.cranberrybend.entry.testing.Connectors;
 import org.cranberrybend.entry.testing.ScriptedUpstream;
+import org.cranberrybend.entry.testing.ScriptedUpstream.Script;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Calls to a server whose open connections become silent while new ones work. */
 class ApiClientTest {
@@ -98,4 +101,22 @@
         openConnections(new ApiClient(loop, connector, address, 1), 1);
         assertThat(server.awaitClosedConnection()).isTrue();
     }
+
+    // Guards against a call of the store, of the platform or of a peer that takes a corrupted response for an answer.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 000 OK\r\nContent-Length: 2",
+                "HTTP/1.1 200 OK\r\nContent-Length : 2",
+                "HTTP/1.1 200 OK\r\n Odd: 1\r\nContent-Length: 2",
+                "HTTP/1.1 200 OK\r\nContent-Length: +2"
+            })
+    void corruptedResponseFailsTheCall(String head) throws Exception {
+        Script script = (request, connection) -> ScriptedUpstream.write(connection, head + "\r\n\r\n{}");
+        try (ScriptedUpstream corrupting = new ScriptedUpstream(script)) {
+            InetSocketAddress other = new InetSocketAddress(InetAddress.getLoopbackAddress(), corrupting.port());
+            ApiClient client = new ApiClient(loop, connector, other);
+            assertThrows(ExecutionException.class, () -> status(client, LONG_TIMEOUT_MS));
+        }
+    }
 }
--- a/cranberrybend-router/src/main/java/org/cranberrybend/router/dispatch/UpstreamConnection.java
+++ b/cranberrybend-router/src/main/java/org/cranberrybend/router/dispatch/UpstreamConnection.java
@@ -12,6 +12,7 @@
 import org.apache.hc.core5.util.Timeout;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.router.io.DeadlineSocket;
+import org.cranberrybend.runtime.http.CheckedConnections;
 
 /** A connection to an upstream, used by one call at a time. */
 final class UpstreamConnection {
@@ -29,7 +30,7 @@
         this.address = address;
         this.socket = socket;
         this.timeSource = timeSource;
-        this.http = new DefaultBHttpClientConnection(Http1Config.custom()
+        this.http = CheckedConnections.connection(Http1Config.custom()
                 .setMaxHeaderCount(MAX_HEADER_COUNT)
                 .setMaxLineLength(MAX_LINE_BYTES)
                 .build());
--- a/cranberrybend-runtime/src/main/java/org/cranberrybend/runtime/http/BlockingHttpClient.java
+++ b/cranberrybend-runtime/src/main/java/org/cranberrybend/runtime/http/BlockingHttpClient.java
@@ -37,6 +37,7 @@
     public BlockingHttpClient(long connectTimeoutMs, long readTimeoutMs) {
         this.connectTimeout = Timeout.ofMilliseconds(connectTimeoutMs);
         this.requester = RequesterBootstrap.bootstrap()
+                .setConnectionFactory(CheckedConnections.factory())
                 .setSocketConfig(SocketConfig.custom()
                         .setSoTimeout(Timeout.ofMilliseconds(readTimeoutMs))
                         .setTcpNoDelay(true)
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ResponseFraming.java
+++ b/cranberrybend-runtime/src/main/java/org/cranberrybend/runtime/http/ResponseFraming.java
@@ -1,4 +1,4 @@
-package org.cranberrybend.entry.http;
+package org.cranberrybend.runtime.http;
 
 import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.HttpException;
@@ -11,13 +11,13 @@
  * The framing of responses: where their bodies end. A head that states it in more than one way, or in a way that does not
  * go with its status, was corrupted, and none of its statements can be trusted.
  */
-final class ResponseFraming {
+public final class ResponseFraming {
     private static final String CHUNKED = "chunked";
 
     private ResponseFraming() {}
 
     /** Returns whether a response is an interim one, which the final one follows; fails if it frames a body. */
-    static boolean isInterim(HttpResponse head) throws HttpException {
+    public static boolean isInterim(HttpResponse head) throws HttpException {
         if (head.getCode() >= HttpStatus.SC_SUCCESS) {
             return false;
         }
@@ -32,9 +32,9 @@
      *
      * @param headRequest whether the response is to a HEAD request, so that it has no body whatever its head states
      */
-    static long bodyLength(HttpResponse head, boolean headRequest) throws HttpException {
-        if (!HeaderRules.areWellFormed(head) || statements(head) > 1) {
-            throw new HttpException("ambiguous or malformed head");
+    public static long bodyLength(HttpResponse head, boolean headRequest) throws HttpException {
+        if (statements(head) > 1) {
+            throw new HttpException("ambiguous length of the body");
         }
         long stated = statedLength(head);
         if (head.getCode() == HttpStatus.SC_NO_CONTENT && stated != 0 && stated != ContentLengthStrategy.UNDEFINED) {
@@ -63,7 +63,7 @@
             return ContentLengthStrategy.UNDEFINED;
         }
         String length = head.getFirstHeader(HttpHeaders.CONTENT_LENGTH).getValue();
-        if (!HeaderRules.isDigits(length)) {
+        if (length == null || length.isEmpty() || !length.chars().allMatch(each -> each >= '0' && each <= '9')) {
             throw new HttpException("length of the body is not a number");
         }
         try {
