Keep of a prompt what is needed, not an object for each part

What callers saw: an instance ended by OutOfMemoryError with some 400 requests of 1,951 prompt parts in progress, and all connections were closed (LOST).

Cause: each part was kept as several objects until the request ended, more than 100 bytes for 8 bytes of the head, and the limit on the memory of callers counts the head only.

PromptTest with the former classes: 400 such prompts occupied 82,886,704 bytes.

Change: Prompt holds the hash of the shared prefix, sums of tokens and the fingerprints as numbers. Their values are the same as before, which PromptTest checks. The hash is computed once for each request instead of at each decision.

Ruled out: the heads themselves, which are counted, and the bodies, which these requests do not have.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/quarantine/QuarantineService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/quarantine/QuarantineService.java
@@ -19,7 +19,6 @@
 import org.cranberrybend.entry.http.ListenState;
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.port.KeyValueStore;
-import org.cranberrybend.entry.upstream.Prompt;
 import org.cranberrybend.entry.upstream.Upstream;
 
 /**
@@ -52,13 +51,6 @@
         this.log = log;
     }
 
-    /** Returns the fingerprints of the parts of a prompt that other requests may have, too. */
-    public static List<PartFingerprint> partsOf(String service, Prompt prompt) {
-        return prompt.partsOfOthers().stream()
-                .map(part -> PartFingerprint.of(service, part.id()))
-                .collect(Collectors.toList());
-    }
-
     /** Returns the text of the first parts for a log line. */
     public static String describe(Collection<PartFingerprint> parts) {
         return parts.stream()
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/Exchange.java
@@ -15,7 +15,6 @@
 import org.cranberrybend.entry.configuration.RetryRule;
 import org.cranberrybend.entry.http.HeaderRules;
 import org.cranberrybend.entry.http.ServerExchange;
-import org.cranberrybend.entry.quarantine.QuarantineService;
 import org.cranberrybend.entry.upstream.Exclusion;
 import org.cranberrybend.entry.upstream.Upstream;
 
@@ -62,7 +61,7 @@
         this.request = request;
         this.caller = caller;
         this.services = services;
-        this.parts = QuarantineService.partsOf(request.service(), request.prompt());
+        this.parts = request.prompt().partsOfOthers();
         this.lastEventId = request.resumeAfterEventId();
         this.requestLog = new RequestLog(request, parts, services);
         this.responsiveness = new ResponsivenessMonitor(this, request, services, requestLog);
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/OverloadAdmission.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/OverloadAdmission.java
@@ -15,7 +15,6 @@
 import org.cranberrybend.entry.configuration.RegionConstraint;
 import org.cranberrybend.entry.upstream.EngineState;
 import org.cranberrybend.entry.upstream.OccupancyReader;
-import org.cranberrybend.entry.upstream.Prompt;
 import org.cranberrybend.entry.upstream.Upstream;
 
 /**
@@ -120,16 +119,12 @@
     }
 
     private static OverloadQueue.Demand demand(RoutedRequest request) {
-        int promptTokens = 0;
-        for (Prompt.Part part : request.prompt().parts()) {
-            promptTokens += part.tokens();
-        }
         // The check that ends a wait may be late by the interval of checks.
         long waitMs = Math.max(0, request.route().targetLatencyMs() / TARGET_DIVISOR - CHECK_MS);
         return new OverloadQueue.Demand(
                 request.account().map(AccountEntry::name).orElse(""),
                 request.enginePriority(),
-                promptTokens + request.outputTokens(),
+                request.prompt().tokens() + request.outputTokens(),
                 request.body().length,
                 request.receivedMs() + waitMs);
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestRouter.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/request/RequestRouter.java
@@ -160,7 +160,7 @@
                 account,
                 priority,
                 version.latencyClass(route, service),
-                parsePrompt(headerValue(head, names.promptParts())),
+                parsePrompt(service, headerValue(head, names.promptParts())),
                 parseOutputTokens(headerValue(head, names.tokenCount())),
                 received.receivedMs(),
                 received.receivedMs() + limitMs,
@@ -220,7 +220,7 @@
         }
     }
 
-    private static Prompt parsePrompt(String text) {
+    private static Prompt parsePrompt(String service, String text) {
         List<Prompt.Part> parts = new ArrayList<>();
         for (String part : text.split(",")) {
             int colon = part.lastIndexOf(':');
@@ -229,7 +229,7 @@
                         parseLong(part.substring(colon + 1).trim(), 0)));
             }
         }
-        return parts.isEmpty() ? Prompt.NONE : new Prompt(parts);
+        return parts.isEmpty() ? Prompt.NONE : Prompt.of(service, parts);
     }
 
     private static int parseOutputTokens(String tokenCount) {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/StreamTimingTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/StreamTimingTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 class StreamTimingTest {
-    private static final Prompt PROMPT = new Prompt(List.of(new Prompt.Part("session", 400)));
+    private static final Prompt PROMPT = Prompt.of("work", List.of(new Prompt.Part("session", 400)));
     private static final int STREAMS = 12;
     private static final int EVENTS = 20;
 
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamSelectorTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamSelectorTest.java
@@ -67,7 +67,7 @@
     private static Prompt prompt(String key, int sharedPrefixTokens) {
         return key.isEmpty()
                 ? Prompt.NONE
-                : new Prompt(List.of(new Prompt.Part(key, sharedPrefixTokens), new Prompt.Part("unique", 100)));
+                : Prompt.of("work", List.of(new Prompt.Part(key, sharedPrefixTokens), new Prompt.Part("unique", 100)));
     }
 
     private UpstreamQuery query(Prompt prompt, LatencyClass latencyClass) {
