--- a/cranberrybend-experiment/src/main/java/org/cranberrybend/experiment/capacity/SelectorGroup.java
+++ b/cranberrybend-experiment/src/main/java/org/cranberrybend/experiment/capacity/SelectorGroup.java
@@ -79,7 +79,8 @@
     private List<UpstreamQuery> queries(int prefixTokens, LatencyClass latencyClass) {
         List<UpstreamQuery> queries = new ArrayList<>();
         for (int i = 0; i < PROMPTS; i++) {
-            Prompt prompt = new Prompt(
+            Prompt prompt = Prompt.of(
+                    SERVICE,
                     List.of(new Prompt.Part("prefix-" + i, prefixTokens), new Prompt.Part("unique-" + i, 300)));
             queries.add(query(prompt, latencyClass));
         }
