Expect fields only after the last chunk of a response

What callers saw: nothing yet. The rule for lines within a body in chunks allowed the size of a chunk where a trailer stands, so a corrupted trailer was accepted.

Cause: the place of a line was known as 'in chunks' only.

Change: the buffer knows whether the chunk of size zero was read; the lines after it must be fields.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/LineRules.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/LineRules.java
@@ -14,7 +14,7 @@
         @Override
         void check(Line line) throws ProtocolException, MalformedChunkCodingException {
             checkSign(line);
-            if (line.isIndented() && line.precedingLines() == 1 && !line.chunk()) {
+            if (line.isIndented() && line.precedingLines() == 1 && line.place() == Place.HEAD) {
                 throw new ProtocolException("white space before the first header");
             }
             for (int i = line.start(); i < line.end(); i++) {
@@ -36,29 +36,51 @@
 
         private boolean isExpected(Line line) {
             boolean empty = line.start() == line.end();
-            if (line.chunk()) {
-                return empty || line.is(ResponseLine.CHUNK_SIZE) || line.is(ResponseLine.FIELD);
+            switch (line.place()) {
+                case CHUNKS:
+                    return empty || line.is(ResponseLine.CHUNK_SIZE);
+                case TRAILERS:
+                    return empty || line.is(ResponseLine.FIELD);
+                default:
+                    boolean first = line.precedingLines() == 0;
+                    return first ? line.is(ResponseLine.STATUS) : empty || line.is(ResponseLine.FIELD);
             }
-            return line.precedingLines() == 0 ? line.is(ResponseLine.STATUS) : empty || line.is(ResponseLine.FIELD);
         }
     };
 
     private static final byte DELETE = 0x7f;
 
+    /** Where in a message a line stands. */
+    enum Place {
+        HEAD,
+        /** Before or after the bytes of a chunk. */
+        CHUNKS,
+        /** After the chunk of size zero. */
+        TRAILERS
+    }
+
     /**
      * A line in a buffer.
      *
      * @param end position after the last byte, line end not included
      * @param endsWithCrLf whether the line end is a carriage return and a line feed, rather than a line feed only
-     * @param chunk whether the line is read within a body in chunks
      * @param precedingLines lines of the same head before this one, without empty ones
      */
     @SuppressWarnings("ArrayRecordComponent")
-    record Line(byte[] bytes, int start, int end, boolean endsWithCrLf, boolean chunk, int precedingLines) {
+    record Line(byte[] bytes, int start, int end, boolean endsWithCrLf, Place place, int precedingLines) {
         boolean isIndented() {
             return end > start && (bytes[start] == ' ' || bytes[start] == '\t');
         }
 
+        /** Returns whether the line, as the size of a chunk, is that of the last one. */
+        boolean isZeroSize() {
+            int position = start;
+            while (position < end && bytes[position] == '0') {
+                position++;
+            }
+            return position > start && (position == end || bytes[position] == ';');
+        }
+
         boolean is(ResponseLine kind) {
             return kind.matches(bytes, start, end);
         }
@@ -72,7 +94,9 @@
         while (first < line.end() && (line.bytes()[first] == ' ' || line.bytes()[first] == '\t')) {
             first++;
         }
-        if (line.chunk() && first < line.end() && (line.bytes()[first] == '-' || line.bytes()[first] == '+')) {
+        if (line.place() != Place.HEAD
+                && first < line.end()
+                && (line.bytes()[first] == '-' || line.bytes()[first] == '+')) {
             throw new MalformedChunkCodingException("sign before the size of a chunk");
         }
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ReceiveBuffer.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ReceiveBuffer.java
@@ -8,6 +8,7 @@
 import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.util.CharArrayBuffer;
+import org.cranberrybend.entry.http.LineRules.Place;
 
 /**
  * The input buffer of one connection, from which HttpCore's message parsers and content decoders read.
@@ -23,8 +24,7 @@
 
     private final int maxLineBytes;
     private final LineRules rules;
-    /** Whether lines are chunk sizes and trailers. */
-    private boolean readingChunkLines;
+    private Place place = Place.HEAD;
     /** Number of lines of the current head so far, without empty ones. */
     private int headLines;
 
@@ -43,7 +43,7 @@
     }
 
     void setReadingChunkLines(boolean reading) {
-        readingChunkLines = reading;
+        place = reading ? Place.CHUNKS : Place.HEAD;
         headLines = 0;
     }
 
@@ -171,7 +171,11 @@
         }
         boolean endsWithCrLf = lineEnd > start && bytes[lineEnd - 1] == '\r';
         int textEnd = endsWithCrLf ? lineEnd - 1 : lineEnd;
-        rules.check(new LineRules.Line(bytes, start, textEnd, endsWithCrLf, readingChunkLines, headLines));
+        LineRules.Line next = new LineRules.Line(bytes, start, textEnd, endsWithCrLf, place, headLines);
+        rules.check(next);
+        if (place == Place.CHUNKS && next.isZeroSize()) {
+            place = Place.TRAILERS;
+        }
         headLines += textEnd > start ? 1 : 0;
         line.append(bytes, start, textEnd - start);
         consume(newline + 1 - start);
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/http/RequestFramingFuzzTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/http/RequestFramingFuzzTest.java
@@ -3,7 +3,6 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import io.netty.buffer.Unpooled;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
@@ -63,7 +62,7 @@
             byte[] sound = messages(random);
             byte[] input = sound;
             for (int mutations = random.nextInt(4); mutations > 0; mutations--) {
-                input = mutated(input, random);
+                input = MutatedInput.of(input, INSERTIONS, random);
             }
             String text =
                     "seed " + seed + ", case " + number + ", input:\n" + new String(input, StandardCharsets.ISO_8859_1);
@@ -107,31 +106,6 @@
         return text.toString().getBytes(StandardCharsets.ISO_8859_1);
     }
 
-    /** Replaces a short range by nothing, by a byte, by an insertion or by another part of the input. */
-    private static byte[] mutated(byte[] input, Random random) {
-        int start = random.nextInt(input.length + 1);
-        int end = Math.min(input.length, start + (random.nextBoolean() ? 0 : random.nextInt(12)));
-        ByteArrayOutputStream output = new ByteArrayOutputStream();
-        output.write(input, 0, start);
-        switch (random.nextInt(4)) {
-            case 0:
-                break;
-            case 1:
-                output.write(random.nextInt(256));
-                break;
-            case 2:
-                String inserted = INSERTIONS.get(random.nextInt(INSERTIONS.size()));
-                output.writeBytes(inserted.getBytes(StandardCharsets.ISO_8859_1));
-                break;
-            default:
-                int from = random.nextInt(input.length + 1);
-                output.write(input, from, random.nextInt(input.length - from + 1));
-                break;
-        }
-        output.write(input, end, input.length - end);
-        return output.toByteArray();
-    }
-
     /** Returns the requests that are received if the input arrives in pieces of random lengths. */
     private List<Message> received(byte[] input, Random random) {
         List<Message> received = new ArrayList<>();
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/http/ResponseFramingFuzzTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/http/ResponseFramingFuzzTest.java
@@ -145,17 +145,6 @@
         return head.getBytes(StandardCharsets.ISO_8859_1);
     }
 
-    private static byte[] mutated(byte[] input, Random random) {
-        int start = random.nextInt(input.length + 1);
-        int end = random.nextBoolean() ? start : Math.min(input.length, start + 1 + random.nextInt(4));
-        String insertion = random.nextInt(4) == 0 ? "" : INSERTIONS.get(random.nextInt(INSERTIONS.size()));
-        ByteArrayOutputStream output = new ByteArrayOutputStream();
-        output.write(input, 0, start);
-        output.writeBytes(insertion.getBytes(StandardCharsets.ISO_8859_1));
-        output.write(input, end, input.length - end);
-        return output.toByteArray();
-    }
-
     @ParameterizedTest
     @ValueSource(longs = {1, 48, 820_801})
     void responseIsTakenAsItIsOrNotAtAll(long seed) {
@@ -166,7 +155,7 @@
             byte[] sound = sound(random);
             byte[] input = sound;
             for (int mutations = random.nextInt(4); mutations > 0; mutations--) {
-                input = mutated(input, random);
+                input = MutatedInput.of(input, INSERTIONS, random);
             }
             Recorder recorder = receive(input, random);
             String text = "seed " + seed + ", case " + number + ", input:\n"
