Use the project's terms in new comments and tests

Names of the platform stood in two new tests outside platform/, and a comment used a verb of talk; a local variable has the usual name.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntrySettings.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntrySettings.java
@@ -123,7 +123,7 @@
                 rateLimitBound(json));
     }
 
-    /** Calls to the platform carry the name in a header, by which it tells holders of a lease apart. */
+    /** Calls to the platform carry the name in a header, which distinguishes the holders of a lease. */
     private static String instance(JsonObject json) throws JsonFormatException {
         String name = json.string("instance");
         if (HeaderText.encode(name).isEmpty()) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/HeaderText.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/HeaderText.java
@@ -43,7 +43,7 @@
     }
 
     private static boolean isValue(String text) {
-        boolean bounded = !text.isEmpty() && text.strip().length() == text.length();
-        return bounded && HeaderRules.isFieldText(text);
+        boolean trimmed = !text.isEmpty() && text.strip().length() == text.length();
+        return trimmed && HeaderRules.isFieldText(text);
     }
 }
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/ChangeLogTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/ChangeLogTest.java
@@ -41,7 +41,7 @@
     @CsvSource({"1, 438000, 300", "300, 438000, 300", "300, 1048576, 300", "3000, 2000, 3000", "5, 438000, 300"})
     void valuesOfTheLogAreBoundedBySize(int keys, int valueBytes, int changes) {
         for (int i = 1; i <= changes; i++) {
-            log.append(i - 1, i, List.of(put("op/" + i % keys, valueBytes, i)));
+            log.append(i - 1, i, List.of(put("key-" + i % keys, valueBytes, i)));
         }
         long keptBytes = 0;
         for (int after = 0; after <= changes; after++) {
@@ -59,7 +59,7 @@
     @ValueSource(longs = {0, 1, 150, 299})
     void followerReceivesOnlyTheNewestVersionOfAValue(long afterRevision) {
         for (int i = 1; i <= 300; i++) {
-            log.append(i - 1, i, List.of(put("op/config", 438_000, i)));
+            log.append(i - 1, i, List.of(put("configuration", 438_000, i)));
         }
         List<StoreChange> received = log.since(afterRevision).orElseThrow().changes();
         assertThat(received.stream().mapToLong(StoreChange::revision).boxed().toList())
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/log/DecisionLogTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/log/DecisionLogTest.java
@@ -87,7 +87,7 @@
         ByteArrayOutputStream output = new ByteArrayOutputStream();
         DecisionLog log = new DecisionLog("instance", 1, clock, output);
         for (int i = 0; i < 10_000; i++) {
-            log.record(EventCode.CONFIGURATION_UNREADABLE, "op/config", "cause", letter.repeat(length));
+            log.record(EventCode.CONFIGURATION_UNREADABLE, "configuration", "cause", letter.repeat(length));
             clock.advance(10);
         }
         log.start();
