Read the newest version after an outage, not each one since

Cause: after an outage the watch of the operator's keys asked for all changes since the last revision.

Ruled out: another time limit of the watch. It moves the size at which the history no longer fits, and a silent connection is noticed later.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/store/OperatorState.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/store/OperatorState.java
@@ -113,12 +113,6 @@
         evacuations.recordProgress(revision);
     }
 
-    @Override
-    public boolean needsSnapshotAfterOutage() {
-        // Nothing of the operator expires, so the changes since the last revision are complete.
-        return false;
-    }
-
     @Override
     public void onStoreUnavailable(String cause) {
         log.record(EventCode.STORE_UNAVAILABLE, keys.operatorPrefix(), "cause", cause);
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/store/PrefixWatch.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/store/PrefixWatch.java
@@ -22,10 +22,10 @@
     private static final long MIN_HOLD_MS = 500;
     /**
      * Time from the failure of a watch to the end of the snapshot after it: the delay of the retry, and a connection and
-     * two calls to a store that takes some hundred milliseconds for each.
+     * a call to a store that takes some hundred milliseconds for each.
      */
     private static final long RECOVERY_MS = 900;
-    /** Hold time of the watch after a failure, which only shows that the store responds again. */
+    /** Hold time of the watch after a failure, if no snapshot is read: it only shows that the store responds again. */
     private static final long RETRY_HOLD_MS = 1;
 
     private static final long FIRST_RETRY_MS = 100;
@@ -51,8 +51,8 @@
         void onProgress(long revision);
 
         /**
-         * Returns whether a snapshot must follow an outage. All instances read theirs at the same time, which may delay
-         * the changes that it contains by seconds where a link is narrow.
+         * Returns whether a snapshot is read after an outage in place of the changes since then. The changes have each
+         * version of a key, and no bound; the snapshot has the newest ones.
          */
         default boolean needsSnapshotAfterOutage() {
             return true;
@@ -122,6 +122,11 @@
         return Math.max(MIN_HOLD_MS, Math.min(MAX_HOLD_MS, availableMs));
     }
 
+    /** Returns whether a call has failed since the last response, or since the start. */
+    public boolean isUnavailable() {
+        return unavailable;
+    }
+
     /** Starts the watch. */
     public void start() {
         sequence++;
@@ -130,7 +135,10 @@
 
     private void callStore() {
         int called = sequence;
-        if (revision < 0) {
+        // Entries that expired during an outage are written again soon. Only a new snapshot, which carries the length
+        // of
+        // the outage, lets the listener distinguish them from deleted ones.
+        if (revision < 0 || unavailable && listener.needsSnapshotAfterOutage()) {
             store.list(prefix).whenComplete((snapshot, failure) -> onList(called, snapshot, failure));
         } else {
             store.watch(prefix, revision, unavailable ? RETRY_HOLD_MS : holdMs)
@@ -190,13 +198,6 @@
             retryLater(failure);
             return;
         }
-        if (unavailable && listener.needsSnapshotAfterOutage()) {
-            // Entries that expired during the outage are written again soon. Only a new snapshot, which carries the
-            // length of the outage, lets the listener distinguish them from deleted ones.
-            revision = -1;
-            callStore();
-            return;
-        }
         recordResponse();
         revision = Math.max(revision, changes.revision());
         if (!deliver(() -> changes.changes().forEach(listener::onChange))) {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/store/PrefixWatchTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/store/PrefixWatchTest.java
@@ -170,16 +170,36 @@
         fail(watches.poll(), StoreException.Kind.UNKNOWN);
         loop.runNext();
         clock.advance(4_000);
-        fail(watches.poll(), StoreException.Kind.NOT_DONE);
+        fail(lists.poll(), StoreException.Kind.NOT_DONE);
         loop.runNext();
-        watches.poll().complete(new StoreChanges(List.of(), 6));
         lists.poll().complete(new StoreSnapshot(List.of(), 6));
         assertThat(calls.stream().filter("unavailable"::equals).count()).isEqualTo(1);
         assertThat(calls).contains("snapshot at 6 outage 4000");
     }
 
-    // Guards against instances that all read a snapshot after an outage although the changes say the same: on a narrow
-    // link to the store, the changes of a configuration came 2 s later for that.
+    // Guards against an instance that reads all changes of an outage before the snapshot that replaces them: a history
+    // of a large configuration fills the link on which the newest version should arrive.
+    @Test
+    void changesOfAnOutageAreNotReadBeforeTheSnapshot() {
+        watch.start();
+        lists.poll().complete(new StoreSnapshot(List.of(), 5));
+        fail(watches.poll(), StoreException.Kind.UNKNOWN);
+        loop.runNext();
+        lists.poll().complete(new StoreSnapshot(List.of(), 9));
+        assertThat(calls)
+                .containsExactly(
+                        "snapshot at 5 outage 0",
+                        "progress 5",
+                        "watch after 5",
+                        "unavailable",
+                        "snapshot at 9 outage 0",
+                        "progress 9",
+                        "watch after 9")
+                .inOrder();
+    }
+
+    // Guards against a snapshot of keys whose few changes say the same: on a narrow link to the store, the changes of a
+    // configuration came 2 s later for the snapshots of all instances.
     @Test
     void changesAfterAnOutageNeedNoSnapshot() {
         needsSnapshot = false;
@@ -205,12 +225,12 @@
     // Guards against an instance that has an old state for one more hold time after a silent connection has failed.
     @Test
     void watchAfterAFailureIsNotHeld() {
+        needsSnapshot = false;
         watch.start();
         lists.poll().complete(new StoreSnapshot(List.of(), 5));
         fail(watches.poll(), StoreException.Kind.UNKNOWN);
         loop.runNext();
         watches.poll().complete(new StoreChanges(List.of(), 6));
-        lists.poll().complete(new StoreSnapshot(List.of(), 6));
         assertThat(holdTimesMs).containsExactly(2_100L, 1L, 2_100L).inOrder();
     }
 
