--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -123,7 +123,7 @@
                 new CountedStore(ports.openStore(loop, connector, settings.storeAddress()), metrics),
                 loop,
                 connector,
-                () -> directory().zoneLeader(),
+                () -> directory().changeSources(),
                 timeSource,
                 log);
         StoreKeys keys = ports.storeKeys();
@@ -136,15 +136,7 @@
         operatorWatch = createOperatorWatch(store, keys);
         long upstreamBatchDelayMs = (long) (settings.upstreamDrainMs() * UPSTREAM_BATCH_DELAY_RATIO);
         upstreamWatch = boundedWatch(store, keys.upstreamPrefix(), upstreamBatchDelayMs, upstreams);
-        directory = new FleetDirectory(
-                store,
-                settings.instance(),
-                settings.zone(),
-                settings.controlAddress(),
-                settings.memoryMb(),
-                settings.seeds(),
-                timeSource,
-                log);
+        directory = createDirectory(store);
         // No bound of a request depends on the registrations, so their watch is held for the longest time.
         fleetWatch = watch(store, FleetKeys.FLEET, PrefixWatch.MAX_HOLD_MS, FLEET_BATCH_DELAY_MS, directory);
         SteadyWallClock clock = new SteadyWallClock(timeSource);
@@ -158,7 +150,7 @@
                 connector,
                 quarantine,
                 directory::peerAddresses,
-                upstreams::isStoreUnavailable,
+                store::isStoreUnavailable,
                 timeSource,
                 log,
                 new Random(RendezvousHash.hash(settings.instance(), "peers")));
@@ -199,7 +191,21 @@
         return boundedWatch(store, keys.operatorPrefix(), 0, state);
     }
 
-    private FleetRelay createRelay(HttpConnector connector, KeyValueStore store) {
+    private FleetDirectory createDirectory(FollowingStore store) {
+        return new FleetDirectory(
+                store,
+                settings.instance(),
+                settings.zone(),
+                settings.regionsByZone(),
+                settings.controlAddress(),
+                settings.memoryMb(),
+                settings.seeds(),
+                store::isFollowed,
+                timeSource,
+                log);
+    }
+
+    private FleetRelay createRelay(HttpConnector connector, FollowingStore store) {
         return new FleetRelay(
                 loop,
                 connector,
@@ -207,7 +213,10 @@
                 configuration,
                 upstreams,
                 evacuations,
+                () -> operatorWatch.isUnavailable() || upstreams.isStoreUnavailable(),
+                store::isStoreUnavailable,
                 directory::peerAddresses,
+                directory::regionalAddresses,
                 directory::zoneLeader,
                 timeSource,
                 log);
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetDirectory.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetDirectory.java
@@ -2,15 +2,18 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.BooleanSupplier;
 import org.cranberrybend.core.event.EventCode;
 import org.cranberrybend.core.rateshare.SenderRoster;
 import org.cranberrybend.core.routing.RendezvousHash;
@@ -41,21 +44,26 @@
 public final class FleetDirectory implements PrefixWatch.Listener {
     private static final long TTL_MS = 6_000;
     private static final long RENEW_INTERVAL_MS = 2_000;
-    /** The same for a zone leader, which may confirm its state to followers only shortly after a store response. */
+    /** The same for an instance that others follow, which may confirm its state to followers only shortly after a store response. */
     private static final long LEADER_RENEW_INTERVAL_MS = 600;
 
     /** Time between the registrations of two instances that all have to register again. */
     private static final long REGISTRATION_SPACING_MS = 5;
 
     private static final int MAX_ADDRESSES = 2_000;
+    /** Instances of another zone that this one asks for changes: its leader, and the next if the leader cannot help. */
+    private static final int LEADERS_OF_OTHER_ZONES = 2;
+
     /** Key of the hash that chooses the zone leader; all instances must use the same text. */
     private static final String LEADER_HASH_KEY = "watcher of the zone";
 
     private final KeyValueStore store;
     private final String instance;
     private final String zone;
+    private final Map<String, String> regionsByZone;
     private final InetSocketAddress address;
     private final int memoryMb;
+    private final BooleanSupplier isFollowed;
     private final TimeSource timeSource;
     private final DecisionLog log;
     private final Set<String> live = new TreeSet<>();
@@ -69,6 +77,7 @@
     private long leaseId;
     private boolean pending;
     private long nextCallMs;
+    private long lastCallMs;
     private boolean released;
     /** Instances that a restored store does not list, with the time until which they count as running. */
     private final Map<String, Long> keptUntilMs = new TreeMap<>();
@@ -77,21 +86,29 @@
     /** Whether the entry of this instance was deleted, as far as the last change of it shows. */
     private boolean ownEntryDeleted;
 
-    /** Creates a directory that contains only the addresses of the seeds. */
+    /**
+     * Creates a directory that contains only the addresses of the seeds.
+     *
+     * @param isFollowed whether other instances receive the changes of the store from this one
+     */
     public FleetDirectory(
             KeyValueStore store,
             String instance,
             String zone,
+            Map<String, String> regionsByZone,
             InetSocketAddress address,
             int memoryMb,
             List<InetSocketAddress> seeds,
+            BooleanSupplier isFollowed,
             TimeSource timeSource,
             DecisionLog log) {
         this.store = store;
         this.instance = instance;
         this.zone = zone;
+        this.regionsByZone = Map.copyOf(regionsByZone);
         this.address = address;
         this.memoryMb = memoryMb;
+        this.isFollowed = isFollowed;
         this.timeSource = timeSource;
         this.log = log;
         store.epoch().onRestored(this::registerAgain);
@@ -126,21 +143,73 @@
      * entries choose the same leader.
      */
     public Optional<InetSocketAddress> zoneLeader() {
-        List<String> candidates = new ArrayList<>();
-        long maxMemoryMb = 0;
+        return rankedInstances(zone).stream()
+                .findFirst()
+                .filter(name -> !name.equals(instance))
+                .map(addresses::get);
+    }
+
+    /** Returns the registered instances of a zone in the order in which they lead it while those before cannot. */
+    private List<String> rankedInstances(String anyZone) {
+        List<String> ranked = new ArrayList<>();
         for (String name : live) {
-            long candidateMb = memoryMbByInstance.getOrDefault(name, 0L);
-            if (zone.equals(zonesByInstance.get(name)) && candidateMb >= maxMemoryMb) {
-                if (candidateMb > maxMemoryMb) {
-                    candidates.clear();
-                }
-                maxMemoryMb = candidateMb;
-                candidates.add(name);
+            if (anyZone.equals(zonesByInstance.get(name))) {
+                ranked.add(name);
             }
         }
-        return RendezvousHash.choose(LEADER_HASH_KEY, candidates)
-                .filter(name -> !name.equals(instance))
-                .map(addresses::get);
+        ranked.sort(Comparator.<String>comparingLong(name -> memoryMbByInstance.getOrDefault(name, 0L))
+                .thenComparingLong(name -> RendezvousHash.hash(LEADER_HASH_KEY, name))
+                .thenComparing(Comparator.naturalOrder())
+                .reversed());
+        return ranked;
+    }
+
+    /**
+     * Returns the instances from which this one may receive the changes of the store: those of its zone that rank before
+     * it, and while the store is unavailable to it also the others of its zone and the first ones of the other zones.
+     */
+    public ChangeSources changeSources() {
+        List<String> ranked = rankedInstances(zone);
+        int own = ranked.indexOf(instance);
+        List<String> before = own < 0 ? ranked : ranked.subList(0, own);
+        List<String> others = own < 0 ? new ArrayList<>() : new ArrayList<>(ranked.subList(own + 1, ranked.size()));
+        for (String other : otherZones()) {
+            rankedInstances(other).stream().limit(LEADERS_OF_OTHER_ZONES).forEach(others::add);
+        }
+        return new ChangeSources(addressesOf(before), addressesOf(others));
+    }
+
+    /** Returns the other zones with registered instances, those of this region first. */
+    private List<String> otherZones() {
+        return zonesByInstance.entrySet().stream()
+                .filter(entry -> live.contains(entry.getKey()))
+                .map(Map.Entry::getValue)
+                .filter(other -> !other.equals(zone))
+                .distinct()
+                .sorted(Comparator.<String, Boolean>comparing(
+                                other -> !regionOf(other).equals(regionOf(zone)))
+                        .thenComparingLong(other -> RendezvousHash.hash(instance, other)))
+                .toList();
+    }
+
+    private String regionOf(String anyZone) {
+        return regionsByZone.getOrDefault(anyZone, anyZone);
+    }
+
+    private List<InetSocketAddress> addressesOf(List<String> names) {
+        return names.stream().map(addresses::get).filter(Objects::nonNull).toList();
+    }
+
+    /** Returns control addresses of the other registered instances of this region. */
+    public Set<InetSocketAddress> regionalAddresses() {
+        Set<InetSocketAddress> regional = new LinkedHashSet<>();
+        zonesByInstance.forEach((name, other) -> {
+            InetSocketAddress known = addresses.get(name);
+            if (known != null && regionOf(other).equals(regionOf(zone))) {
+                regional.add(known);
+            }
+        });
+        return regional;
     }
 
     /** Returns the largest number of instances that were registered at the same time. */
@@ -157,16 +226,20 @@
     public void tick() {
         long nowMs = timeSource.monotonicMs();
         removeUnlisted(nowMs);
-        if (pending || released || nowMs < nextCallMs) {
+        long renewIntervalMs =
+                zoneLeader().isEmpty() || isFollowed.getAsBoolean() ? LEADER_RENEW_INTERVAL_MS : RENEW_INTERVAL_MS;
+        boolean due = nowMs >= nextCallMs || nowMs >= lastCallMs + renewIntervalMs;
+        if (pending || released || !due) {
             return;
         }
         pending = true;
+        lastCallMs = nowMs;
         if (ownEntryDeleted) {
             // A first write without a response may be executed later, over the second one and under an expired lease.
             leaseId = 0;
             ownEntryDeleted = false;
         }
-        nextCallMs = nowMs + (zoneLeader().isEmpty() ? LEADER_RENEW_INTERVAL_MS : RENEW_INTERVAL_MS);
+        nextCallMs = nowMs + renewIntervalMs;
         if (leaseId != 0) {
             store.renewLease(leaseId).whenComplete((done, failure) -> {
                 pending = false;
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/ChangeFeed.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/ChangeFeed.java
@@ -28,26 +28,38 @@
 import org.cranberrybend.entry.port.StoreChanges;
 import org.cranberrybend.entry.port.StoreEpoch;
 import org.cranberrybend.entry.port.StoreRevision;
+import org.cranberrybend.entry.port.StoreSnapshot;
 
 /**
- * Serves store changes to the followers of this instance by long polling. Confined to the event loop.
+ * Serves store changes to the followers of this instance by long polling, and snapshots to those whose last revision is
+ * before the first change that this instance has kept. Confined to the event loop.
  *
  * <p>A follower takes an empty response as proof that nothing has changed, so one is sent only if this instance's own
  * watch of the prefix has not failed since its last response, and the store has responded to this instance recently. The
  * former shows a watch whose connection is silent while other calls succeed; the latter shows sooner that this instance
- * is cut off. Prefixes that this instance itself reads through a leader are not served. A follower of an earlier or
- * later epoch of the store than the log of a prefix has to read a snapshot, or to wait until this instance has read one.
+ * is cut off. The same holds for a snapshot. Prefixes that this instance itself reads through a leader are not served.
+ * A follower of an earlier or later epoch of the store than the log of a prefix has to read a snapshot, or to wait until
+ * this instance has read one.
  */
 final class ChangeFeed implements RequestHandler {
     /** Differs from the path of versions whose revisions have no epoch: these would confirm any state of a later one. */
     static final String PATH = "/fleet/epoch-changes";
+
+    static final String SNAPSHOT_PATH = "/fleet/epoch-snapshot";
     /** Largest time since the last response of the store at which an empty response is sent. */
     private static final long STORE_RESPONSE_MAX_AGE_MS = 1_500;
 
     /** Age up to which load reports are exchanged. */
     static final long LOAD_REPORT_MAX_AGE_MS = 1_000;
 
-    private static final int STATUS_NOT_COVERED = 409;
+    /** Time after the last request of a follower in which this instance counts as followed. */
+    private static final long FOLLOWED_MS = 5_000;
+
+    /** Status if this instance does not have the changes of a prefix. */
+    static final int STATUS_NOT_COVERED = 409;
+    /** Status if the changes since a revision are not kept, but a snapshot can be read here. */
+    static final int STATUS_SNAPSHOT_NEEDED = 410;
+
     private static final int STATUS_STORE_UNAVAILABLE = 503;
 
     private final ScheduledExecutorService loop;
@@ -57,10 +69,12 @@
     private final Map<String, PrefixState> prefixes = new HashMap<>();
     private LoadExchange loadExchange = LoadExchange.NONE;
     private long lastStoreResponseMs = Long.MIN_VALUE / 2;
+    private long lastFollowerRequestMs = Long.MIN_VALUE / 2;
 
     /** Recent changes of one prefix, and the followers whose requests are held. */
     private static final class PrefixState {
         private final ChangeLog log = new ChangeLog();
+        private final PrefixItems items = new PrefixItems();
         private final List<Follower> followers = new ArrayList<>();
         private Predicate<StoreChange> isRelevant = change -> true;
         private boolean watched;
@@ -129,9 +143,26 @@
         stateOf(prefix).watchFailed = false;
     }
 
-    /** Records that this instance reads a prefix through a leader. */
-    void onFollowStarted(String prefix) {
-        stateOf(prefix).watched = false;
+    /** Records all items under a prefix. */
+    void onSnapshot(String prefix, StoreSnapshot snapshot) {
+        stateOf(prefix).items.replace(snapshot);
+    }
+
+    /** Returns the revision up to which this instance knows the items under a prefix; negative if it knows none. */
+    long revisionOf(String prefix) {
+        return stateOf(prefix).items.revision();
+    }
+
+    /** Returns whether another instance has recently asked this one for changes. */
+    boolean isFollowed() {
+        return timeSource.monotonicMs() - lastFollowerRequestMs <= FOLLOWED_MS;
+    }
+
+    /** Records that this instance has received changes of a prefix from another instance, and not from the store. */
+    void onFollowed(String prefix, StoreChanges changes) {
+        PrefixState state = stateOf(prefix);
+        state.watched = false;
+        state.items.apply(changes);
     }
 
     /** Adds the changes that the store sent after a revision. Called before this instance has applied them. */
@@ -148,6 +179,7 @@
             }
         }
         state.log.append(afterRevision, changes.revision(), relevant);
+        state.items.apply(changes);
         if (!relevant.isEmpty()) {
             respondToAll(state);
         }
@@ -157,17 +189,24 @@
         List<Follower> waiting = new ArrayList<>(state.followers);
         state.followers.clear();
         // Followers at the same revision get the same bytes: a copy of a large value for each would not fit the heap.
-        Map<Long, byte[]> encodedByRevision = new HashMap<>();
+        Map<Long, byte[]> encoded = new HashMap<>();
         for (Follower follower : waiting) {
             follower.timer.cancel(false);
-            respond(state, follower.exchange, follower.afterRevision, encodedByRevision);
+            respond(state, follower, encoded);
         }
     }
 
     @Override
     public void handle(ReceivedRequest request, ServerExchange exchange) {
+        lastFollowerRequestMs = timeSource.monotonicMs();
+        String target = request.head().getRequestUri();
+        Map<String, String> query = query(target);
+        PrefixState state = prefixes.get(query.getOrDefault("prefix", ""));
+        if (target.startsWith(SNAPSHOT_PATH)) {
+            sendSnapshot(state, exchange);
+            return;
+        }
         mergeLoads(request.body());
-        Map<String, String> query = query(request.head().getRequestUri());
         long afterRevision;
         long waitMs;
         try {
@@ -178,47 +217,77 @@
             return;
         }
         epoch.observe(StoreRevision.epochOf(afterRevision));
-        PrefixState state = prefixes.get(query.getOrDefault("prefix", ""));
-        Optional<StoreChanges> changes = state == null ? Optional.empty() : changesSince(state, afterRevision);
-        if (changes.isEmpty()) {
+        if (state == null) {
             sendError(exchange, STATUS_NOT_COVERED, "Conflict");
-        } else if (!changes.get().changes().isEmpty()) {
-            send(exchange, encode(changes.get()));
+            return;
+        }
+        Follower follower = new Follower(exchange, afterRevision);
+        Optional<StoreChanges> changes = changesSince(state, afterRevision);
+        boolean mayWait = changes.isPresent() && changes.get().changes().isEmpty() && !state.watchFailed;
+        if (mayWait) {
+            holdRequest(state, follower, waitMs);
+        } else {
+            respond(state, follower, new HashMap<>());
+        }
+    }
+
+    /** Sends all items under a prefix under the same conditions as an empty response. */
+    private void sendSnapshot(PrefixState state, ServerExchange exchange) {
+        Optional<StoreSnapshot> snapshot = state == null ? Optional.empty() : knownItems(state);
+        if (snapshot.isEmpty()) {
+            sendError(exchange, STATUS_NOT_COVERED, "Conflict");
+        } else if (!isConfirmed(state)) {
+            sendError(exchange, STATUS_STORE_UNAVAILABLE, "Service Unavailable");
         } else {
-            holdRequest(state, exchange, afterRevision, waitMs);
+            byte[] json = ChangeFormat.encode(snapshot.get());
+            send(exchange, json);
         }
     }
 
+    /** Returns the items under a prefix if this instance reads it from the store. */
+    private Optional<StoreSnapshot> knownItems(PrefixState state) {
+        return state.watched
+                ? state.items.snapshot().filter(each -> epoch.contains(each.revision()))
+                : Optional.empty();
+    }
+
+    /** Returns whether what this instance knows of a prefix is up to date. */
+    private boolean isConfirmed(PrefixState state) {
+        return !state.watchFailed && isStoreResponsive();
+    }
+
     /** Returns the changes after a revision; empty if they are not known, also for a revision of another epoch. */
     private Optional<StoreChanges> changesSince(PrefixState state, long afterRevision) {
         return state.watched && epoch.contains(afterRevision) ? state.log.since(afterRevision) : Optional.empty();
     }
 
-    private void holdRequest(PrefixState state, ServerExchange exchange, long afterRevision, long waitMs) {
-        Follower follower = new Follower(exchange, afterRevision);
+    private void holdRequest(PrefixState state, Follower follower, long waitMs) {
         state.followers.add(follower);
-        exchange.onCallerDisconnected(() -> {
+        follower.exchange.onCallerDisconnected(() -> {
             follower.timer.cancel(false);
             state.followers.remove(follower);
         });
         follower.timer = loop.schedule(
                 () -> {
                     state.followers.remove(follower);
-                    respond(state, exchange, afterRevision, new HashMap<>());
+                    respond(state, follower, new HashMap<>());
                 },
                 waitMs,
                 TimeUnit.MILLISECONDS);
     }
 
-    private void respond(
-            PrefixState state, ServerExchange exchange, long afterRevision, Map<Long, byte[]> encodedByRevision) {
-        Optional<StoreChanges> changes = changesSince(state, afterRevision);
+    private void respond(PrefixState state, Follower follower, Map<Long, byte[]> encoded) {
+        Optional<StoreChanges> changes = changesSince(state, follower.afterRevision);
         if (changes.isEmpty()) {
-            sendError(exchange, STATUS_NOT_COVERED, "Conflict");
-        } else if (changes.get().changes().isEmpty() && (state.watchFailed || !isStoreResponsive())) {
-            sendError(exchange, STATUS_STORE_UNAVAILABLE, "Service Unavailable");
+            boolean hasItems = knownItems(state).isPresent();
+            sendError(
+                    follower.exchange,
+                    hasItems ? STATUS_SNAPSHOT_NEEDED : STATUS_NOT_COVERED,
+                    hasItems ? "Gone" : "Conflict");
+        } else if (changes.get().changes().isEmpty() && !isConfirmed(state)) {
+            sendError(follower.exchange, STATUS_STORE_UNAVAILABLE, "Service Unavailable");
         } else {
-            send(exchange, encodedByRevision.computeIfAbsent(afterRevision, revision -> encode(changes.get())));
+            send(follower.exchange, encoded.computeIfAbsent(follower.afterRevision, revision -> encode(changes.get())));
         }
     }
 
@@ -241,8 +310,8 @@
         return ChangeFormat.encode(changes, loadExchange.recentLoads(LOAD_REPORT_MAX_AGE_MS, false));
     }
 
-    private static void send(ServerExchange exchange, byte[] changes) {
-        exchange.respond(200, "OK", List.of(new BasicHeader(HttpHeaders.CONTENT_TYPE, "application/json")), changes);
+    private static void send(ServerExchange exchange, byte[] json) {
+        exchange.respond(200, "OK", List.of(new BasicHeader(HttpHeaders.CONTENT_TYPE, "application/json")), json);
     }
 
     private static void sendError(ServerExchange exchange, int status, String reason) {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/ChangeFormat.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/ChangeFormat.java
@@ -12,6 +12,7 @@
 import org.cranberrybend.entry.port.StoreChange;
 import org.cranberrybend.entry.port.StoreChanges;
 import org.cranberrybend.entry.port.StoreItem;
+import org.cranberrybend.entry.port.StoreSnapshot;
 import org.cranberrybend.entry.upstream.LoadReport;
 
 /** JSON format of the store changes and load reports that instances exchange. */
@@ -63,6 +64,22 @@
         return Json.write(Map.of("revision", changes.revision(), "changes", rows, "loads", loads(reports)));
     }
 
+    /** Encodes a snapshot as the changes that lead to it from nothing. */
+    static byte[] encode(StoreSnapshot snapshot) {
+        List<StoreChange> changes = snapshot.items().stream()
+                .map(item -> new StoreChange(item.key(), item.revision(), Optional.of(item)))
+                .toList();
+        return encode(new StoreChanges(changes, snapshot.revision()), List.of());
+    }
+
+    static StoreSnapshot decodeSnapshot(byte[] text) throws JsonFormatException {
+        StoreChanges changes = decode(text).changes();
+        List<StoreItem> items = changes.changes().stream()
+                .flatMap(change -> change.item().stream())
+                .toList();
+        return new StoreSnapshot(items, changes.revision());
+    }
+
     static Response decode(byte[] text) throws JsonFormatException {
         JsonObject json = Json.readObject(text);
         List<StoreChange> changes = new ArrayList<>();
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FleetRelay.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FleetRelay.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.message.BasicHeader;
@@ -17,6 +18,7 @@
 import org.cranberrybend.entry.duty.FleetKeys;
 import org.cranberrybend.entry.http.ApiClient;
 import org.cranberrybend.entry.http.ApiResponse;
+import org.cranberrybend.entry.http.CallLimits;
 import org.cranberrybend.entry.http.HttpConnector;
 import org.cranberrybend.entry.http.ReceivedRequest;
 import org.cranberrybend.entry.http.RequestHandler;
@@ -49,13 +51,12 @@
     /** Interval while the polled instances have no recent state either: the store is probably unavailable to all. */
     private static final long BACKOFF_INTERVAL_MS = 1_000;
 
-    private static final long CALL_TIMEOUT_MS = 600;
+    /** Limits of a poll, whose response may be long for the link. */
+    private static final CallLimits POLL_LIMITS = new CallLimits(600, 3_000);
     /** Time in which the leader gathers counts and writes them; a slow store takes some hundred milliseconds. */
     private static final long GATHERED_WRITE_TIMEOUT_MS = CountsGatherer.GATHER_MS + 1_000;
     /** Time for which an instance writes its counts itself after its leader did not confirm them. */
     private static final long LEADER_RETRY_MS = 8_000;
-    /** Instances polled at the same time. */
-    private static final int FAN_OUT = 2;
     /** Time without a store response after which other instances are polled; longer than a watch without changes. */
     private static final long STORE_SILENCE_LIMIT_MS = 5_500;
     /** Age of an instance's state up to which it may replace entries that were read from the store. */
@@ -67,7 +68,10 @@
     private final ConfigurationHolder configuration;
     private final UpstreamTable upstreams;
     private final ZoneEvacuations evacuations;
+    private final BooleanSupplier isWatchUnavailable;
+    private final BooleanSupplier isStoreUnavailable;
     private final Supplier<Set<InetSocketAddress>> peers;
+    private final Supplier<Set<InetSocketAddress>> nearPeers;
     private final Supplier<Optional<InetSocketAddress>> leader;
     private final CountsGatherer gatherer;
     private final TimeSource timeSource;
@@ -84,6 +88,10 @@
     /**
      * Creates a relay between the state of this instance and its peers.
      *
+     * @param isWatchUnavailable whether a watch receives changes neither from the store nor from another instance
+     * @param isStoreUnavailable whether the last call of the store by this instance has failed
+     * @param peers control addresses of the other instances
+     * @param nearPeers those of the same region
      * @param leader control address of the leader of the availability zone; empty if this instance is the leader
      */
     public FleetRelay(
@@ -93,7 +101,10 @@
             ConfigurationHolder configuration,
             UpstreamTable upstreams,
             ZoneEvacuations evacuations,
+            BooleanSupplier isWatchUnavailable,
+            BooleanSupplier isStoreUnavailable,
             Supplier<Set<InetSocketAddress>> peers,
+            Supplier<Set<InetSocketAddress>> nearPeers,
             Supplier<Optional<InetSocketAddress>> leader,
             TimeSource timeSource,
             DecisionLog log) {
@@ -104,7 +115,10 @@
                 configuration,
                 upstreams,
                 evacuations,
+                isWatchUnavailable,
+                isStoreUnavailable,
                 peers,
+                nearPeers,
                 leader,
                 timeSource,
                 log,
@@ -123,7 +137,10 @@
             ConfigurationHolder configuration,
             UpstreamTable upstreams,
             ZoneEvacuations evacuations,
+            BooleanSupplier isWatchUnavailable,
+            BooleanSupplier isStoreUnavailable,
             Supplier<Set<InetSocketAddress>> peers,
+            Supplier<Set<InetSocketAddress>> nearPeers,
             Supplier<Optional<InetSocketAddress>> leader,
             TimeSource timeSource,
             DecisionLog log,
@@ -134,7 +151,10 @@
         this.configuration = configuration;
         this.upstreams = upstreams;
         this.evacuations = evacuations;
+        this.isWatchUnavailable = isWatchUnavailable;
+        this.isStoreUnavailable = isStoreUnavailable;
         this.peers = peers;
+        this.nearPeers = nearPeers;
         this.leader = leader;
         this.gatherer = new CountsGatherer(store, loop);
         this.timeSource = timeSource;
@@ -187,13 +207,13 @@
 
     /**
      * Writes usage counts to the store: through the leader, or another instance if the store is unavailable here. The
-     * watch of the upstreams alone does not show that: a follower receives it from its leader, also while the store
-     * rejects the calls of the follower itself.
+     * watches do not show that: they receive changes from other instances, also while the store rejects the calls of this
+     * one.
      */
     public CompletableFuture<Long> write(StoreWrite counts) {
         long nowMs = timeSource.monotonicMs();
         List<InetSocketAddress> addresses = new ArrayList<>(peers.get());
-        if ((upstreams.isStoreUnavailable() || nowMs < nextDirectWriteMs) && !addresses.isEmpty()) {
+        if ((isStoreUnavailable.getAsBoolean() || nowMs < nextDirectWriteMs) && !addresses.isEmpty()) {
             return sendCounts(addresses.get(Math.floorMod(nextPeer++, addresses.size())), counts);
         }
         Optional<InetSocketAddress> leaderAddress = leader.get();
@@ -245,20 +265,26 @@
     /** Polls other instances if the store is unavailable. */
     public void tick() {
         long nowMs = timeSource.monotonicMs();
-        boolean storeUnavailable = upstreams.isStoreUnavailable() || upstreams.ageMs() > STORE_SILENCE_LIMIT_MS;
-        if (!storeUnavailable || nowMs < nextPollMs) {
+        boolean outdated = isWatchUnavailable.getAsBoolean() || upstreams.ageMs() > STORE_SILENCE_LIMIT_MS;
+        if (!outdated || nowMs < nextPollMs) {
             return;
         }
         nextPollMs = nowMs + BACKOFF_INTERVAL_MS;
-        List<InetSocketAddress> addresses = new ArrayList<>(peers.get());
-        for (int i = 0; i < Math.min(FAN_OUT, addresses.size()); i++) {
+        pollNext(nearPeers.get());
+        pollNext(peers.get());
+    }
+
+    /** Polls the next one of some instances. */
+    private void pollNext(Set<InetSocketAddress> candidates) {
+        List<InetSocketAddress> addresses = new ArrayList<>(candidates);
+        if (!addresses.isEmpty()) {
             poll(addresses.get(Math.floorMod(nextPeer++, addresses.size())));
         }
     }
 
     private void poll(InetSocketAddress peer) {
         client(peer)
-                .call("GET", STATE_PATH + configuration.version(), List.of(), new byte[0], CALL_TIMEOUT_MS)
+                .call("GET", STATE_PATH + configuration.version(), List.of(), new byte[0], POLL_LIMITS)
                 .whenComplete((response, failure) -> {
                     if (failure == null && response.status() == 200) {
                         apply(peer, response);
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FollowingStore.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FollowingStore.java
@@ -5,10 +5,13 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.apache.hc.core5.http.Header;
@@ -16,8 +19,11 @@
 import org.apache.hc.core5.http.message.BasicHeader;
 import org.cranberrybend.core.event.EventCode;
 import org.cranberrybend.core.time.TimeSource;
+import org.cranberrybend.entry.duty.ChangeSources;
+import org.cranberrybend.entry.fleet.SourceSelector.Source;
 import org.cranberrybend.entry.http.ApiClient;
 import org.cranberrybend.entry.http.ApiResponse;
+import org.cranberrybend.entry.http.CallLimits;
 import org.cranberrybend.entry.http.HttpConnector;
 import org.cranberrybend.entry.http.RequestHandler;
 import org.cranberrybend.entry.json.Json;
@@ -27,7 +33,9 @@
 import org.cranberrybend.entry.port.StoreChange;
 import org.cranberrybend.entry.port.StoreChanges;
 import org.cranberrybend.entry.port.StoreEpoch;
+import org.cranberrybend.entry.port.StoreException;
 import org.cranberrybend.entry.port.StoreItem;
+import org.cranberrybend.entry.port.StoreRevision;
 import org.cranberrybend.entry.port.StoreSnapshot;
 import org.cranberrybend.entry.port.StoreWrite;
 
@@ -37,7 +45,9 @@
  * must not grow with the fleet. All other calls go to the store. Confined to the event loop.
  *
  * <p>A follower does not depend on its leader: if it gets no response in time, or its leader cannot reach the store, it
- * watches the store itself from the revision it has reached, and tries the leader again later.
+ * asks the next instance or the store, see {@link SourceSelector}, and tries the leader again later. It goes on from the
+ * revision it has reached, or reads a snapshot there, so that what crosses a link to the store does not grow with the
+ * number of instances behind it.
  */
 public final class FollowingStore implements KeyValueStore {
     /** Time for which a leader holds a request; with the margin below, the delay if the leader is unresponsive. */
@@ -48,49 +58,48 @@
 
     /** Time beyond the hold time after which a request counts as failed. */
     private static final long RESPONSE_MARGIN_MS = 400;
-    /** Time for which an instance watches the store itself after a failed request to its leader. */
-    private static final long LEADER_RETRY_MS = 5_000;
-    /** The same time if the store does not respond to this instance either. */
-    private static final long LEADER_RETRY_WITHOUT_STORE_MS = 1_000;
     /**
      * Hold time of a watch in place of the leader's changes while the store does not respond. Such a watch may be lost,
      * and until it fails, this instance misses the changes that its leader receives after the return of the store.
      */
     private static final long HOLD_WITHOUT_STORE_MS = 300;
 
-    /** Status if the leader's change log does not reach back to the follower's revision. */
-    private static final int STATUS_NOT_COVERED = 409;
+    /** Sources that a call asks before it turns to the store. */
+    private static final int MAX_SOURCES = 16;
+    /** Limits of a request to another instance, whose response may be long for its link. */
+    private static final CallLimits REQUEST_LIMITS =
+            new CallLimits(HOLD_MS + RESPONSE_MARGIN_MS, 4 * (HOLD_MS + RESPONSE_MARGIN_MS));
 
-    private static final List<Header> JSON = List.of(new BasicHeader(HttpHeaders.CONTENT_TYPE, "application/json"));
+    private static final List<Header> HEADERS = List.of(new BasicHeader(HttpHeaders.CONTENT_TYPE, "application/json"));
 
     private final KeyValueStore store;
     private final EventLoopGroup loop;
     private final HttpConnector connector;
-    private final Supplier<Optional<InetSocketAddress>> leader;
+    private final SourceSelector sources;
     private final TimeSource timeSource;
     private final DecisionLog log;
     private final ChangeFeed feed;
     private final Map<InetSocketAddress, ApiClient> clients = new HashMap<>();
     private String loadsPrefix = "";
     private LoadExchange loadExchange = LoadExchange.NONE;
-    private long nextLeaderTryMs = Long.MIN_VALUE;
+    private boolean storeUnavailable;
 
     /**
      * Creates the store.
      *
-     * @param leader control address of the leader; empty if this instance is the leader
+     * @param sources instances that may be asked for the changes
      */
     public FollowingStore(
             KeyValueStore store,
             EventLoopGroup loop,
             HttpConnector connector,
-            Supplier<Optional<InetSocketAddress>> leader,
+            Supplier<ChangeSources> sources,
             TimeSource timeSource,
             DecisionLog log) {
         this.store = store;
         this.loop = loop;
         this.connector = connector;
-        this.leader = leader;
+        this.sources = new SourceSelector(sources, timeSource);
         this.timeSource = timeSource;
         this.log = log;
         this.feed = new ChangeFeed(loop, store.epoch(), timeSource, log);
@@ -103,7 +112,12 @@
 
     /** Returns whether a request to the control address comes from a follower. */
     public static boolean isFollowerRequest(String target) {
-        return target.startsWith(ChangeFeed.PATH);
+        return target.startsWith(ChangeFeed.PATH) || target.startsWith(ChangeFeed.SNAPSHOT_PATH);
+    }
+
+    /** Returns whether other instances receive changes from this one. */
+    public boolean isFollowed() {
+        return feed.isFollowed();
     }
 
     /** Sets which changes under a prefix are sent to followers. */
@@ -123,61 +137,140 @@
         return store.epoch();
     }
 
+    /** Reads the same from an instance or from the store. */
+    private interface Read<T> {
+        CompletableFuture<T> fromInstance(InetSocketAddress address);
+
+        CompletableFuture<T> fromStore(boolean isFirst);
+    }
+
+    /**
+     * Asks the sources one after the other until one of them has what is read. An instance that has lost the store says so
+     * at once, but one that is unresponsive takes its time, so the store is asked after the first of these. If no source
+     * has it, the failure is that of the store if it was asked.
+     */
+    private <T> CompletableFuture<T> readFromAny(Read<T> read) {
+        StoreException nothingAsked = new StoreException(StoreException.Kind.NOT_DONE, "no source is left");
+        return readFromNext(read, sources.next(Set.of()), new HashSet<>(), nothingAsked);
+    }
+
+    private <T> CompletableFuture<T> readFromNext(
+            Read<T> read, Optional<Source> next, Set<Source> tried, Throwable reported) {
+        if (next.isEmpty()) {
+            return CompletableFuture.failedFuture(reported);
+        }
+        Source source = next.get();
+        boolean isFirst = tried.isEmpty();
+        tried.add(source);
+        CompletableFuture<T> call = source.instance().map(read::fromInstance).orElseGet(() -> read.fromStore(isFirst));
+        return call.handle((value, failure) -> {
+                    if (failure == null) {
+                        return CompletableFuture.completedFuture(value);
+                    }
+                    if (StoreException.kindOf(failure) == StoreException.Kind.HISTORY_LOST) {
+                        return CompletableFuture.<T>failedFuture(failure);
+                    }
+                    boolean unresponsive = StoreException.kindOf(failure) == StoreException.Kind.UNKNOWN;
+                    if (source.isStore()) {
+                        sources.pauseStore();
+                    }
+                    Optional<Source> following = !source.isStore() && unresponsive || tried.size() >= MAX_SOURCES
+                            ? SourceSelector.storeUnless(tried)
+                            : sources.next(tried);
+                    boolean replaces = source.isStore() || !tried.contains(Source.STORE);
+                    return readFromNext(read, following, tried, replaces ? failure : reported);
+                })
+                .thenCompose(each -> each);
+    }
+
     @Override
     public CompletableFuture<StoreChanges> watch(String prefix, long afterRevision, long waitMs) {
-        Optional<InetSocketAddress> leaderAddress =
-                timeSource.monotonicMs() < nextLeaderTryMs ? Optional.empty() : leader.get();
-        if (leaderAddress.isEmpty()) {
-            return watchStore(prefix, afterRevision, waitMs);
-        }
-        feed.onFollowStarted(prefix);
-        return follow(leaderAddress.get(), prefix, afterRevision)
-                .handle((changes, failure) -> changes == null
-                        ? watchStore(prefix, afterRevision, fallbackHoldMs(waitMs))
-                        : CompletableFuture.completedFuture(changes))
-                .thenCompose(next -> next);
+        return readFromAny(new Read<>() {
+            @Override
+            public CompletableFuture<StoreChanges> fromInstance(InetSocketAddress address) {
+                return follow(address, prefix, afterRevision);
+            }
+
+            @Override
+            public CompletableFuture<StoreChanges> fromStore(boolean isFirst) {
+                return watchStore(prefix, afterRevision, isFirst ? waitMs : fallbackHoldMs(waitMs));
+            }
+        });
     }
 
     private long fallbackHoldMs(long waitMs) {
         return feed.isStoreResponsive() ? waitMs : Math.min(waitMs, HOLD_WITHOUT_STORE_MS);
     }
 
-    /** Requests changes from the leader; the result is null if the store must be watched instead. */
+    private ApiClient client(InetSocketAddress address) {
+        return clients.computeIfAbsent(address, each -> new ApiClient(loop, connector, each));
+    }
+
+    /** Requests changes from another instance. */
     private CompletableFuture<StoreChanges> follow(InetSocketAddress address, String prefix, long afterRevision) {
         boolean withLoads = prefix.equals(loadsPrefix);
-        String target = ChangeFeed.PATH + "?prefix=" + URLEncoder.encode(prefix, StandardCharsets.UTF_8) + "&after="
-                + afterRevision + "&wait_ms=" + (withLoads ? LOAD_EXCHANGE_HOLD_MS : HOLD_MS);
+        String target = ChangeFeed.PATH + "?prefix=" + encoded(prefix) + "&after=" + afterRevision + "&wait_ms="
+                + (withLoads ? LOAD_EXCHANGE_HOLD_MS : HOLD_MS);
         byte[] loadReports = withLoads
                 ? Json.write(ChangeFormat.loads(loadExchange.recentLoads(ChangeFeed.LOAD_REPORT_MAX_AGE_MS, true)))
                 : new byte[0];
-        return clients.computeIfAbsent(address, each -> new ApiClient(loop, connector, each))
-                .call("POST", target, JSON, loadReports, HOLD_MS + RESPONSE_MARGIN_MS)
-                .handle((response, failure) -> failure == null
-                        ? read(address, response)
-                        : leaderFailed(address, String.valueOf(failure.getMessage())));
-    }
-
-    private StoreChanges read(InetSocketAddress address, ApiResponse response) {
-        if (response.status() == STATUS_NOT_COVERED) {
-            return null;
-        }
-        try {
-            if (response.status() != 200) {
-                return leaderFailed(address, "status " + response.status());
-            }
+        return ask(address, target, loadReports, response -> {
             ChangeFormat.Response decoded = ChangeFormat.decode(response.body());
             loadExchange.merge(decoded.loads());
+            feed.onFollowed(prefix, decoded.changes());
             return decoded.changes();
-        } catch (JsonFormatException e) {
-            return leaderFailed(address, String.valueOf(e.getMessage()));
+        });
+    }
+
+    private static String encoded(String prefix) {
+        return URLEncoder.encode(prefix, StandardCharsets.UTF_8);
+    }
+
+    /** Decodes the successful response of another instance. */
+    private interface ResponseDecoder<T> {
+        T decode(ApiResponse response) throws JsonFormatException, StoreException;
+    }
+
+    private <T> CompletableFuture<T> ask(
+            InetSocketAddress address, String target, byte[] body, ResponseDecoder<T> decoder) {
+        return client(address)
+                .call("POST", target, HEADERS, body, REQUEST_LIMITS)
+                .handle((response, failure) -> {
+                    try {
+                        if (failure != null) {
+                            throw instanceFailed(
+                                    address, StoreException.Kind.UNKNOWN, String.valueOf(failure.getMessage()));
+                        }
+                        checkStatus(address, response.status());
+                        return decoder.decode(response);
+                    } catch (JsonFormatException e) {
+                        throw new CompletionException(
+                                instanceFailed(address, StoreException.Kind.NOT_DONE, String.valueOf(e.getMessage())));
+                    } catch (StoreException e) {
+                        throw new CompletionException(e);
+                    }
+                });
+    }
+
+    private void checkStatus(InetSocketAddress address, int status) throws StoreException {
+        if (status == ChangeFeed.STATUS_SNAPSHOT_NEEDED) {
+            throw new StoreException(StoreException.Kind.HISTORY_LOST, address + ": status " + status);
+        }
+        if (status == ChangeFeed.STATUS_NOT_COVERED) {
+            sources.pauseRefusing(address);
+            throw new StoreException(StoreException.Kind.NOT_DONE, address + ": status " + status);
+        }
+        if (status != 200) {
+            throw instanceFailed(address, StoreException.Kind.NOT_DONE, "status " + status);
         }
     }
 
-    private StoreChanges leaderFailed(InetSocketAddress address, String cause) {
-        long pauseMs = feed.isStoreResponsive() ? LEADER_RETRY_MS : LEADER_RETRY_WITHOUT_STORE_MS;
+    private StoreException instanceFailed(InetSocketAddress address, StoreException.Kind kind, String cause) {
+        long pauseMs = kind == StoreException.Kind.UNKNOWN
+                ? sources.pauseUnresponsive(address, feed.isStoreResponsive())
+                : sources.pauseRefusing(address);
         log.record(EventCode.MEMBER_SUSPECTED, address.toString(), "cause", cause, "pause_ms", pauseMs);
-        nextLeaderTryMs = timeSource.monotonicMs() + pauseMs;
-        return null;
+        return new StoreException(kind, address + ": " + cause);
     }
 
     private CompletableFuture<StoreChanges> watchStore(String prefix, long afterRevision, long waitMs) {
@@ -192,15 +285,28 @@
         });
     }
 
-    /** Records the time of each successful response, by which the feed decides whether empty responses may be sent. */
+    /** Records whether the store responds, by which the feed decides whether empty responses may be sent. */
     private <T> CompletableFuture<T> recordResponse(CompletableFuture<T> call) {
         return call.whenComplete((value, failure) -> {
             if (failure == null) {
                 feed.onStoreResponse();
             }
+            storeUnavailable = failure != null && !isResponse(StoreException.kindOf(failure));
         });
     }
 
+    private static boolean isResponse(StoreException.Kind kind) {
+        return kind != StoreException.Kind.NOT_DONE && kind != StoreException.Kind.UNKNOWN;
+    }
+
+    /**
+     * Returns whether the last call of the store by this instance failed. Its watches may work all the same, because it
+     * follows another instance.
+     */
+    public boolean isStoreUnavailable() {
+        return storeUnavailable;
+    }
+
     @Override
     public CompletableFuture<Optional<StoreItem>> get(String key) {
         return recordResponse(store.get(key));
@@ -208,10 +314,40 @@
 
     @Override
     public CompletableFuture<StoreSnapshot> list(String prefix) {
+        return readFromAny(new Read<>() {
+            @Override
+            public CompletableFuture<StoreSnapshot> fromInstance(InetSocketAddress address) {
+                return listFrom(address, prefix);
+            }
+
+            @Override
+            public CompletableFuture<StoreSnapshot> fromStore(boolean isFirst) {
+                return listStore(prefix);
+            }
+        });
+    }
+
+    private CompletableFuture<StoreSnapshot> listStore(String prefix) {
         return recordResponse(store.list(prefix)).whenComplete((snapshot, failure) -> {
             if (failure == null) {
                 feed.onWatchConfirmed(prefix);
+                feed.onSnapshot(prefix, snapshot);
+            }
+        });
+    }
+
+    /** Reads a snapshot of another instance, unless it is older than what this instance knows. */
+    private CompletableFuture<StoreSnapshot> listFrom(InetSocketAddress address, String prefix) {
+        return ask(address, ChangeFeed.SNAPSHOT_PATH + "?prefix=" + encoded(prefix), new byte[0], response -> {
+            StoreSnapshot snapshot = ChangeFormat.decodeSnapshot(response.body());
+            boolean current = store.epoch().observe(StoreRevision.epochOf(snapshot.revision()));
+            if (!current || snapshot.revision() < feed.revisionOf(prefix)) {
+                sources.pauseRefusing(address);
+                throw new StoreException(
+                        StoreException.Kind.NOT_DONE, address + ": outdated revision " + snapshot.revision());
             }
+            feed.onSnapshot(prefix, snapshot);
+            return snapshot;
         });
     }
 
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/FleetDirectoryTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/FleetDirectoryTest.java
@@ -5,7 +5,9 @@
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -31,6 +33,7 @@
     private final TestClock clock = new TestClock();
     private final MemoryStore store = new MemoryStore(clock);
     private final AtomicInteger renewals = new AtomicInteger();
+    private boolean followed;
     private final FleetDirectory directory = new FleetDirectory(
             new ForwardingStore(store) {
                 @Override
@@ -41,14 +44,21 @@
             },
             "own",
             "zone-a",
+            Map.of("zone-a", "east", "zone-b", "east", "zone-c", "west"),
             new InetSocketAddress("127.0.0.1", 1),
             500,
             List.of(),
+            () -> followed,
             clock,
             new DecisionLog("own", 1, clock, OutputStream.nullOutputStream()));
 
     private static StoreItem entry(String name, int memoryMb) {
-        String value = "{\"address\":\"127.0.0.1:2\",\"zone\":\"zone-a\",\"memory_mb\":" + memoryMb + "}";
+        return entry(name, "zone-a", 2, memoryMb);
+    }
+
+    private static StoreItem entry(String name, String zone, int port, int memoryMb) {
+        String value =
+                "{\"address\":\"127.0.0.1:" + port + "\",\"zone\":\"" + zone + "\",\"memory_mb\":" + memoryMb + "}";
         return new StoreItem(FleetKeys.INSTANCES + name, value.getBytes(StandardCharsets.UTF_8), 1, 1, 0);
     }
 
@@ -67,6 +77,54 @@
         assertThat(renewals.get()).isEqualTo(expectedRenewals);
     }
 
+    // Guards against an instance that others follow, because their leader has lost the store, and that cannot confirm
+    // its
+    // state to them.
+    @Test
+    void instanceWithFollowersRenewsAsOftenAsALeader() {
+        followed = true;
+        directory.tick();
+        directory.onSnapshot(new StoreSnapshot(List.of(entry("own", 500), entry("other", 900)), 1), 0);
+        for (long elapsedMs = 0; elapsedMs < 10_000; elapsedMs += TICK_MS) {
+            clock.advance(TICK_MS);
+            directory.tick();
+        }
+        assertThat(renewals.get()).isEqualTo(13);
+    }
+
+    // Guards against instances of a zone that choose different ones to read from the store for the others, and against
+    // asking across a narrow link between regions before a zone of the same region.
+    @Test
+    void changesAreAskedForInTheZoneThenInTheRegion() {
+        List<StoreItem> entries = List.of(
+                entry("own", "zone-a", 1, 500),
+                entry("larger", "zone-a", 2, 900),
+                entry("smaller", "zone-a", 3, 100),
+                entry("region", "zone-b", 4, 100),
+                entry("far-1", "zone-c", 5, 300),
+                entry("far-2", "zone-c", 6, 200),
+                entry("far-3", "zone-c", 7, 100));
+        directory.onSnapshot(new StoreSnapshot(entries, 1), 0);
+        assertThat(ports(directory.changeSources().preferred())).containsExactly(2);
+        assertThat(ports(directory.changeSources().alternatives()))
+                .containsExactly(3, 4, 5, 6)
+                .inOrder();
+        assertThat(ports(directory.regionalAddresses())).containsExactly(2, 3, 4);
+        assertThat(directory.zoneLeader().map(InetSocketAddress::getPort)).hasValue(2);
+    }
+
+    // Guards against instances that all read from the store before they know their own registration.
+    @Test
+    void unregisteredInstanceAsksTheOthersFirst() {
+        directory.onSnapshot(new StoreSnapshot(List.of(entry("other", "zone-a", 2, 100)), 1), 0);
+        assertThat(ports(directory.changeSources().preferred())).containsExactly(2);
+        assertThat(directory.changeSources().alternatives()).isEmpty();
+    }
+
+    private static List<Integer> ports(Collection<InetSocketAddress> addresses) {
+        return addresses.stream().map(InetSocketAddress::getPort).toList();
+    }
+
     // Guards against a roster that is not confirmed by each response of the store, or that keeps instances which have
     // left: no or too many instances would send to upstreams that are warming up.
     @Test
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/ChangeFeedTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/ChangeFeedTest.java
@@ -10,12 +10,14 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.cranberrybend.entry.http.ReceivedRequest;
+import org.cranberrybend.entry.json.JsonFormatException;
 import org.cranberrybend.entry.log.DecisionLog;
 import org.cranberrybend.entry.port.StoreChange;
 import org.cranberrybend.entry.port.StoreChanges;
 import org.cranberrybend.entry.port.StoreEpoch;
 import org.cranberrybend.entry.port.StoreItem;
 import org.cranberrybend.entry.port.StoreRevision;
+import org.cranberrybend.entry.port.StoreSnapshot;
 import org.cranberrybend.entry.testing.ManualScheduler;
 import org.cranberrybend.entry.testing.ResponseRecorder;
 import org.cranberrybend.entry.testing.TestClock;
@@ -82,6 +84,62 @@
         assertThat(exchange.status()).isEqualTo(STATUS_NOT_COVERED);
     }
 
+    private void requestSnapshot() {
+        String target = ChangeFeed.SNAPSHOT_PATH + "?prefix=upstreams%2F";
+        feed.handle(
+                new ReceivedRequest(new BasicHttpRequest("POST", target), new byte[0], clock.monotonicMs()), exchange);
+    }
+
+    private void readSnapshot(long revision) {
+        StoreItem item = new StoreItem("upstreams/a", new byte[] {1}, revision, revision, 0);
+        epoch.observe(StoreRevision.epochOf(revision));
+        feed.onSnapshot(PREFIX, new StoreSnapshot(List.of(item), revision));
+        feed.onWatchStarted(PREFIX, revision);
+    }
+
+    // Guards against a follower that reads from the store because its leader does not have the changes any more.
+    @Test
+    void followerBehindTheLogIsToldToReadASnapshot() throws JsonFormatException {
+        readSnapshot(10);
+        feed.onStoreResponse();
+        poll(7);
+        assertThat(exchange.status()).isEqualTo(ChangeFeed.STATUS_SNAPSHOT_NEEDED);
+        StoreItem changed = new StoreItem("upstreams/a", new byte[] {2}, 12, 10, 0);
+        feed.append(
+                PREFIX, 10, new StoreChanges(List.of(new StoreChange(changed.key(), 12, Optional.of(changed))), 12));
+        requestSnapshot();
+        StoreSnapshot snapshot = ChangeFormat.decodeSnapshot(exchange.body());
+        assertThat(snapshot.revision()).isEqualTo(12);
+        assertThat(snapshot.items().get(0).value()).isEqualTo(new byte[] {2});
+    }
+
+    // Guards against a snapshot from an instance that may have missed changes.
+    @ParameterizedTest
+    @CsvSource({"0, false, false, 200", "1600, false, false, 503", "0, true, false, 503", "0, false, true, 409"})
+    void snapshotNeedsAnUpToDateInstance(long silenceMs, boolean failed, boolean follows, int expectedStatus) {
+        feed.onStoreResponse();
+        readSnapshot(10);
+        clock.advance(silenceMs);
+        if (failed) {
+            feed.onWatchFailed(PREFIX);
+        }
+        if (follows) {
+            feed.onFollowed(PREFIX, new StoreChanges(List.of(), 11));
+        }
+        requestSnapshot();
+        assertThat(exchange.status()).isEqualTo(expectedStatus);
+    }
+
+    // Guards against a follower that waits for the hold time before it learns that the leader has lost the store.
+    @Test
+    void leaderWhoseWatchFailedRefusesAtOnce() {
+        readSnapshot(10);
+        feed.onStoreResponse();
+        feed.onWatchFailed(PREFIX);
+        poll(10);
+        assertThat(exchange.status()).isEqualTo(503);
+    }
+
     // Guards against a copy of a large value for each follower that waits: 86 copies of a configuration of 1 MB in
     // base64 text do not fit the heap of the instance that leads them.
     @Test
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/EvacuationPropagationTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/EvacuationPropagationTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.configuration.RoutingConfiguration;
+import org.cranberrybend.entry.duty.ChangeSources;
 import org.cranberrybend.entry.http.HttpServer;
 import org.cranberrybend.entry.http.MessageMemoryLimit;
 import org.cranberrybend.entry.http.ServerLimits;
@@ -52,6 +53,10 @@
     private final Set<InetSocketAddress> peers = new LinkedHashSet<>();
     private Optional<InetSocketAddress> leader = Optional.empty();
 
+    private ChangeSources sources() {
+        return new ChangeSources(leader.stream().toList(), List.of());
+    }
+
     /** An instance that reads the operator's keys. */
     private final class Instance {
         private final WatchableStore.View view = store.newView();
@@ -72,7 +77,7 @@
 
         Instance(boolean follows) {
             following = new FollowingStore(
-                    view, loop, Connectors.on(loop), () -> follows ? leader : Optional.empty(), timeSource, log);
+                    view, loop, Connectors.on(loop), () -> follows ? sources() : ChangeSources.NONE, timeSource, log);
             relay = new FleetRelay(
                     loop,
                     Connectors.on(loop),
@@ -80,7 +85,10 @@
                     configuration,
                     upstreams,
                     evacuations,
+                    upstreams::isStoreUnavailable,
+                    following::isStoreUnavailable,
                     () -> peers,
+                    Set::of,
                     Optional::empty,
                     timeSource,
                     log);
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FleetRelayTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FleetRelayTest.java
@@ -50,6 +50,9 @@
     private final TimeSource timeSource = TimeSource.system();
     private final DecisionLog log = new DecisionLog("test", 1, timeSource, OutputStream.nullOutputStream());
     private final Set<InetSocketAddress> peers = new LinkedHashSet<>();
+    private final Set<InetSocketAddress> nearPeers = new LinkedHashSet<>();
+    private boolean operatorWatchUnavailable;
+    private boolean storeUnavailable;
     private Optional<InetSocketAddress> leader = Optional.empty();
     private final Instance connected = new Instance();
     private final Instance cutOff = new Instance();
@@ -84,7 +87,10 @@
                 configuration,
                 upstreams,
                 evacuations,
+                () -> operatorWatchUnavailable || upstreams.isStoreUnavailable(),
+                () -> storeUnavailable || upstreams.isStoreUnavailable(),
                 () -> peers,
+                () -> nearPeers,
                 () -> leader,
                 timeSource,
                 log,
@@ -153,6 +159,41 @@
         assertThat(onLoop(this::state)).isEqualTo(expected);
     }
 
+    // Guards against an instance that keeps a withdrawn key because the watch of the operator's keys receives nothing,
+    // while that of the upstreams works.
+    @Test
+    void eachWatchWithoutChangesIsAReasonToAskPeers() throws Exception {
+        onLoop(() -> {
+            operatorWatchUnavailable = true;
+            cutOff.relay.tick();
+            return null;
+        });
+        awaitConfiguration();
+    }
+
+    // Guards against instances that all ask others across a narrow link between regions, although one of their own
+    // region
+    // knows the newest state.
+    @Test
+    void instancesOfTheRegionAreAsked() throws Exception {
+        onLoop(() -> {
+            nearPeers.addAll(peers);
+            peers.clear();
+            operatorWatchUnavailable = true;
+            cutOff.relay.tick();
+            return null;
+        });
+        awaitConfiguration();
+    }
+
+    private void awaitConfiguration() throws Exception {
+        long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_S);
+        while (onLoop(() -> cutOff.configuration.version()) != 7 && System.nanoTime() < endNs) {
+            Thread.onSpinWait();
+        }
+        assertThat(onLoop(() -> cutOff.configuration.version())).isEqualTo(7);
+    }
+
     // Guards against an instance without access to the store that misses the start or the end of an evacuation, and
     // against older knowledge of a peer, or of a peer of an earlier version, that takes either back.
     @ParameterizedTest
@@ -236,6 +277,19 @@
         assertThat(connected.store.text(COUNTS_KEY)).hasValue("{}");
     }
 
+    // Guards against counts that a leader cannot write because the store turns it away, although its watches work: they
+    // follow another instance.
+    @Test
+    void leaderWithoutStoreWritesItsCountsThroughAPeer() throws Exception {
+        cutOff.store.setDown(true);
+        CompletableFuture<Long> done = onLoop(() -> {
+            storeUnavailable = true;
+            return cutOff.relay.write(StoreWrite.put(COUNTS_KEY, "{}".getBytes()));
+        });
+        done.get(WAIT_S, TimeUnit.SECONDS);
+        assertThat(connected.store.text(COUNTS_KEY)).hasValue("{}");
+    }
+
     // Guards against usage reports without the counts of instances that cannot reach the store, and against an instance
     // that writes keys other than counts on behalf of another one.
     @Test
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FollowingStoreTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FollowingStoreTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.cranberrybend.core.time.TimeSource;
+import org.cranberrybend.entry.duty.ChangeSources;
 import org.cranberrybend.entry.http.HttpConnector;
 import org.cranberrybend.entry.http.HttpServer;
 import org.cranberrybend.entry.http.MessageMemoryLimit;
@@ -30,6 +31,8 @@
 import org.cranberrybend.entry.port.StoreException;
 import org.cranberrybend.entry.port.StoreItem;
 import org.cranberrybend.entry.port.StoreRevision;
+import org.cranberrybend.entry.port.StoreSnapshot;
+import org.cranberrybend.entry.port.StoreWrite;
 import org.cranberrybend.entry.testing.Connectors;
 import org.cranberrybend.entry.testing.ForwardingStore;
 import org.cranberrybend.entry.testing.MemoryStore;
@@ -53,12 +56,17 @@
     private final PendingWatchStore followerStore = new PendingWatchStore();
     private final HttpConnector connector = Connectors.on(loop);
     private final FollowingStore leaderInstance =
-            new FollowingStore(leaderStore, loop, connector, Optional::empty, timeSource, log);
+            new FollowingStore(leaderStore, loop, connector, () -> ChangeSources.NONE, timeSource, log);
     private Optional<InetSocketAddress> leaderAddress = Optional.empty();
+    private final List<InetSocketAddress> alternatives = new ArrayList<>();
     private final FollowingStore followerInstance =
-            new FollowingStore(followerStore, loop, connector, () -> leaderAddress, timeSource, log);
+            new FollowingStore(followerStore, loop, connector, this::sources, timeSource, log);
     private HttpServer control;
 
+    private ChangeSources sources() {
+        return new ChangeSources(leaderAddress.stream().toList(), alternatives);
+    }
+
     /** A store whose watches are completed by the test. */
     private final class PendingWatchStore extends ForwardingStore {
         private final Deque<CompletableFuture<StoreChanges>> watches = new ArrayDeque<>();
@@ -224,6 +232,44 @@
         assertThat(followerStore.watches).isEmpty();
     }
 
+    // Guards against an instance that keeps an old state, and a withdrawn key, because the store turns it away.
+    @Test
+    void instanceWithoutStoreFollowsAnother() throws Exception {
+        alternatives.addAll(leaderAddress.stream().toList());
+        leaderAddress = Optional.empty();
+        CompletableFuture<StoreChanges> next = follow(10);
+        onLoop(() -> followerStore
+                .watches
+                .poll()
+                .completeExceptionally(new StoreException(StoreException.Kind.NOT_DONE, "status 503")));
+        storeSends(10, 12, put("a", "ready", 12));
+        assertThat(text(next.get(WAIT_S, TimeUnit.SECONDS))).isEqualTo("12 a@12=ready");
+        assertThat(onLoop(followerInstance::isStoreUnavailable)).isTrue();
+    }
+
+    // Guards against a snapshot of another instance that takes back what this one has learned since.
+    @Test
+    void outdatedSnapshotOfAnInstanceIsNotTaken() throws Exception {
+        Optional<InetSocketAddress> outdated = Optional.of(listen(new HttpServer(
+                loop,
+                timeSource,
+                (request, exchange) -> exchange.respond(
+                        200,
+                        "OK",
+                        List.of(),
+                        "{\"revision\":0,\"changes\":[],\"loads\":{}}".getBytes(StandardCharsets.UTF_8)),
+                () -> LIMITS,
+                new MessageMemoryLimit(1_000_000),
+                log)));
+        leaderAddress = Optional.empty();
+        onLoop(() -> followerStore.write(StoreWrite.put(PREFIX + "a", new byte[] {1})))
+                .get(WAIT_S, TimeUnit.SECONDS);
+        StoreSnapshot known = onLoop(() -> followerInstance.list(PREFIX)).get(WAIT_S, TimeUnit.SECONDS);
+        leaderAddress = outdated;
+        assertThat(onLoop(() -> followerInstance.list(PREFIX)).get(WAIT_S, TimeUnit.SECONDS))
+                .isEqualTo(known);
+    }
+
     // Guards against a follower that receives no more changes after its leader was killed.
     @Test
     void followerOfStoppedLeaderWatchesStore() throws Exception {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/WatchableStore.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/testing/WatchableStore.java
@@ -30,6 +30,7 @@
         private final List<Watch> watches = new ArrayList<>();
         private boolean rejecting;
         private int watchCalls;
+        private long sentValueBytes;
 
         private View() {
             super(new MemoryStore(timeSource));
@@ -50,6 +51,24 @@
             return watchCalls;
         }
 
+        /** Returns the length of all values that the store has sent to the instance. */
+        public long sentValueBytes() {
+            return sentValueBytes;
+        }
+
+        private void countSent(StoreItem item) {
+            sentValueBytes += item.value().length;
+        }
+
+        @Override
+        public CompletableFuture<Optional<StoreItem>> get(String key) {
+            return rejecting
+                    ? CompletableFuture.failedFuture(failure(StoreException.Kind.NOT_DONE))
+                    : CompletableFuture.completedFuture(items.stream()
+                            .filter(each -> each.key().equals(key))
+                            .findFirst());
+        }
+
         @Override
         public CompletableFuture<StoreSnapshot> list(String prefix) {
             if (rejecting) {
@@ -57,6 +76,7 @@
             }
             List<StoreItem> found = new ArrayList<>(items);
             found.removeIf(each -> !each.key().startsWith(prefix));
+            found.forEach(this::countSent);
             return CompletableFuture.completedFuture(new StoreSnapshot(found, revision));
         }
 
@@ -79,7 +99,11 @@
             List<Watch> due = new ArrayList<>(watches);
             due.removeIf(each -> changesFor(each).isEmpty());
             watches.removeAll(due);
-            due.forEach(each -> each.response.complete(new StoreChanges(changesFor(each), revision)));
+            due.forEach(each -> {
+                List<StoreChange> sent = changesFor(each);
+                sent.forEach(change -> change.item().ifPresent(this::countSent));
+                each.response.complete(new StoreChanges(sent, revision));
+            });
         }
     }
 
