--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/EntryService.java
@@ -215,9 +215,7 @@
                 evacuations,
                 () -> operatorWatch.isUnavailable() || upstreams.isStoreUnavailable(),
                 store::isStoreUnavailable,
-                directory::peerAddresses,
-                directory::regionalAddresses,
-                directory::zoneLeader,
+                directory,
                 timeSource,
                 log);
     }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetDirectory.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetDirectory.java
@@ -41,7 +41,7 @@
  * <p>A store that is restored from an older copy lacks registrations, and the leases of all. Each instance registers
  * again, and those that were registered count as running for as long as their leases would have lasted.
  */
-public final class FleetDirectory implements PrefixWatch.Listener {
+public final class FleetDirectory implements PrefixWatch.Listener, PeerDirectory {
     private static final long TTL_MS = 6_000;
     private static final long RENEW_INTERVAL_MS = 2_000;
     /** The same for an instance that others follow, which may confirm its state to followers only shortly after a store response. */
@@ -132,16 +132,16 @@
         return roster;
     }
 
-    /** Returns control addresses of other instances, the most recently registered ones last. */
+    @Override
     public Set<InetSocketAddress> peerAddresses() {
         return new LinkedHashSet<>(addresses.values());
     }
 
     /**
-     * Returns the control address of the leader of this availability zone; empty if this instance is the leader. The
-     * leader is one of the instances with the most memory, because it serves the others. Instances that know the same
-     * entries choose the same leader.
+     * Returns the address of the leader of this availability zone. It is one of the instances with the most memory, because
+     * it serves the others. Instances that know the same entries choose the same leader.
      */
+    @Override
     public Optional<InetSocketAddress> zoneLeader() {
         return rankedInstances(zone).stream()
                 .findFirst()
@@ -200,7 +200,7 @@
         return names.stream().map(addresses::get).filter(Objects::nonNull).toList();
     }
 
-    /** Returns control addresses of the other registered instances of this region. */
+    @Override
     public Set<InetSocketAddress> regionalAddresses() {
         Set<InetSocketAddress> regional = new LinkedHashSet<>();
         zonesByInstance.forEach((name, other) -> {
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FleetRelay.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FleetRelay.java
@@ -10,10 +10,10 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
-import java.util.function.Supplier;
 import org.cranberrybend.core.event.EventCode;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.duty.FleetKeys;
+import org.cranberrybend.entry.duty.PeerDirectory;
 import org.cranberrybend.entry.http.ApiClient;
 import org.cranberrybend.entry.http.ApiResponse;
 import org.cranberrybend.entry.http.CallLimits;
@@ -68,9 +68,7 @@
     private final ZoneEvacuations evacuations;
     private final BooleanSupplier isWatchUnavailable;
     private final BooleanSupplier isStoreUnavailable;
-    private final Supplier<Set<InetSocketAddress>> peers;
-    private final Supplier<Set<InetSocketAddress>> nearPeers;
-    private final Supplier<Optional<InetSocketAddress>> leader;
+    private final PeerDirectory peers;
     private final CountsGatherer gatherer;
     private final TimeSource timeSource;
     private final DecisionLog log;
@@ -88,9 +86,6 @@
      *
      * @param isWatchUnavailable whether a watch receives changes neither from the store nor from another instance
      * @param isStoreUnavailable whether the last call of the store by this instance has failed
-     * @param peers control addresses of the other instances
-     * @param nearPeers those of the same region
-     * @param leader control address of the leader of the availability zone; empty if this instance is the leader
      */
     public FleetRelay(
             EventLoopGroup loop,
@@ -101,9 +96,7 @@
             ZoneEvacuations evacuations,
             BooleanSupplier isWatchUnavailable,
             BooleanSupplier isStoreUnavailable,
-            Supplier<Set<InetSocketAddress>> peers,
-            Supplier<Set<InetSocketAddress>> nearPeers,
-            Supplier<Optional<InetSocketAddress>> leader,
+            PeerDirectory peers,
             TimeSource timeSource,
             DecisionLog log) {
         this(
@@ -116,8 +109,6 @@
                 isWatchUnavailable,
                 isStoreUnavailable,
                 peers,
-                nearPeers,
-                leader,
                 timeSource,
                 log,
                 GATHERED_WRITE_TIMEOUT_MS);
@@ -137,9 +128,7 @@
             ZoneEvacuations evacuations,
             BooleanSupplier isWatchUnavailable,
             BooleanSupplier isStoreUnavailable,
-            Supplier<Set<InetSocketAddress>> peers,
-            Supplier<Set<InetSocketAddress>> nearPeers,
-            Supplier<Optional<InetSocketAddress>> leader,
+            PeerDirectory peers,
             TimeSource timeSource,
             DecisionLog log,
             long gatheredWriteTimeoutMs) {
@@ -152,8 +141,6 @@
         this.isWatchUnavailable = isWatchUnavailable;
         this.isStoreUnavailable = isStoreUnavailable;
         this.peers = peers;
-        this.nearPeers = nearPeers;
-        this.leader = leader;
         this.gatherer = new CountsGatherer(store, loop);
         this.timeSource = timeSource;
         this.log = log;
@@ -209,11 +196,11 @@
      */
     public CompletableFuture<Long> write(StoreWrite counts) {
         long nowMs = timeSource.monotonicMs();
-        List<InetSocketAddress> addresses = new ArrayList<>(peers.get());
+        List<InetSocketAddress> addresses = new ArrayList<>(peers.peerAddresses());
         if ((isStoreUnavailable.getAsBoolean() || nowMs < nextDirectWriteMs) && !addresses.isEmpty()) {
             return sendCounts(addresses.get(Math.floorMod(nextPeer++, addresses.size())), counts);
         }
-        Optional<InetSocketAddress> leaderAddress = leader.get();
+        Optional<InetSocketAddress> leaderAddress = peers.zoneLeader();
         if (leaderAddress.isEmpty()) {
             return gatherer.add(counts.puts());
         }
@@ -267,8 +254,8 @@
             return;
         }
         nextPollMs = nowMs + BACKOFF_INTERVAL_MS;
-        pollNext(nearPeers.get());
-        pollNext(peers.get());
+        pollNext(peers.regionalAddresses());
+        pollNext(peers.peerAddresses());
     }
 
     /** Polls the next one of some instances. */
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FollowingStore.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FollowingStore.java
@@ -5,11 +5,9 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.Predicate;
@@ -20,7 +18,6 @@
 import org.cranberrybend.core.event.EventCode;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.duty.ChangeSources;
-import org.cranberrybend.entry.fleet.SourceSelector.Source;
 import org.cranberrybend.entry.http.ApiClient;
 import org.cranberrybend.entry.http.ApiResponse;
 import org.cranberrybend.entry.http.CallLimits;
@@ -64,8 +61,6 @@
      */
     private static final long HOLD_WITHOUT_STORE_MS = 300;
 
-    /** Sources that a call asks before it turns to the store. */
-    private static final int MAX_SOURCES = 16;
     /** Limits of a request to another instance, whose response may be long for its link. */
     private static final CallLimits REQUEST_LIMITS =
             new CallLimits(HOLD_MS + RESPONSE_MARGIN_MS, 4 * (HOLD_MS + RESPONSE_MARGIN_MS));
@@ -77,7 +72,7 @@
     private final EventLoopGroup loop;
     private final HttpConnector connector;
     private final SourceSelector sources;
-    private final TimeSource timeSource;
+    private final SourceReader reader;
     private final DecisionLog log;
     private final ChangeFeed feed;
     private final Map<InetSocketAddress, ApiClient> clients = new HashMap<>();
@@ -101,7 +96,7 @@
         this.loop = loop;
         this.connector = connector;
         this.sources = new SourceSelector(sources, timeSource);
-        this.timeSource = timeSource;
+        this.reader = new SourceReader(this.sources);
         this.log = log;
         this.feed = new ChangeFeed(loop, store.epoch(), timeSource, log);
     }
@@ -138,55 +133,9 @@
         return store.epoch();
     }
 
-    /** Reads the same from an instance or from the store. */
-    private interface Read<T> {
-        CompletableFuture<T> fromInstance(InetSocketAddress address);
-
-        CompletableFuture<T> fromStore(boolean isFirst);
-    }
-
-    /**
-     * Asks the sources one after the other until one of them has what is read. An instance that has lost the store says so
-     * at once, but one that is unresponsive takes its time, so the store is asked after the first of these. If no source
-     * has it, the failure is that of the store if it was asked.
-     */
-    private <T> CompletableFuture<T> readFromAny(Read<T> read) {
-        StoreException nothingAsked = new StoreException(StoreException.Kind.NOT_DONE, "no source is left");
-        return readFromNext(read, sources.next(Set.of()), new HashSet<>(), nothingAsked);
-    }
-
-    private <T> CompletableFuture<T> readFromNext(
-            Read<T> read, Optional<Source> next, Set<Source> tried, Throwable reported) {
-        if (next.isEmpty()) {
-            return CompletableFuture.failedFuture(reported);
-        }
-        Source source = next.get();
-        boolean isFirst = tried.isEmpty();
-        tried.add(source);
-        CompletableFuture<T> call = source.instance().map(read::fromInstance).orElseGet(() -> read.fromStore(isFirst));
-        return call.handle((value, failure) -> {
-                    if (failure == null) {
-                        return CompletableFuture.completedFuture(value);
-                    }
-                    if (StoreException.kindOf(failure) == StoreException.Kind.HISTORY_LOST) {
-                        return CompletableFuture.<T>failedFuture(failure);
-                    }
-                    boolean unresponsive = StoreException.kindOf(failure) == StoreException.Kind.UNKNOWN;
-                    if (source.isStore()) {
-                        sources.pauseStore();
-                    }
-                    Optional<Source> following = !source.isStore() && unresponsive || tried.size() >= MAX_SOURCES
-                            ? SourceSelector.storeUnless(tried)
-                            : sources.next(tried);
-                    boolean replaces = source.isStore() || !tried.contains(Source.STORE);
-                    return readFromNext(read, following, tried, replaces ? failure : reported);
-                })
-                .thenCompose(each -> each);
-    }
-
     @Override
     public CompletableFuture<StoreChanges> watch(String prefix, long afterRevision, long waitMs) {
-        return readFromAny(new Read<>() {
+        return reader.read(new SourceReader.Read<>() {
             @Override
             public CompletableFuture<StoreChanges> fromInstance(InetSocketAddress address) {
                 return follow(address, prefix, afterRevision);
@@ -315,7 +264,7 @@
 
     @Override
     public CompletableFuture<StoreSnapshot> list(String prefix) {
-        return readFromAny(new Read<>() {
+        return reader.read(new SourceReader.Read<>() {
             @Override
             public CompletableFuture<StoreSnapshot> fromInstance(InetSocketAddress address) {
                 return listFrom(address, prefix);
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/store/PrefixWatch.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/store/PrefixWatch.java
@@ -76,6 +76,8 @@
     private long lastResponseMs;
     private boolean unavailable;
     private long retryMs = FIRST_RETRY_MS;
+    /** Watches in a row that failed because the changes since the snapshot before them were not available. */
+    private int lostHistories;
 
     /**
      * Creates a watch that is not started.
@@ -190,8 +192,7 @@
                 ? !StoreRevision.isSameEpoch(changes.revision(), revision)
                 : StoreException.kindOf(failure) == StoreException.Kind.HISTORY_LOST;
         if (historyLost) {
-            revision = -1;
-            callStore();
+            readSnapshotAfterLostHistory();
             return;
         }
         if (failure != null) {
@@ -199,6 +200,7 @@
             return;
         }
         recordResponse();
+        lostHistories = 0;
         revision = Math.max(revision, changes.revision());
         if (!deliver(() -> changes.changes().forEach(listener::onChange))) {
             return;
@@ -210,6 +212,20 @@
         }
     }
 
+    /**
+     * Reads a snapshot at once, but after a delay if the last one did not help: it came from another source than the watch,
+     * and was older than what that one keeps.
+     */
+    private void readSnapshotAfterLostHistory() {
+        revision = -1;
+        lostHistories++;
+        if (lostHistories > 1) {
+            callStoreLater(FIRST_RETRY_MS);
+        } else {
+            callStore();
+        }
+    }
+
     /**
      * Passes a response to the listener and returns whether it was processed. If the listener fails, a new snapshot is
      * read after a delay: an unexpected error in one item must not end the watch.
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/EvacuationPropagationTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/EvacuationPropagationTest.java
@@ -19,6 +19,7 @@
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.configuration.RoutingConfiguration;
 import org.cranberrybend.entry.duty.ChangeSources;
+import org.cranberrybend.entry.duty.PeerDirectory;
 import org.cranberrybend.entry.http.HttpServer;
 import org.cranberrybend.entry.http.MessageMemoryLimit;
 import org.cranberrybend.entry.http.ServerLimits;
@@ -53,6 +54,23 @@
     private final Set<InetSocketAddress> peers = new LinkedHashSet<>();
     private Optional<InetSocketAddress> leader = Optional.empty();
 
+    private final PeerDirectory directory = new PeerDirectory() {
+        @Override
+        public Set<InetSocketAddress> peerAddresses() {
+            return peers;
+        }
+
+        @Override
+        public Set<InetSocketAddress> regionalAddresses() {
+            return Set.of();
+        }
+
+        @Override
+        public Optional<InetSocketAddress> zoneLeader() {
+            return Optional.empty();
+        }
+    };
+
     private ChangeSources sources() {
         return new ChangeSources(leader.stream().toList(), List.of());
     }
@@ -87,9 +105,7 @@
                     evacuations,
                     upstreams::isStoreUnavailable,
                     following::isStoreUnavailable,
-                    () -> peers,
-                    Set::of,
-                    Optional::empty,
+                    directory,
                     timeSource,
                     log);
             configuration.onChange(next -> evacuatedAtConfiguration.add(evacuations.isEvacuated("zone-a")));
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FleetRelayTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FleetRelayTest.java
@@ -21,6 +21,7 @@
 import org.cranberrybend.core.routing.Market;
 import org.cranberrybend.core.time.TimeSource;
 import org.cranberrybend.entry.configuration.RoutingConfiguration;
+import org.cranberrybend.entry.duty.PeerDirectory;
 import org.cranberrybend.entry.http.HttpServer;
 import org.cranberrybend.entry.http.MessageMemoryLimit;
 import org.cranberrybend.entry.http.ServerLimits;
@@ -54,6 +55,22 @@
     private boolean operatorWatchUnavailable;
     private boolean storeUnavailable;
     private Optional<InetSocketAddress> leader = Optional.empty();
+    private final PeerDirectory directory = new PeerDirectory() {
+        @Override
+        public Set<InetSocketAddress> peerAddresses() {
+            return peers;
+        }
+
+        @Override
+        public Set<InetSocketAddress> regionalAddresses() {
+            return nearPeers;
+        }
+
+        @Override
+        public Optional<InetSocketAddress> zoneLeader() {
+            return leader;
+        }
+    };
     private final Instance connected = new Instance();
     private final Instance cutOff = new Instance();
 
@@ -89,9 +106,7 @@
                 evacuations,
                 () -> operatorWatchUnavailable || upstreams.isStoreUnavailable(),
                 () -> storeUnavailable || upstreams.isStoreUnavailable(),
-                () -> peers,
-                () -> nearPeers,
-                () -> leader,
+                directory,
                 timeSource,
                 log,
                 WAIT_S * 1_000);
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/store/PrefixWatchTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/store/PrefixWatchTest.java
@@ -122,6 +122,14 @@
         call.completeExceptionally(new StoreException(kind, kind.name()));
     }
 
+    /** Reads a snapshot at revision 5 and fails the watch that follows; the next call is then made. */
+    private void loseStoreAfterASnapshot() {
+        watch.start();
+        lists.poll().complete(new StoreSnapshot(List.of(), 5));
+        fail(watches.poll(), StoreException.Kind.UNKNOWN);
+        loop.runNext();
+    }
+
     // Guards against missed changes between the snapshot and the first watch.
     @Test
     void watchStartsAtSnapshotRevision() {
@@ -150,6 +158,21 @@
         assertThat(calls.get(calls.size() - 1)).isEqualTo("watch after 9");
     }
 
+    // Guards against snapshots that are read one after the other without a pause, because they come from an instance
+    // that
+    // is behind the one that is watched.
+    @Test
+    void repeatedlyLostHistoryIsReadAgainAfterADelay() {
+        watch.start();
+        lists.poll().complete(new StoreSnapshot(List.of(), 5));
+        fail(watches.poll(), StoreException.Kind.HISTORY_LOST);
+        lists.poll().complete(new StoreSnapshot(List.of(), 5));
+        fail(watches.poll(), StoreException.Kind.HISTORY_LOST);
+        assertThat(lists).isEmpty();
+        loop.runNext();
+        assertThat(lists).hasSize(1);
+    }
+
     // Guards against a watch that ends for good because one change caused an unexpected error.
     @Test
     void watchContinuesWithASnapshotAfterAnUnexpectedError() {
@@ -165,10 +188,7 @@
     // Guards against an outage without a new snapshot: expired entries could not be distinguished from deleted ones.
     @Test
     void outageIsReportedOnceAndEndsWithSnapshot() {
-        watch.start();
-        lists.poll().complete(new StoreSnapshot(List.of(), 5));
-        fail(watches.poll(), StoreException.Kind.UNKNOWN);
-        loop.runNext();
+        loseStoreAfterASnapshot();
         clock.advance(4_000);
         fail(lists.poll(), StoreException.Kind.NOT_DONE);
         loop.runNext();
@@ -181,10 +201,7 @@
     // of a large configuration fills the link on which the newest version should arrive.
     @Test
     void changesOfAnOutageAreNotReadBeforeTheSnapshot() {
-        watch.start();
-        lists.poll().complete(new StoreSnapshot(List.of(), 5));
-        fail(watches.poll(), StoreException.Kind.UNKNOWN);
-        loop.runNext();
+        loseStoreAfterASnapshot();
         lists.poll().complete(new StoreSnapshot(List.of(), 9));
         assertThat(calls)
                 .containsExactly(
@@ -203,10 +220,7 @@
     @Test
     void changesAfterAnOutageNeedNoSnapshot() {
         needsSnapshot = false;
-        watch.start();
-        lists.poll().complete(new StoreSnapshot(List.of(), 5));
-        fail(watches.poll(), StoreException.Kind.UNKNOWN);
-        loop.runNext();
+        loseStoreAfterASnapshot();
         watches.poll().complete(new StoreChanges(List.of(new StoreChange("p/a", 7, Optional.empty())), 8));
         assertThat(calls)
                 .containsExactly(
@@ -226,10 +240,7 @@
     @Test
     void watchAfterAFailureIsNotHeld() {
         needsSnapshot = false;
-        watch.start();
-        lists.poll().complete(new StoreSnapshot(List.of(), 5));
-        fail(watches.poll(), StoreException.Kind.UNKNOWN);
-        loop.runNext();
+        loseStoreAfterASnapshot();
         watches.poll().complete(new StoreChanges(List.of(), 6));
         assertThat(holdTimesMs).containsExactly(2_100L, 1L, 2_100L).inOrder();
     }
