Keep the spread of registrations after a restoration

Since an instance that others follow renews its lease more often, the time of the last call decided with the time of the next one, and cut the delay of up to 6 s after which instances register again in a restored store to 2 s. It now decides on renewals only.

Found by reading the change; FleetDirectoryTest. registrationAfterARestorationIsSpread fails without it.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetDirectory.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetDirectory.java
@@ -228,7 +228,8 @@
         removeUnlisted(nowMs);
         long renewIntervalMs =
                 zoneLeader().isEmpty() || isFollowed.getAsBoolean() ? LEADER_RENEW_INTERVAL_MS : RENEW_INTERVAL_MS;
-        boolean due = nowMs >= nextCallMs || nowMs >= lastCallMs + renewIntervalMs;
+        boolean renewalDue = leaseId != 0 && nowMs >= lastCallMs + renewIntervalMs;
+        boolean due = nowMs >= nextCallMs || renewalDue;
         if (pending || released || !due) {
             return;
         }
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/FleetDirectoryTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/FleetDirectoryTest.java
@@ -5,6 +5,7 @@
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
@@ -33,9 +34,16 @@
     private final TestClock clock = new TestClock();
     private final MemoryStore store = new MemoryStore(clock);
     private final AtomicInteger renewals = new AtomicInteger();
+    private final AtomicInteger grants = new AtomicInteger();
     private boolean followed;
     private final FleetDirectory directory = new FleetDirectory(
             new ForwardingStore(store) {
+                @Override
+                public CompletableFuture<Long> grantLease(long ttlMs) {
+                    grants.incrementAndGet();
+                    return super.grantLease(ttlMs);
+                }
+
                 @Override
                 public CompletableFuture<Void> renewLease(long leaseId) {
                     renewals.incrementAndGet();
@@ -92,6 +100,26 @@
         assertThat(renewals.get()).isEqualTo(13);
     }
 
+    // Guards against instances that all register again at the same time after a restoration of the store: the delay of
+    // this one, of 1,200, is longer than the time between its renewals.
+    @Test
+    void registrationAfterARestorationIsSpread() {
+        store.epoch().observe(0);
+        List<StoreItem> entries = new ArrayList<>();
+        for (int i = 0; i < 1_199; i++) {
+            entries.add(entry("other-" + i, 900));
+        }
+        directory.onSnapshot(new StoreSnapshot(entries, 1), 0);
+        directory.tick();
+        store.epoch().observe(1);
+        clock.advance(2_100);
+        directory.tick();
+        assertThat(grants.get()).isEqualTo(1);
+        clock.advance(1_000);
+        directory.tick();
+        assertThat(grants.get()).isEqualTo(2);
+    }
+
     // Guards against instances of a zone that choose different ones to read from the store for the others, and against
     // asking across a narrow link between regions before a zone of the same region.
     @Test
