Let the instances of a zone turn to the store one after the other

Now an instance that turns to the store because those before it have lost it waits 100 ms for each of them, at most 0.8 s, and asks them again. An instance whose own calls of the store fail leaves it out until one of them succeeds. The limit on the number of sources no longer leads each read to the store. The response to a watch may arrive for 1.5 s beyond its time. A follower of a killed leader does not wait for it twice.

Also: the order of the instances is kept until a registration changes, a failure of an instance is logged once until it responds again (the trace had some 30 lines a second from each instance in the outage), and only instances that serve followers renew more often.

SourceSelectorTest covers order, delays and limits.

--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetDirectory.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/duty/FleetDirectory.java
@@ -71,6 +71,9 @@
     private final Map<String, String> zonesByInstance = new TreeMap<>();
     private final Map<String, Long> memoryMbByInstance = new TreeMap<>();
     private final SenderRoster roster = new SenderRoster();
+    /** Empty after each change of the registrations: the order of 1,200 instances is not found for each call. */
+    private Optional<ChangeSources> changeSources = Optional.empty();
+
     private int maxFleetSize;
     private boolean leaseHeld;
     private boolean loaded;
@@ -143,10 +146,7 @@
      */
     @Override
     public Optional<InetSocketAddress> zoneLeader() {
-        return rankedInstances(zone).stream()
-                .findFirst()
-                .filter(name -> !name.equals(instance))
-                .map(addresses::get);
+        return changeSources().preferred().stream().findFirst();
     }
 
     /** Returns the registered instances of a zone in the order in which they lead it while those before cannot. */
@@ -169,6 +169,13 @@
      * it, and while the store is unavailable to it also the others of its zone and the first ones of the other zones.
      */
     public ChangeSources changeSources() {
+        if (changeSources.isEmpty()) {
+            changeSources = Optional.of(findChangeSources());
+        }
+        return changeSources.get();
+    }
+
+    private ChangeSources findChangeSources() {
         List<String> ranked = rankedInstances(zone);
         int own = ranked.indexOf(instance);
         List<String> before = own < 0 ? ranked : ranked.subList(0, own);
@@ -304,6 +311,7 @@
             before.forEach(name -> keptUntilMs.put(name, untilMs));
         }
         live.addAll(keptUntilMs.keySet());
+        changeSources = Optional.empty();
     }
 
     /** Removes the instances that have not registered again in time. */
@@ -312,6 +320,7 @@
             if (keptUntilMs.get(name) <= nowMs) {
                 keptUntilMs.remove(name);
                 live.remove(name);
+                changeSources = Optional.empty();
                 log.record(EventCode.MEMBER_DEAD, name, "cause", "not registered again");
             }
         }
@@ -330,6 +339,7 @@
                 nextCallMs = 0;
             }
             if (live.remove(name)) {
+                changeSources = Optional.empty();
                 log.record(EventCode.MEMBER_DEAD, name, "revision", change.revision());
             }
         }
@@ -357,6 +367,7 @@
             memoryMbByInstance.put(name, value.integer("memory_mb", 0));
             keptUntilMs.remove(name);
             boolean joined = live.add(name);
+            changeSources = Optional.empty();
             maxFleetSize = Math.max(maxFleetSize, live.size());
             if (joined) {
                 log.record(EventCode.MEMBER_JOINED, name, "revision", item.revision());
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/ChangeFeed.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/ChangeFeed.java
@@ -50,7 +50,7 @@
     /** Age up to which load reports are exchanged. */
     static final long LOAD_REPORT_MAX_AGE_MS = 1_000;
 
-    /** Time after the last request of a follower in which this instance counts as followed. */
+    /** Time after the last request of a follower that was not refused in which this instance counts as followed. */
     private static final long FOLLOWED_MS = 5_000;
 
     /** Status if this instance does not have the changes of a prefix. */
@@ -67,7 +67,7 @@
     private final Map<String, PrefixState> prefixes = new HashMap<>();
     private LoadExchange loadExchange = LoadExchange.NONE;
     private long lastStoreResponseMs = Long.MIN_VALUE / 2;
-    private long lastFollowerRequestMs = Long.MIN_VALUE / 2;
+    private long lastFollowedMs = Long.MIN_VALUE / 2;
 
     /** Recent changes of one prefix, and the followers whose requests are held. */
     private static final class PrefixState {
@@ -151,14 +151,20 @@
         stateOf(prefix).items.replace(snapshot);
     }
 
+    /** Returns whether this instance has a prefix from the store, so that others may follow it. */
+    boolean isReadFromStore(String prefix) {
+        PrefixState state = stateOf(prefix);
+        return state.watched && !state.watchFailed;
+    }
+
     /** Returns the revision up to which this instance knows the items under a prefix; negative if it knows none. */
     long revisionOf(String prefix) {
         return stateOf(prefix).items.revision();
     }
 
-    /** Returns whether another instance has recently asked this one for changes. */
+    /** Returns whether another instance has recently received, or waited for, changes from this one. */
     boolean isFollowed() {
-        return timeSource.monotonicMs() - lastFollowerRequestMs <= FOLLOWED_MS;
+        return timeSource.monotonicMs() - lastFollowedMs <= FOLLOWED_MS;
     }
 
     /** Records that this instance has received changes of a prefix from another instance, and not from the store. */
@@ -201,7 +207,6 @@
 
     @Override
     public void handle(ReceivedRequest request, ServerExchange exchange) {
-        lastFollowerRequestMs = timeSource.monotonicMs();
         String target = request.head().getRequestUri();
         Map<String, String> query = query(target);
         PrefixState state = prefixes.get(query.getOrDefault("prefix", ""));
@@ -265,6 +270,7 @@
     }
 
     private void holdRequest(PrefixState state, Follower follower, long waitMs) {
+        lastFollowedMs = timeSource.monotonicMs();
         state.followers.add(follower);
         follower.exchange.onCallerDisconnected(() -> {
             follower.timer.cancel(false);
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FleetRelay.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FleetRelay.java
@@ -50,7 +50,7 @@
     private static final long BACKOFF_INTERVAL_MS = 1_000;
 
     /** Limits of a poll, whose response may be long for the link. */
-    private static final CallLimits POLL_LIMITS = new CallLimits(600, 3_000);
+    private static final CallLimits POLL_LIMITS = new CallLimits(600, 600, 3_000);
     /** Time in which the leader gathers counts and writes them; a slow store takes some hundred milliseconds. */
     private static final long GATHERED_WRITE_TIMEOUT_MS = CountsGatherer.GATHER_MS + 1_000;
     /** Time for which an instance writes its counts itself after its leader did not confirm them. */
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FollowingStore.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/FollowingStore.java
@@ -5,9 +5,11 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.Predicate;
@@ -63,7 +65,7 @@
 
     /** Limits of a request to another instance, whose response may be long for its link. */
     private static final CallLimits REQUEST_LIMITS =
-            new CallLimits(HOLD_MS + RESPONSE_MARGIN_MS, 4 * (HOLD_MS + RESPONSE_MARGIN_MS));
+            new CallLimits(HOLD_MS + RESPONSE_MARGIN_MS, HOLD_MS, 4 * (HOLD_MS + RESPONSE_MARGIN_MS));
 
     private static final List<Header> HEADERS =
             List.of(new BasicHeader(HttpHeaders.CONTENT_TYPE, "application/json"), GzipBody.ACCEPT);
@@ -76,6 +78,9 @@
     private final DecisionLog log;
     private final ChangeFeed feed;
     private final Map<InetSocketAddress, ApiClient> clients = new HashMap<>();
+    /** Instances that have failed since their last useful response; a failure is logged once. */
+    private final Set<InetSocketAddress> failedInstances = new HashSet<>();
+
     private String loadsPrefix = "";
     private LoadExchange loadExchange = LoadExchange.NONE;
     private boolean storeUnavailable;
@@ -96,7 +101,7 @@
         this.loop = loop;
         this.connector = connector;
         this.sources = new SourceSelector(sources, timeSource);
-        this.reader = new SourceReader(this.sources);
+        this.reader = new SourceReader(this.sources, loop);
         this.log = log;
         this.feed = new ChangeFeed(loop, store.epoch(), timeSource, log);
     }
@@ -145,6 +150,11 @@
             public CompletableFuture<StoreChanges> fromStore(boolean isFirst) {
                 return watchStore(prefix, afterRevision, isFirst ? waitMs : fallbackHoldMs(waitMs));
             }
+
+            @Override
+            public boolean wasFromStore() {
+                return feed.isReadFromStore(prefix);
+            }
         });
     }
 
@@ -192,7 +202,9 @@
                                     address, StoreException.Kind.UNKNOWN, String.valueOf(failure.getMessage()));
                         }
                         checkStatus(address, response.status());
-                        return decoder.decode(response);
+                        T decoded = decoder.decode(response);
+                        failedInstances.remove(address);
+                        return decoded;
                     } catch (JsonFormatException e) {
                         throw new CompletionException(
                                 instanceFailed(address, StoreException.Kind.NOT_DONE, String.valueOf(e.getMessage())));
@@ -219,7 +231,9 @@
         long pauseMs = kind == StoreException.Kind.UNKNOWN
                 ? sources.pauseUnresponsive(address, feed.isStoreResponsive())
                 : sources.pauseRefusing(address);
-        log.record(EventCode.MEMBER_SUSPECTED, address.toString(), "cause", cause, "pause_ms", pauseMs);
+        if (failedInstances.add(address)) {
+            log.record(EventCode.MEMBER_SUSPECTED, address.toString(), "cause", cause, "pause_ms", pauseMs);
+        }
         return new StoreException(kind, address + ": " + cause);
     }
 
@@ -235,13 +249,21 @@
         });
     }
 
-    /** Records whether the store responds, by which the feed decides whether empty responses may be sent. */
+    /**
+     * Records whether the store responds, by which the feed decides whether empty responses may be sent, and the selector
+     * whether the store is asked. The renewals of leases, which are short and frequent, show that the store is back.
+     */
     private <T> CompletableFuture<T> recordResponse(CompletableFuture<T> call) {
         return call.whenComplete((value, failure) -> {
             if (failure == null) {
                 feed.onStoreResponse();
             }
             storeUnavailable = failure != null && !isResponse(StoreException.kindOf(failure));
+            if (storeUnavailable) {
+                sources.pauseStore();
+            } else {
+                sources.resumeStore();
+            }
         });
     }
 
@@ -274,6 +296,11 @@
             public CompletableFuture<StoreSnapshot> fromStore(boolean isFirst) {
                 return listStore(prefix);
             }
+
+            @Override
+            public boolean wasFromStore() {
+                return feed.isReadFromStore(prefix);
+            }
         });
     }
 
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/SourceReader.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/SourceReader.java
@@ -5,12 +5,17 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import org.cranberrybend.entry.fleet.SourceSelector.Source;
 import org.cranberrybend.entry.port.StoreException;
 
 /**
  * Reads from the sources that a {@link SourceSelector} names, one after the other, until one of them has what is read.
  *
+ * <p>Before an instance turns to the store because those before it have lost it, it waits and asks them again. The first of
+ * them that reaches the store then reads from it, and the others follow that one.
+ *
  * <p>An instance that has lost the store says so at once, but one that is unresponsive takes its time. The store is
  * therefore asked after the first of these, so that several of them do not add up. Confined to the event loop.
  */
@@ -19,9 +24,11 @@
     private static final int MAX_SOURCES = 16;
 
     private final SourceSelector sources;
+    private final ScheduledExecutorService loop;
 
-    SourceReader(SourceSelector sources) {
+    SourceReader(SourceSelector sources, ScheduledExecutorService loop) {
         this.sources = sources;
+        this.loop = loop;
     }
 
     /** Reads the same from an instance or from the store; fails with a {@link StoreException}. */
@@ -35,6 +42,29 @@
          * @param isFirst whether no instance has been asked before
          */
         CompletableFuture<T> fromStore(boolean isFirst);
+
+        /** Returns whether the store was the source of the last successful read of the same keys. */
+        boolean wasFromStore();
+    }
+
+    /** A read in progress. */
+    private static final class Progress<T> {
+        private final Read<T> read;
+        private final Set<Source> tried = new HashSet<>();
+        private Throwable reported = new StoreException(StoreException.Kind.NOT_DONE, "no source is left");
+        /** Whether the instances before this one have had time to begin to read from the store. */
+        private boolean hasWaited;
+
+        Progress(Read<T> read) {
+            this.read = read;
+            hasWaited = read.wasFromStore();
+        }
+
+        void fail(Source source, Throwable failure) {
+            if (source.isStore() || !tried.contains(Source.STORE)) {
+                reported = failure;
+            }
+        }
     }
 
     /**
@@ -43,40 +73,61 @@
      * asked.
      */
     <T> CompletableFuture<T> read(Read<T> read) {
-        StoreException nothingAsked = new StoreException(StoreException.Kind.NOT_DONE, "no source is left");
-        return readFromNext(read, sources.next(Set.of()), new HashSet<>(), nothingAsked);
+        return readFrom(sources.next(Set.of()), new Progress<>(read));
     }
 
-    private <T> CompletableFuture<T> readFromNext(
-            Read<T> read, Optional<Source> next, Set<Source> tried, Throwable reported) {
+    private <T> CompletableFuture<T> readFrom(Optional<Source> next, Progress<T> progress) {
         if (next.isEmpty()) {
-            return CompletableFuture.failedFuture(reported);
+            return CompletableFuture.failedFuture(progress.reported);
         }
         Source source = next.get();
-        boolean isFirst = tried.isEmpty();
-        tried.add(source);
-        CompletableFuture<T> call = source.instance().map(read::fromInstance).orElseGet(() -> read.fromStore(isFirst));
-        return call.handle((value, failure) -> {
-                    if (failure == null) {
-                        return CompletableFuture.completedFuture(value);
-                    }
-                    StoreException.Kind kind = StoreException.kindOf(failure);
-                    if (kind == StoreException.Kind.HISTORY_LOST) {
-                        return CompletableFuture.<T>failedFuture(failure);
-                    }
-                    if (source.isStore()) {
-                        sources.pauseStore();
-                    }
-                    boolean replaces = source.isStore() || !tried.contains(Source.STORE);
-                    return readFromNext(read, following(source, kind, tried), tried, replaces ? failure : reported);
-                })
+        if (source.isStore() && !progress.hasWaited && sources.storeDelayMs() > 0) {
+            return readLater(progress);
+        }
+        boolean isFirst = progress.tried.isEmpty();
+        progress.tried.add(source);
+        CompletableFuture<T> call =
+                source.instance().map(progress.read::fromInstance).orElseGet(() -> progress.read.fromStore(isFirst));
+        return call.handle((value, failure) -> failure == null
+                        ? CompletableFuture.completedFuture(value)
+                        : readAfterFailure(source, failure, progress))
                 .thenCompose(each -> each);
     }
 
-    private Optional<Source> following(Source failed, StoreException.Kind kind, Set<Source> tried) {
-        boolean isUnresponsiveInstance = !failed.isStore() && kind == StoreException.Kind.UNKNOWN;
-        return isUnresponsiveInstance || tried.size() >= MAX_SOURCES
-                ? SourceSelector.storeUnless(tried)
-                : sources.next(tried);
+    private <T> CompletableFuture<T> readAfterFailure(Source source, Throwable failure, Progress<T> progress) {
+        StoreException.Kind kind = StoreException.kindOf(failure);
+        if (kind == StoreException.Kind.HISTORY_LOST) {
+            return CompletableFuture.failedFuture(failure);
+        }
+        progress.fail(source, failure);
+        if (!source.isStore() && kind == StoreException.Kind.UNKNOWN) {
+            return readFrom(SourceSelector.storeUnless(progress.tried), progress);
+        }
+        boolean mayAskMore = progress.tried.size() < MAX_SOURCES;
+        return readFrom(mayAskMore ? sources.next(progress.tried) : sources.storeIfDue(progress.tried), progress);
+    }
+
+    /**
+     * Asks the instances before this one once more, after a delay. Otherwise the followers of a leader that has lost the
+     * store would all read from the store at the same moment, and none of them would find another one that does.
+     */
+    private <T> CompletableFuture<T> readLater(Progress<T> progress) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        loop.schedule(
+                () -> {
+                    progress.hasWaited = true;
+                    progress.tried.clear();
+                    sources.resumeRefusing();
+                    readFrom(sources.next(progress.tried), progress).whenComplete((value, failure) -> {
+                        if (failure == null) {
+                            result.complete(value);
+                        } else {
+                            result.completeExceptionally(failure);
+                        }
+                    });
+                },
+                sources.storeDelayMs(),
+                TimeUnit.MILLISECONDS);
+        return result;
     }
 }
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ApiClient.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/http/ApiClient.java
@@ -67,12 +67,12 @@
     public CompletableFuture<ApiResponse> call(
             String method, String target, List<Header> headers, byte[] body, CallLimits limits) {
         Call call = new Call(method, target, headers, body, limits);
-        call.startTimer(limits.silenceMs());
+        call.startTimers();
         ClientConnection connection = pollIdle();
         if (connection != null) {
             call.send(connection);
         } else {
-            int connectMs = (int) Math.min(CONNECT_TIMEOUT_MS, limits.silenceMs());
+            int connectMs = (int) Math.min(CONNECT_TIMEOUT_MS, limits.responseMs());
             call.cancelConnect = connector.connect(address, connectMs, this::removeIdle, call);
         }
         return call.result;
@@ -128,13 +128,12 @@
         private final CallLimits limits;
         private final CompletableFuture<ApiResponse> result = new CompletableFuture<>();
         private final ByteArrayOutputStream received = new ByteArrayOutputStream();
-        private ScheduledFuture<?> timer;
+        private ScheduledFuture<?> totalTimer;
+        private ScheduledFuture<?> silenceTimer;
         private Runnable cancelConnect;
         private ClientConnection connection;
         private HttpResponse head;
-        /** Time for which timers have been set so far, in milliseconds. */
-        private long timedMs;
-        /** Whether a part of the response has arrived since the timer was set. */
+        /** Whether a part of the response has arrived since the timer of the silence was set. */
         private boolean receiving;
 
         Call(String method, String target, List<Header> headers, byte[] body, CallLimits limits) {
@@ -146,21 +145,34 @@
             this.limits = limits;
         }
 
-        private void startTimer(long durationMs) {
+        private void startTimers() {
+            totalTimer = loop.schedule(this::onTimeout, limits.totalMs(), TimeUnit.MILLISECONDS);
+            if (limits.responseMs() < limits.totalMs()) {
+                awaitPart(limits.responseMs());
+            }
+        }
+
+        /** Ends the call after a time without a part of the response. */
+        private void awaitPart(long durationMs) {
             receiving = false;
-            timedMs += durationMs;
-            timer = loop.schedule(this::onTimer, durationMs, TimeUnit.MILLISECONDS);
+            silenceTimer = loop.schedule(this::checkSilence, durationMs, TimeUnit.MILLISECONDS);
         }
 
-        private void onTimer() {
-            long remainingMs = limits.totalMs() - timedMs;
-            if (receiving && remainingMs > 0) {
-                startTimer(Math.min(limits.silenceMs(), remainingMs));
+        private void checkSilence() {
+            if (receiving) {
+                awaitPart(limits.silenceMs());
             } else {
                 onTimeout();
             }
         }
 
+        private void cancelTimers() {
+            totalTimer.cancel(false);
+            if (silenceTimer != null) {
+                silenceTimer.cancel(false);
+            }
+        }
+
         void send(ClientConnection established) {
             connection = established;
             connection.send(method, target, headers, body, this);
@@ -183,7 +195,10 @@
         @Override
         public void onHead(HttpResponse responseHead) {
             head = responseHead;
-            receiving = true;
+            if (silenceTimer != null) {
+                silenceTimer.cancel(false);
+                awaitPart(limits.silenceMs());
+            }
         }
 
         @Override
@@ -205,7 +220,7 @@
 
         @Override
         public void onComplete() {
-            timer.cancel(false);
+            cancelTimers();
             if (connection.isOpen()) {
                 addIdle(connection);
             }
@@ -237,7 +252,7 @@
         }
 
         private void fail(ApiCallException failure) {
-            timer.cancel(false);
+            cancelTimers();
             result.completeExceptionally(failure);
         }
     }
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/FleetDirectoryTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/FleetDirectoryTest.java
@@ -141,6 +141,20 @@
         assertThat(directory.zoneLeader().map(InetSocketAddress::getPort)).hasValue(2);
     }
 
+    // Guards against an instance that goes on asking one that has left, or does not ask one that has joined.
+    @Test
+    void changeSourcesFollowTheRegistrations() {
+        directory.onSnapshot(new StoreSnapshot(List.of(entry("own", 500), entry("larger", "zone-a", 2, 900)), 1), 0);
+        assertThat(ports(directory.changeSources().preferred())).containsExactly(2);
+        StoreItem joined = entry("largest", "zone-a", 3, 950);
+        directory.onChange(new StoreChange(joined.key(), 2, Optional.of(joined)));
+        assertThat(ports(directory.changeSources().preferred()))
+                .containsExactly(3, 2)
+                .inOrder();
+        directory.onChange(new StoreChange(FleetKeys.INSTANCES + "larger", 3, Optional.empty()));
+        assertThat(ports(directory.changeSources().preferred())).containsExactly(3);
+    }
+
     // Guards against instances that all read from the store before they know their own registration.
     @Test
     void unregisteredInstanceAsksTheOthersFirst() {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/SourceSelectorTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/SourceSelectorTest.java
@@ -4,6 +4,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -95,6 +96,56 @@
         assertThat(order().get(0)).isEqualTo(Source.of(LEADER));
     }
 
+    // Guards against a read that ends without the store in a zone with more instances than it asks, and against
+    // followers
+    // that all turn to the store in an outage for that reason.
+    @Test
+    void readThatHasAskedEnoughTurnsToTheStoreIfThatIsDue() {
+        Set<Source> tried = Set.of(Source.of(LEADER), Source.of(DEPUTY));
+        assertThat(selector.storeIfDue(tried)).hasValue(Source.STORE);
+        selector.pauseStore();
+        assertThat(selector.storeIfDue(tried)).isEmpty();
+        selector.pauseUnresponsive(LEADER, false);
+        assertThat(selector.storeIfDue(tried)).hasValue(Source.STORE);
+    }
+
+    // Guards against an instance that goes on without the store after the store has responded to it again.
+    @Test
+    void storeIsAskedOnceItHasResponded() {
+        selector.pauseStore();
+        selector.resumeStore();
+        assertThat(order())
+                .containsExactly(Source.of(LEADER), Source.of(DEPUTY), Source.STORE, Source.of(OTHER_ZONE))
+                .inOrder();
+    }
+
+    // Guards against followers of a leader that was killed that wait for it a second time before they read from the
+    // store.
+    @Test
+    void onlyRefusingInstancesAreAskedAgainAfterADelay() {
+        selector.pauseUnresponsive(LEADER, true);
+        selector.pauseRefusing(DEPUTY);
+        selector.resumeRefusing();
+        assertThat(order())
+                .containsExactly(Source.of(DEPUTY), Source.STORE, Source.of(OTHER_ZONE))
+                .inOrder();
+    }
+
+    // Guards against instances of a zone that all read from the store at the same moment, and against one that waits
+    // for
+    // longer than its bounds allow.
+    @Test
+    void instancesReadFromTheStoreOneAfterTheOther() {
+        assertThat(selector.storeDelayMs()).isEqualTo(200);
+        assertThat(withInstancesBefore(0).storeDelayMs()).isEqualTo(0);
+        assertThat(withInstancesBefore(85).storeDelayMs()).isEqualTo(800);
+    }
+
+    private SourceSelector withInstancesBefore(int count) {
+        List<InetSocketAddress> before = Collections.nCopies(count, LEADER);
+        return new SourceSelector(() -> new ChangeSources(before, List.of()), clock);
+    }
+
     // Guards against sources that are left out for good after one failure.
     @Test
     void pausesEnd() {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/http/ApiClientTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/http/ApiClientTest.java
@@ -142,13 +142,14 @@
     // of
     // the instances there would ever receive a snapshot. Guards also against a response that arrives without end.
     @ParameterizedTest
-    @CsvSource({"1000, 1000, false", "1000, 1500, false", "1000, 60000, true"})
-    void responseMayTakeItsTimeWhileItArrives(long silenceMs, long totalMs, boolean succeeds) throws Exception {
+    @CsvSource({"1000, 1000, 1000, false", "1000, 1000, 1500, false", "1000, 1000, 60000, true", "1, 1, 60000, false"})
+    void responseMayTakeItsTimeWhileItArrives(long responseMs, long silenceMs, long totalMs, boolean succeeds)
+            throws Exception {
         try (ScriptedUpstream slow = slowServer(BYTES_OF_TWO_SECONDS)) {
             ApiClient client = new ApiClient(
                     loop, connector, new InetSocketAddress(InetAddress.getLoopbackAddress(), slow.port()));
-            CompletableFuture<ApiResponse> call = loop.submit(
-                            () -> client.call("GET", "/", List.of(), new byte[0], new CallLimits(silenceMs, totalMs)))
+            CompletableFuture<ApiResponse> call = loop.submit(() -> client.call(
+                            "GET", "/", List.of(), new byte[0], new CallLimits(responseMs, silenceMs, totalMs)))
                     .get(WAIT_S, TimeUnit.SECONDS);
             if (succeeds) {
                 assertThat(call.get(WAIT_S, TimeUnit.SECONDS).body()).hasLength(BYTES_OF_TWO_SECONDS);
@@ -167,7 +168,11 @@
             ApiClient client = new ApiClient(
                     loop, connector, new InetSocketAddress(InetAddress.getLoopbackAddress(), half.port()));
             CompletableFuture<ApiResponse> call = loop.submit(() -> client.call(
-                            "GET", "/", List.of(), new byte[0], new CallLimits(SHORT_TIMEOUT_MS, LONGEST_TIMEOUT_MS)))
+                            "GET",
+                            "/",
+                            List.of(),
+                            new byte[0],
+                            new CallLimits(LONG_TIMEOUT_MS, SHORT_TIMEOUT_MS, LONGEST_TIMEOUT_MS)))
                     .get(WAIT_S, TimeUnit.SECONDS);
             ExecutionException failure =
                     assertThrows(ExecutionException.class, () -> call.get(WAIT_S, TimeUnit.SECONDS));
