--- a/cranberrybend-core/src/test/java/org/cranberrybend/core/rateshare/SliceRateTest.java
+++ b/cranberrybend-core/src/test/java/org/cranberrybend/core/rateshare/SliceRateTest.java
@@ -37,8 +37,7 @@
     }
 
     // Guards against a stated limit that two lists of instances exceed, and against giving up much of a limit, or
-    // letting
-    // few instances use it, because of rounding.
+    // letting few instances use it, because of rounding.
     @ParameterizedTest
     @CsvSource({
         "1, 8, 5, 5000",
--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/store/PrefixWatch.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/store/PrefixWatch.java
@@ -137,9 +137,8 @@
 
     private void callStore() {
         int called = sequence;
-        // Entries that expired during an outage are written again soon. Only a new snapshot, which carries the length
-        // of
-        // the outage, lets the listener distinguish them from deleted ones.
+        // Entries that expired during an outage are written again soon. Only a new snapshot, which carries the
+        // length of the outage, lets the listener distinguish them from deleted ones.
         if (revision < 0 || unavailable && listener.needsSnapshotAfterOutage()) {
             store.list(prefix).whenComplete((snapshot, failure) -> onList(called, snapshot, failure));
         } else {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/DutyLeaseTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/DutyLeaseTest.java
@@ -133,9 +133,8 @@
         assertThat(first.grant()).isPresent();
     }
 
-    // The store comes back from a copy without the lease, and another instance learns of it first: guards against calls
-    // of
-    // both holders, and against a fencing number that was used before.
+    // The store comes back from a copy without the lease, and another instance learns of it first: guards against
+    // calls of both holders, and against a fencing number that was used before.
     @Test
     void firstHolderOfARestoredStoreWaitsUntilTheEarlierOneHasStopped() {
         MemoryStore.Copy copy = store.copy();
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/FleetDirectoryTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/FleetDirectoryTest.java
@@ -85,9 +85,8 @@
         assertThat(renewals.get()).isEqualTo(expectedRenewals);
     }
 
-    // Guards against an instance that others follow, because their leader has lost the store, and that cannot confirm
-    // its
-    // state to them.
+    // Guards against an instance that others follow, because their leader has lost the store, and that cannot
+    // confirm its state to them.
     @Test
     void instanceWithFollowersRenewsAsOftenAsALeader() {
         followed = true;
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/RestoredStoreFuzzTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/RestoredStoreFuzzTest.java
@@ -182,8 +182,7 @@
     }
 
     // Guards against two reports of a window with other counts, fencing numbers that fall or have two holders, and
-    // holders
-    // that alternate, whatever the order of restorations, outages, cuts and ends of instances.
+    // holders that alternate, whatever the order of restorations, outages, cuts and ends of instances.
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
     void noRestorationMakesTwoHoldersOrTwoReports(long seed) {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/UsageDutyTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/duty/UsageDutyTest.java
@@ -202,9 +202,8 @@
         }
     }
 
-    // The store comes back from a copy without a report that was sent: guards against a second one with other counts,
-    // by
-    // the instance that held the lease, or by another one after it has ended.
+    // The store comes back from a copy without a report that was sent: guards against a second one with other
+    // counts, by the instance that held the lease, or by another one after it has ended.
     @ParameterizedTest
     @CsvSource({"true, 1000", "true, 4000", "true, 9000", "false, 1000", "false, 4000", "false, 9000"})
     void windowIsNotReportedAgainAfterARestoration(boolean holderContinues, long copyAgeMs) {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/ChangeLogTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/ChangeLogTest.java
@@ -53,8 +53,7 @@
     }
 
     // Guards against a follower that reads the store itself, or receives each version, although it only lacks the
-    // newest
-    // version of one large value.
+    // newest version of one large value.
     @ParameterizedTest
     @ValueSource(longs = {0, 1, 150, 299})
     void followerReceivesOnlyTheNewestVersionOfAValue(long afterRevision) {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/CountsGathererTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/CountsGathererTest.java
@@ -63,9 +63,8 @@
         results.forEach(each -> assertThat(each.isDone()).isTrue());
     }
 
-    // Guards against a write that is bounded by the number of its entries: with the counts of 13,000 accounts, 32 of
-    // them
-    // are 8 MB, more than a message of the fleet or of the store may have.
+    // Guards against a write that is bounded by the number of its entries: with the counts of 13,000 accounts, 32
+    // of them are 8 MB, more than a message of the fleet or of the store may have.
     @ParameterizedTest
     @CsvSource({"3, 260000, 1", "4, 260000, 1", "5, 260000, 2", "32, 260000, 8", "3, 1048576, 3", "2, 2000000, 2"})
     void writeIsBoundedBySize(int instances, int valueBytes, int expectedWrites) {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FleetRelayTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FleetRelayTest.java
@@ -187,8 +187,7 @@
     }
 
     // Guards against instances that all ask others across a narrow link between regions, although one of their own
-    // region
-    // knows the newest state.
+    // region knows the newest state.
     @Test
     void instancesOfTheRegionAreAsked() throws Exception {
         onLoop(() -> {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FollowingStoreTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/FollowingStoreTest.java
@@ -332,9 +332,8 @@
         assertThat(onLoop(() -> followerStore.watches.size())).isEqualTo(1);
     }
 
-    // An upgrade in which the leader still runs an earlier version: guards against taking its confirmation for that of
-    // the
-    // present epoch. Its revisions have none, so that it knows no change after any of this version.
+    // An upgrade in which the leader still runs an earlier version: guards against taking its confirmation for that
+    // of the present epoch. Its revisions have none, so that it knows no change after any of this version.
     @Test
     void leaderWhoseRevisionsHaveNoEpochIsNotFollowed() throws Exception {
         RequestHandler earlierVersion = (request, exchange) -> {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/SourceSelectorTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/SourceSelectorTest.java
@@ -97,8 +97,7 @@
     }
 
     // Guards against a read that ends without the store in a zone with more instances than it asks, and against
-    // followers
-    // that all turn to the store in an outage for that reason.
+    // followers that all turn to the store in an outage for that reason.
     @Test
     void readThatHasAskedEnoughTurnsToTheStoreIfThatIsDue() {
         Set<Source> tried = Set.of(Source.of(LEADER), Source.of(DEPUTY));
@@ -131,9 +130,8 @@
                 .inOrder();
     }
 
-    // Guards against instances of a zone that all read from the store at the same moment, and against one that waits
-    // for
-    // longer than its bounds allow.
+    // Guards against instances of a zone that all read from the store at the same moment, and against one that
+    // waits for longer than its bounds allow.
     @Test
     void instancesReadFromTheStoreOneAfterTheOther() {
         assertThat(selector.storeDelayMs()).isEqualTo(200);
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/TurnedAwayZoneTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/fleet/TurnedAwayZoneTest.java
@@ -174,9 +174,9 @@
                 instances.stream().mapToLong(each -> each.view.sentValueBytes()).sum() / VALUE_BYTES);
     }
 
-    // Guards against instances that keep a withdrawn key because the store turns them away, and against each instance
-    // of
-    // a zone reading every version from the store because the leader is among these: together they fill the link to it.
+    // Guards against instances that keep a withdrawn key because the store turns them away, and against each
+    // instance of a zone reading every version from the store because the leader is among these: together they fill
+    // the link to it.
     @ParameterizedTest
     @ValueSource(ints = {1, 3, 5})
     void versionsReachAllInstancesAndCrossTheLinkOnce(int rejected) throws Exception {
@@ -204,9 +204,8 @@
         assertThat(sentValues() - before).isAtMost(INSTANCES);
     }
 
-    // Guards against followers that all read from the store because the leader has read a snapshot, and no longer has
-    // the
-    // changes since their revisions.
+    // Guards against followers that all read from the store because the leader has read a snapshot, and no longer
+    // has the changes since their revisions.
     @ParameterizedTest
     @ValueSource(ints = {2, VERSIONS})
     void followersReadTheSnapshotOfTheirLeader(int versions) throws Exception {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/http/ApiClientTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/http/ApiClientTest.java
@@ -138,9 +138,9 @@
         }
     }
 
-    // Guards against a response that is given up and requested again although it is arriving: behind a full link none
-    // of
-    // the instances there would ever receive a snapshot. Guards also against a response that arrives without end.
+    // Guards against a response that is given up and requested again although it is arriving: behind a full link
+    // none of the instances there would ever receive a snapshot. Guards also against a response that arrives
+    // without end.
     @ParameterizedTest
     @CsvSource({"1000, 1000, 1000, false", "1000, 1000, 1500, false", "1000, 1000, 60000, true", "1, 1, 60000, false"})
     void responseMayTakeItsTimeWhileItArrives(long responseMs, long silenceMs, long totalMs, boolean succeeds)
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/http/HeaderTextTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/http/HeaderTextTest.java
@@ -54,8 +54,7 @@
     }
 
     // Guards against letters that are replaced by question marks, and against Latin-1 beside UTF-8, with which two
-    // names
-    // can have the same bytes.
+    // names can have the same bytes.
     @ParameterizedTest
     @MethodSource("namesThatHeadsCanHold")
     void headCarriesTheUtf8OfAText(String name) {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/http/ResponseFramingFuzzTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/http/ResponseFramingFuzzTest.java
@@ -175,9 +175,9 @@
         assertThat(complete).isAtLeast(CASES / 4);
     }
 
-    // Guards against a part of a body that is taken for the whole one, because a response without a length ends while
-    // the
-    // request is still being written: after a write that fails, the reset of a connection looks like its regular end.
+    // Guards against a part of a body that is taken for the whole one, because a response without a length ends
+    // while the request is still being written: after a write that fails, the reset of a connection looks like its
+    // regular end.
     @ParameterizedTest
     @CsvSource({"'', false", "'Content-Length: 4\r\n', true", "'Content-Length: 5\r\n', false"})
     void endBeforeTheRequestIsWrittenIsNoEndOfTheResponse(String framing, boolean expectedComplete) {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/AccountNameTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/AccountNameTest.java
@@ -92,10 +92,9 @@
         }
     }
 
-    // Guards against requests that run under another name than that of their account, or under none, because no head
-    // can
-    // hold it: as another account, or with a line of the name as a field of its own. Routes that are open to all are no
-    // exception, since the request came with a key.
+    // Guards against requests that run under another name than that of their account, or under none, because no
+    // head can hold it: as another account, or with a line of the name as a field of its own. Routes that are open
+    // to all are no exception, since the request came with a key.
     @ParameterizedTest
     @ValueSource(
             strings = {"a\nDeadline: 1", "a\r\n\r\nGET / HTTP/1.1", " a", "a ", "a\u0000", "\ud800", "a\u000bb", "\t"})
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/OverloadAdmissionTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/OverloadAdmissionTest.java
@@ -119,8 +119,7 @@
     }
 
     // Guards against a queue that is full of requests for one region and keeps requests from the free upstreams of
-    // another
-    // one, and against a queue without a bound.
+    // another one, and against a queue without a bound.
     @Test
     void fullQueueKeepsNothingFromFreeUpstreams() throws Exception {
         try (ScriptedUpstream upstream = upstream();
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/SpoiltResponseTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/SpoiltResponseTest.java
@@ -128,8 +128,7 @@
     }
 
     // Guards against a body of another length than the upstream's, where the head states the length in a way that
-    // parsers
-    // understand differently.
+    // parsers understand differently.
     @ParameterizedTest
     @ValueSource(
             strings = {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/UnprovenRefusalTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/UnprovenRefusalTest.java
@@ -36,8 +36,7 @@
     }
 
     // Guards against a caller that repeats an order that was executed, because the status of the upstream, which
-    // promises
-    // that it was not, is passed on although the response does not state it.
+    // promises that it was not, is passed on although the response does not state it.
     @ParameterizedTest
     @CsvSource({
         "503 Odd, /once/x",
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/UpstreamPauseTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/request/UpstreamPauseTest.java
@@ -198,9 +198,8 @@
         }
     }
 
-    // Guards against ejecting an upstream, for longer each time, because it asks for time, whether it states that it
-    // has
-    // not executed the request or not.
+    // Guards against ejecting an upstream, for longer each time, because it asks for time, whether it states that
+    // it has not executed the request or not.
     @ParameterizedTest
     @CsvSource({"Not-Run: 1, 503", "Odd: 1, 502"})
     void requestForTimeIsNoFailure(String header, String expectedStatus) throws Exception {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/store/PrefixWatchTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/store/PrefixWatchTest.java
@@ -158,9 +158,8 @@
         assertThat(calls.get(calls.size() - 1)).isEqualTo("watch after 9");
     }
 
-    // Guards against snapshots that are read one after the other without a pause, because they come from an instance
-    // that
-    // is behind the one that is watched.
+    // Guards against snapshots that are read one after the other without a pause, because they come from an
+    // instance that is behind the one that is watched.
     @Test
     void repeatedlyLostHistoryIsReadAgainAfterADelay() {
         watch.start();
@@ -265,9 +264,8 @@
         assertThat(calls).contains("snapshot at 6 outage " + PrefixWatch.UNKNOWN_OUTAGE_MS);
     }
 
-    // The store comes back from an older copy while a watch is lost, and another call shows it: guards against waiting
-    // for
-    // the end of the watch, and against applying what it still returns.
+    // The store comes back from an older copy while a watch is lost, and another call shows it: guards against
+    // waiting for the end of the watch, and against applying what it still returns.
     @Test
     void snapshotIsReadAsSoonAsAnyCallShowsARestoration() {
         epoch.observe(0);
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamSelectorTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamSelectorTest.java
@@ -163,9 +163,8 @@
         assertThat(choose(selector, "prompt", LatencyClass.SENSITIVE)).contains("zone-c");
     }
 
-    // An overload of all regions: guards against requests that cross the link between regions without gain, and fill
-    // it,
-    // so that configurations and aborts of requests are late.
+    // An overload of all regions: guards against requests that cross the link between regions without gain, and
+    // fill it, so that configurations and aborts of requests are late.
     @ParameterizedTest
     @EnumSource(LatencyClass.class)
     void requestsStayInTheirRegionIfAllRegionsAreOverloaded(LatencyClass latencyClass) {
--- a/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamTableTest.java
+++ b/cranberrybend-entry/src/test/java/org/cranberrybend/entry/upstream/UpstreamTableTest.java
@@ -254,9 +254,8 @@
         return StoreRevision.of(1, revision);
     }
 
-    // The store comes back from an older copy: guards against requests to upstreams that have left or are leaving since
-    // the
-    // copy was made, and against the loss of one that has joined since.
+    // The store comes back from an older copy: guards against requests to upstreams that have left or are leaving
+    // since the copy was made, and against the loss of one that has joined since.
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void copyOfTheStoreDoesNotTakeBackWhatUpstreamsHaveDone(boolean fromPeer) {
@@ -280,9 +279,8 @@
         assertThat(usable()).containsExactly("joined", "stays");
     }
 
-    // Guards against an upstream that stays away although it has written its entry again: it had not left, its entry
-    // had
-    // expired.
+    // Guards against an upstream that stays away although it has written its entry again: it had not left, its
+    // entry had expired.
     @Test
     void departedUpstreamReturnsWhenItWritesItsEntryAgain() {
         table.onSnapshot(snapshot(2, item("a", "1:ready", 1), item("b", "1:ready", 2)), 0);
