--- a/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/ChangeFeed.java
+++ b/cranberrybend-entry/src/main/java/org/cranberrybend/entry/fleet/ChangeFeed.java
@@ -43,7 +43,9 @@
     /** Differs from the path of versions whose revisions have no epoch: these would confirm any state of a later one. */
     static final String PATH = "/fleet/epoch-changes";
 
+    /** Path of the snapshots that followers read if their last revision is too old. */
     static final String SNAPSHOT_PATH = "/fleet/epoch-snapshot";
+
     /** Largest time since the last response of the store at which an empty response is sent. */
     private static final long STORE_RESPONSE_MAX_AGE_MS = 1_500;
 
