--- a/review/standin-3/src/review3/Client.java
+++ b/review/standin-3/src/review3/Client.java
@@ -1,5 +1,6 @@
 package review3;
 
+import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
 import java.io.IOException;
@@ -23,11 +24,13 @@
     }
 
     private final Socket socket = new Socket();
+    private final InputStream input;
 
     Client(int port) throws IOException {
         socket.setTcpNoDelay(true);
         socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 1_000);
         socket.setSoTimeout(15_000);
+        input = new BufferedInputStream(socket.getInputStream());
     }
 
     void send(String text) throws IOException {
@@ -51,7 +54,6 @@
         Map<String, String> headers = new LinkedHashMap<>();
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         try {
-            InputStream input = socket.getInputStream();
             String statusLine = line(input);
             for (String line = line(input); !line.isEmpty(); line = line(input)) {
                 int colon = line.indexOf(':');
