--- a/review/standin-3/src/review3/RelistedWorker.java
+++ b/review/standin-3/src/review3/RelistedWorker.java
@@ -18,7 +18,7 @@
     private static final int SLOTS = 6;
     private static final double DRAIN_S = 2.5;
     /** Time from the notice of the reclaim until the worker is gone. */
-    private static final long GONE_AFTER_MS = 3_000;
+    private static final long GONE_AFTER_MS = 2_800;
 
     private static final long WORK_MS = 400;
     private static final int FIRST = 1000;
@@ -79,7 +79,7 @@
         if (passedOnS == 0) {
             throw new IllegalStateException("no request ran at the worker that leaves");
         }
-        while (record.seconds() < passedOnS + DRAIN_S + 0.1) {
+        while (record.seconds() < passedOnS + DRAIN_S + 0.05) {
             Worker.pause(5);
         }
         List<Thread> second = send(fleet, record, entry, 4 * WORKERS, SECOND);
